Decide without I/O: core crate, wire messages

Cause: nothing existed. The size in view (910 nodes before 1,300 databases) asks for decisions that the daemon, a model checker and hollow runs can share. Ruled out: decisions inside actors, which could only be tested with sockets. Change: millwind-core (positions, tokens, routing, admission, confirmation, membership, configuration, right to serve) and millwind-wire (binrw frames).

--- /dev/null
+++ b/crates/millwind-core/src/classify.rs
@@ -0,0 +1,224 @@
+//! What kind of statement a text is. Whatever cannot be parsed, or is not
+//! surely a read, counts as a write.
+
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{Expr, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
+
+/// Statement texts longer than this are not parsed and count as writes.
+pub const MAXIMUM_PARSED_BYTES: usize = 64 * 1024;
+
+/// Functions that are known to change nothing.
+const READ_ONLY_FUNCTIONS: &[&str] = &[
+    "abs", "array_agg", "avg", "ceil", "char_length", "coalesce", "concat", "count", "current_date",
+    "current_timestamp", "date_trunc", "floor", "greatest", "json_agg", "least", "length", "lower",
+    "ltrim", "max", "min", "now", "nullif", "pg_is_in_recovery", "round", "row_number", "rtrim",
+    "string_agg", "substr", "substring", "sum", "to_char", "trim", "upper", "version",
+];
+
+/// What a statement does, as far as routing is concerned.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum StatementKind {
+    /// Surely changes nothing.
+    Read,
+    /// Changes something, or may.
+    Write,
+    /// Opens a transaction; true when it is declared read only.
+    Begin {
+        /// Declared `READ ONLY`.
+        read_only: bool,
+    },
+    /// Ends a transaction by committing it.
+    Commit,
+    /// Ends a transaction by undoing it.
+    Rollback,
+    /// Sets a setting of the proxy itself.
+    SetProxy {
+        /// Name without the `millwind.` prefix.
+        name: String,
+        /// Value as text.
+        value: String,
+    },
+    /// Sets a back-end session setting, which transaction pooling cannot carry.
+    SetSession {
+        /// Name of the setting.
+        name: String,
+    },
+    /// Nothing but white space and comments.
+    Empty,
+}
+
+/// A classified text: the kinds of its statements and the tags in comments.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Classified {
+    /// One kind per statement; unparsable text is one `Write`.
+    pub kinds: Vec<StatementKind>,
+    /// `key='value'` pairs from comments, in order.
+    pub tags: Vec<(String, String)>,
+    /// Names of the tables the statements mention, lower case.
+    pub tables: Vec<String>,
+}
+
+impl Classified {
+    /// True when every statement is surely a read.
+    pub fn is_read(&self) -> bool {
+        !self.kinds.is_empty() && self.kinds.iter().all(|kind| *kind == StatementKind::Read)
+    }
+
+    /// Value of a comment tag.
+    pub fn tag(&self, key: &str) -> Option<&str> {
+        self.tags
+            .iter()
+            .find(|(name, _)| name == key)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// Classifies a statement text.
+pub fn classify(text: &str) -> Classified {
+    if text.len() > MAXIMUM_PARSED_BYTES {
+        return unparsed();
+    }
+    let dialect = PostgreSqlDialect {};
+    let Ok(tokens) = Tokenizer::new(&dialect, text).tokenize() else {
+        return unparsed();
+    };
+    let tags = comment_tags(&tokens);
+    let parsed = Parser::new(&dialect).with_tokens(tokens).parse_statements();
+    let Ok(statements) = parsed else {
+        return Classified { tags, ..unparsed() };
+    };
+    let mut tables = Vec::new();
+    for statement in &statements {
+        let mut collector = TableCollector { tables: &mut tables };
+        let _ = statement.visit(&mut collector);
+    }
+    let kinds = if statements.is_empty() {
+        vec![StatementKind::Empty]
+    } else {
+        statements.iter().map(kind_of).collect()
+    };
+    Classified { kinds, tags, tables }
+}
+
+fn unparsed() -> Classified {
+    Classified {
+        kinds: vec![StatementKind::Write],
+        ..Classified::default()
+    }
+}
+
+fn comment_tags(tokens: &[Token]) -> Vec<(String, String)> {
+    tokens
+        .iter()
+        .filter_map(|token| match token {
+            Token::Whitespace(Whitespace::MultiLineComment(comment)) => Some(comment),
+            _ => None,
+        })
+        .flat_map(|comment| comment.split(','))
+        .filter_map(|pair| {
+            let (key, value) = pair.split_once('=')?;
+            let value = value.trim().strip_prefix('\'')?.strip_suffix('\'')?;
+            Some((key.trim().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
+
+struct TableCollector<'a> {
+    tables: &'a mut Vec<String>,
+}
+
+impl Visitor for TableCollector<'_> {
+    type Break = ();
+
+    fn pre_visit_relation(&mut self, relation: &sqlparser::ast::ObjectName) -> ControlFlow<()> {
+        self.tables.push(relation.to_string().to_lowercase());
+        ControlFlow::Continue(())
+    }
+}
+
+fn kind_of(statement: &Statement) -> StatementKind {
+    match statement {
+        Statement::Query(query) if is_read_only(query) => StatementKind::Read,
+        Statement::ShowVariable { .. } => StatementKind::Read,
+        Statement::StartTransaction { modes, .. } => StatementKind::Begin {
+            read_only: modes
+                .iter()
+                .any(|mode| *mode == TransactionMode::AccessMode(TransactionAccessMode::ReadOnly)),
+        },
+        Statement::Commit { chain: false, .. } => StatementKind::Commit,
+        Statement::Rollback { chain: false, savepoint: None, .. } => StatementKind::Rollback,
+        Statement::Set(set) => set_kind(set),
+        _ => StatementKind::Write,
+    }
+}
+
+fn set_kind(set: &Set) -> StatementKind {
+    let Set::SingleAssignment { scope, variable, values, .. } = set else {
+        return StatementKind::SetSession {
+            name: set.to_string(),
+        };
+    };
+    if matches!(scope, Some(sqlparser::ast::ContextModifier::Local)) {
+        // Ends with the transaction, so pooling can carry it.
+        return StatementKind::Write;
+    }
+    let name = variable.to_string().to_lowercase();
+    match name.strip_prefix("millwind.") {
+        Some(own) => StatementKind::SetProxy {
+            name: own.to_owned(),
+            value: values.iter().map(unquoted).collect::<Vec<_>>().join(","),
+        },
+        None => StatementKind::SetSession { name },
+    }
+}
+
+fn unquoted(expression: &Expr) -> String {
+    let text = expression.to_string();
+    let inner = text.strip_prefix('\'').and_then(|rest| rest.strip_suffix('\''));
+    inner.map_or(text.clone(), str::to_owned)
+}
+
+fn is_read_only(query: &Query) -> bool {
+    let mut check = ReadOnlyCheck;
+    query.visit(&mut check).is_continue()
+}
+
+/// Breaks at the first part of a query that may change something.
+struct ReadOnlyCheck;
+
+impl Visitor for ReadOnlyCheck {
+    type Break = ();
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        let locks = !query.locks.is_empty();
+        if locks || !is_read_only_body(&query.body) {
+            return ControlFlow::Break(());
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
+        if let Expr::Function(function) = expression {
+            let name = function.name.to_string().to_lowercase();
+            if !READ_ONLY_FUNCTIONS.contains(&name.as_str()) {
+                return ControlFlow::Break(());
+            }
+        }
+        ControlFlow::Continue(())
+    }
+}
+
+fn is_read_only_body(body: &SetExpr) -> bool {
+    match body {
+        SetExpr::Select(select) => select.into.is_none(),
+        SetExpr::Query(_) | SetExpr::Values(_) | SetExpr::Table(_) => true,
+        SetExpr::SetOperation { left, right, .. } => {
+            is_read_only_body(left) && is_read_only_body(right)
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/millwind-core/src/control.rs
@@ -0,0 +1,509 @@
+//! The control plane of one node: membership, configuration and the right to
+//! serve, as one state machine that the daemon and the hollow runs both drive.
+//!
+//! A few relays per zone watch the platform. They push each change to the
+//! nodes of their zone; every node also sends a digest to a relay now and then,
+//! so that a lost push is repaired and the node learns how old the zone's
+//! contact with the platform is. The platform's load grows with the number of
+//! zones, not of nodes.
+
+use std::collections::BTreeMap;
+
+use millwind_wire::ControlMessage;
+use millwind_wire::control::{Digest, Liveness, MemberRecord, NodeRevision, WireDocument, ZoneReport};
+
+use crate::Instant;
+use crate::config_state::ConfigState;
+use crate::freshness::{FRESHNESS_BOUND_MS, FRESHNESS_MARGIN_MS, NotServing, ServingGate};
+use crate::ids::{InstanceName, NodeName, RegionName, ZoneName};
+use crate::membership::{Membership, MembershipTimes, Outgoing};
+use crate::placement;
+
+/// Between two digests of a node to a relay of its zone, in milliseconds.
+pub const DIGEST_INTERVAL_MS: u64 = 2_000;
+/// Between two reports of a relay to the other zones, in milliseconds.
+pub const REPORT_INTERVAL_MS: u64 = 1_000;
+/// A whole member table is sent to the same node at most this often.
+const TABLE_INTERVAL_MS: u64 = 20_000;
+/// Members of a zone unheard for this long are not candidates for ownership.
+pub const ZONE_LIFETIME_MS: u64 = 5_000;
+/// A newcomer asks its seeds again after this long without an answer.
+const JOIN_INTERVAL_MS: u64 = 500;
+
+/// Standing of one node with respect to a revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// Has the revision in force.
+    InForce,
+    /// Has stopped serving, by its own rule.
+    Stopped,
+    /// Neither is known.
+    Pending,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Confirmed {
+    revision: u64,
+    heard: Instant,
+}
+
+/// The control plane of one node.
+#[derive(Debug, Clone)]
+pub struct ControlPlane {
+    membership: Membership,
+    config: ConfigState,
+    gate: ServingGate,
+    seeds: Vec<String>,
+    confirmed: BTreeMap<String, Confirmed>,
+    tables_sent: BTreeMap<String, Instant>,
+    started: Option<Instant>,
+    next_digest: Instant,
+    next_report: Instant,
+    next_join: Instant,
+    rotation: usize,
+    config_changed: bool,
+}
+
+impl ControlPlane {
+    /// A node that knows only itself and the addresses of `seeds`.
+    pub fn new(own: MemberRecord, seeds: Vec<String>, times: MembershipTimes, seed: u64) -> Self {
+        let zone = ZoneName::from(own.zone.as_str());
+        let region = RegionName::from(own.region.as_str());
+        ControlPlane {
+            gate: ServingGate::new(zone, region),
+            membership: Membership::new(own, times, seed),
+            config: ConfigState::default(),
+            seeds,
+            confirmed: BTreeMap::new(),
+            tables_sent: BTreeMap::new(),
+            started: None,
+            next_digest: Instant::default(),
+            next_report: Instant::default(),
+            next_join: Instant::default(),
+            rotation: 0,
+            config_changed: false,
+        }
+    }
+
+    /// The member table.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &ConfigState {
+        &self.config
+    }
+
+    /// True once after the configuration moved.
+    pub fn take_config_changed(&mut self) -> bool {
+        std::mem::take(&mut self.config_changed)
+    }
+
+    /// True once after the member table changed.
+    pub fn take_members_changed(&mut self) -> bool {
+        self.membership.take_changed()
+    }
+
+    /// Marks this node as leaving.
+    pub fn leave(&mut self) {
+        self.membership.leave();
+    }
+
+    /// Whether requests may be served at `now`.
+    pub fn may_serve(&self, now: Instant) -> Result<(), NotServing> {
+        self.gate.may_serve(now, self.config.revision() > 0)
+    }
+
+    /// Age of the newest contact with the platform, in milliseconds.
+    pub fn platform_age_ms(&self, now: Instant) -> u32 {
+        self.gate.platform_age_ms(now)
+    }
+
+    /// What the zones last reported.
+    pub fn zone_reports(&self, now: Instant) -> Vec<ZoneReport> {
+        self.gate.reports(now)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.started.get_or_insert(now);
+        let mut out = self.membership.tick(now);
+        self.join_seeds(now, &mut out);
+        if now >= self.next_digest {
+            self.next_digest = now.plus_millis(DIGEST_INTERVAL_MS);
+            self.send_digest(&mut out);
+        }
+        if now >= self.next_report {
+            self.next_report = now.plus_millis(REPORT_INTERVAL_MS);
+            self.send_reports(now, &mut out);
+        }
+        out
+    }
+
+    fn join_seeds(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
+        let alone = self.membership.live().count() == 1;
+        if !alone || now < self.next_join {
+            return;
+        }
+        self.next_join = now.plus_millis(JOIN_INTERVAL_MS);
+        for address in &self.seeds {
+            if *address != self.membership.own().address {
+                out.push(Outgoing {
+                    to: NodeName::from(""),
+                    address: address.clone(),
+                    message: self.membership.join(),
+                });
+            }
+        }
+    }
+
+    fn relays_without_self(&self, zone: &str) -> Vec<NodeName> {
+        let mut relays = self.membership.relays(zone);
+        relays.retain(|relay| relay.as_str() != self.membership.own().node);
+        relays
+    }
+
+    fn send_digest(&mut self, out: &mut Vec<Outgoing>) {
+        let relays = self.relays_without_self(&self.membership.own().zone);
+        if relays.is_empty() {
+            return;
+        }
+        self.rotation += 1;
+        let relay = &relays[self.rotation % relays.len()];
+        let message = self.digest_message();
+        self.send(relay.as_str(), message, out);
+    }
+
+    fn digest_message(&self) -> ControlMessage {
+        ControlMessage::ConfigDigest {
+            digest: self.config.digest(),
+            members_hash: self.membership.hash(),
+        }
+    }
+
+    fn send_reports(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
+        if !self.membership.is_relay() {
+            return;
+        }
+        self.rotation += 1;
+        let zones: Vec<String> = self.membership.zones().into_keys().collect();
+        for zone in zones {
+            let relays = self.relays_without_self(&zone);
+            if relays.is_empty() {
+                continue;
+            }
+            let relay = &relays[self.rotation % relays.len()];
+            let message = ControlMessage::ZoneReports {
+                zones: self.gate.reports(now),
+                digest: self.config.digest(),
+            };
+            self.send(relay.as_str(), message, out);
+        }
+    }
+
+    fn send(&self, to: &str, message: ControlMessage, out: &mut Vec<Outgoing>) {
+        if let Some(record) = self.membership.record(to) {
+            out.push(Outgoing {
+                to: NodeName::from(to),
+                address: record.address.clone(),
+                message,
+            });
+        }
+    }
+
+    /// Takes in that the platform was heard at `now` and has shown every
+    /// change up to `revision`.
+    pub fn platform_heard(&mut self, now: Instant, revision: u64) {
+        if self.config.revision() >= revision {
+            self.gate.platform_contact(now);
+        }
+    }
+
+    /// Takes in the platform's whole content.
+    pub fn platform_snapshot(&mut self, now: Instant, revision: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+        let before = self.config.revision();
+        let moved = self.config.apply_snapshot(revision, documents);
+        self.platform_heard(now, revision);
+        self.after_apply(moved, before)
+    }
+
+    /// Takes in changes that the platform's watch reported; they are complete
+    /// from the revision in force on.
+    pub fn platform_changes(&mut self, now: Instant, revision: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+        let before = self.config.revision();
+        let moved = self.config.apply(before, revision, documents).unwrap_or(false);
+        self.platform_heard(now, revision);
+        self.after_apply(moved, before)
+    }
+
+    fn after_apply(&mut self, moved: bool, before: u64) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        if !moved {
+            return out;
+        }
+        self.config_changed = true;
+        self.push_to_zone(before, &mut out);
+        out
+    }
+
+    /// Pushes what changed after `before` to this relay's share of its zone.
+    fn push_to_zone(&self, before: u64, out: &mut Vec<Outgoing>) {
+        let own = self.membership.own();
+        let relays = self.membership.relays(&own.zone);
+        let Some(rank) = relays.iter().position(|relay| relay.as_str() == own.node) else {
+            return;
+        };
+        let delta = self.delta(before);
+        for record in self.membership.live() {
+            let in_zone = record.zone == own.zone && record.node != own.node;
+            let share = placement::score(&record.node, "push") as usize % relays.len();
+            if in_zone && share == rank {
+                self.send(&record.node, delta.clone(), out);
+            }
+        }
+    }
+
+    fn delta(&self, since: u64) -> ControlMessage {
+        ControlMessage::ConfigDelta {
+            from: since,
+            to: self.config.revision(),
+            documents: self.config.changes_since(since),
+        }
+    }
+
+    /// Takes in a message from `from`.
+    pub fn receive(&mut self, now: Instant, from: &str, message: &ControlMessage) -> Vec<Outgoing> {
+        match message {
+            ControlMessage::ConfigDigest { digest, members_hash } => {
+                self.digest_received(now, from, digest, *members_hash)
+            }
+            ControlMessage::ConfigReport { digest, platform_age_ms, zones } => {
+                self.report_received(now, from, digest, *platform_age_ms, zones)
+            }
+            ControlMessage::ConfigDelta { from: since, to, documents } => {
+                self.delta_received(from, *since, *to, documents)
+            }
+            ControlMessage::Applied { revision } => {
+                self.confirm(now, from, *revision);
+                Vec::new()
+            }
+            ControlMessage::RevisionsRequest { sequence } => self.revisions_requested(now, from, *sequence),
+            ControlMessage::ZoneReports { zones, digest } => self.zones_received(now, from, zones, digest),
+            ControlMessage::ConfigPull { revision } => {
+                let mut out = Vec::new();
+                self.send(from, self.delta(*revision), &mut out);
+                out
+            }
+            other => {
+                let out = self.membership.receive(now, from, other);
+                if matches!(other, ControlMessage::Table { .. }) {
+                    // A newcomer need not wait a whole interval for its configuration.
+                    self.next_digest = now;
+                }
+                out
+            }
+        }
+    }
+
+    fn confirm(&mut self, now: Instant, node: &str, revision: u64) {
+        let entry = self.confirmed.entry(node.to_owned()).or_insert(Confirmed { revision, heard: now });
+        entry.revision = entry.revision.max(revision);
+        entry.heard = now;
+    }
+
+    fn digest_received(&mut self, now: Instant, from: &str, digest: &Digest, members_hash: u64) -> Vec<Outgoing> {
+        self.confirm(now, from, digest.revision);
+        let mut out = Vec::new();
+        let report = ControlMessage::ConfigReport {
+            digest: self.config.digest(),
+            platform_age_ms: self.platform_age_ms(now),
+            zones: self.gate.reports(now),
+        };
+        if digest.revision < self.config.revision() {
+            self.send(from, self.delta(digest.revision), &mut out);
+        }
+        self.send(from, report, &mut out);
+        if members_hash != self.membership.hash() && self.may_send_table(now, from) {
+            self.send(from, self.membership.table(), &mut out);
+        }
+        out
+    }
+
+    fn may_send_table(&mut self, now: Instant, to: &str) -> bool {
+        let last = self.tables_sent.get(to);
+        if last.is_some_and(|sent| now.millis_since(*sent) < TABLE_INTERVAL_MS) {
+            return false;
+        }
+        self.tables_sent.insert(to.to_owned(), now);
+        true
+    }
+
+    fn report_received(
+        &mut self,
+        now: Instant,
+        from: &str,
+        digest: &Digest,
+        platform_age_ms: u32,
+        zones: &[ZoneReport],
+    ) -> Vec<Outgoing> {
+        for report in zones {
+            self.gate.zone_report(now, report);
+        }
+        self.adopt_contact(now, digest, platform_age_ms);
+        self.pull_if_behind(from, digest)
+    }
+
+    /// A peer's contact counts only with a configuration at least as new as
+    /// the peer's: the contact vouches for that revision.
+    fn adopt_contact(&mut self, now: Instant, digest: &Digest, platform_age_ms: u32) {
+        if self.config.revision() < digest.revision {
+            return;
+        }
+        if let Some(at) = now.0.checked_sub(u64::from(platform_age_ms) * 1_000) {
+            self.gate.platform_contact(Instant(at));
+        }
+    }
+
+    fn pull_if_behind(&self, from: &str, digest: &Digest) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        let revision = self.config.revision();
+        if digest.revision > revision {
+            self.send(from, ControlMessage::ConfigPull { revision }, &mut out);
+        }
+        out
+    }
+
+    fn zones_received(&mut self, now: Instant, from: &str, zones: &[ZoneReport], digest: &Digest) -> Vec<Outgoing> {
+        for report in zones {
+            self.gate.zone_report(now, report);
+        }
+        if let Some(sender) = zones.first() {
+            self.adopt_contact(now, digest, sender.platform_age_ms);
+        }
+        self.pull_if_behind(from, digest)
+    }
+
+    fn delta_received(&mut self, from: &str, since: u64, to: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+        let before = self.config.revision();
+        match self.config.apply(since, to, documents) {
+            Ok(moved) => {
+                let mut out = self.after_apply(moved, before);
+                let revision = self.config.revision();
+                self.send(from, ControlMessage::Applied { revision }, &mut out);
+                if moved {
+                    self.send_digest(&mut out);
+                }
+                out
+            }
+            Err(_) => {
+                let mut out = Vec::new();
+                self.send(from, ControlMessage::ConfigPull { revision: before }, &mut out);
+                out
+            }
+        }
+    }
+
+    fn revisions_requested(&mut self, now: Instant, from: &str, sequence: u64) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        let nodes = self.zone_revisions(now);
+        self.send(from, ControlMessage::Revisions { sequence, nodes }, &mut out);
+        out
+    }
+
+    /// Revisions in force in this node's zone, as far as it has heard.
+    pub fn zone_revisions(&self, now: Instant) -> Vec<NodeRevision> {
+        let own = self.membership.own();
+        let mut nodes = vec![NodeRevision {
+            node: own.node.clone(),
+            revision: self.config.revision(),
+            age_ms: 0,
+        }];
+        for (node, confirmed) in &self.confirmed {
+            nodes.push(NodeRevision {
+                node: node.clone(),
+                revision: confirmed.revision,
+                age_ms: u32::try_from(now.millis_since(confirmed.heard)).unwrap_or(u32::MAX),
+            });
+        }
+        nodes
+    }
+
+    /// Where each known node stands with respect to `revision`, given what the
+    /// relays said and when each node was last heard by any of them.
+    ///
+    /// A node is left out only when its own rule has stopped it: it has not
+    /// been heard for longer than the freshness bound, while its scope was
+    /// reachable, so that it had no excuse to go on.
+    pub fn standings(&self, now: Instant, revision: u64, reports: &BTreeMap<String, NodeRevision>) -> BTreeMap<String, Standing> {
+        let bound = FRESHNESS_BOUND_MS + FRESHNESS_MARGIN_MS;
+        self.membership
+            .records()
+            .map(|record| {
+                let report = reports.get(&record.node);
+                let confirmed = report.is_some_and(|report| report.revision >= revision);
+                let silent_ms = report.map_or(u64::MAX, |report| u64::from(report.age_ms));
+                let since_start = self.started.map_or(0, |started| now.millis_since(started));
+                let silent = silent_ms.min(since_start) > bound;
+                let standing = if confirmed {
+                    Standing::InForce
+                } else if record.liveness == Liveness::Dead && silent || silent && self.scope_is_reachable(now, record) {
+                    Standing::Stopped
+                } else {
+                    Standing::Pending
+                };
+                (record.node.clone(), standing)
+            })
+            .collect()
+    }
+
+    /// True when most zones of the record's scope, its own left out, are heard
+    /// and in contact: then a silent node there has no shared outage to plead.
+    fn scope_is_reachable(&self, now: Instant, record: &MemberRecord) -> bool {
+        let reports = self.gate.reports(now);
+        let same_region = reports
+            .iter()
+            .filter(|report| report.region == record.region && report.zone != record.zone)
+            .count();
+        let mut scope = 1;
+        let mut reachable = 0;
+        for report in reports.iter().filter(|report| report.zone != record.zone) {
+            if same_region > 0 && report.region != record.region {
+                continue;
+            }
+            scope += 1;
+            let heard = u64::from(report.age_ms) <= FRESHNESS_BOUND_MS;
+            let contact = u64::from(report.platform_age_ms) <= FRESHNESS_BOUND_MS;
+            reachable += usize::from(heard && contact);
+        }
+        reachable * 2 >= scope
+    }
+
+    /// Owner of an instance, by the members and zones heard lately.
+    pub fn owner(&self, now: Instant, instance: &InstanceName, zone: &ZoneName, region: &RegionName) -> Option<NodeName> {
+        let own = self.membership.own();
+        let names: Vec<(NodeName, ZoneName, RegionName)> = self
+            .membership
+            .live()
+            .filter(|record| record.leaving == 0 || record.node == own.node && self.membership.live().count() == 1)
+            .filter(|record| record.zone == own.zone || self.zone_is_heard(now, &record.zone))
+            .map(|record| {
+                (
+                    NodeName::from(record.node.as_str()),
+                    ZoneName::from(record.zone.as_str()),
+                    RegionName::from(record.region.as_str()),
+                )
+            })
+            .collect();
+        let candidates = names.iter().map(|(node, zone, region)| placement::Candidate { node, zone, region });
+        placement::owner(instance, zone, region, candidates).cloned()
+    }
+
+    fn zone_is_heard(&self, now: Instant, zone: &str) -> bool {
+        let Some(started) = self.started else {
+            return true;
+        };
+        let age = self.gate.zone_age_ms(now, &ZoneName::from(zone));
+        age.unwrap_or(now.millis_since(started)) <= ZONE_LIFETIME_MS
+    }
+}
--- /dev/null
+++ b/crates/millwind-core/src/lib.rs
@@ -0,0 +1,46 @@
+//! Decisions of the millwind database proxy, without I/O.
+//!
+//! Nothing here opens a socket, reads a clock or starts a task: events and a
+//! time go in, actions and reasons come out, and the same input gives the same
+//! output. That is what lets the daemon, the model checker and the hollow
+//! capacity runs share one implementation.
+
+pub mod admission;
+pub mod classify;
+pub mod config_state;
+pub mod confirmation;
+pub mod control;
+pub mod error_kind;
+pub mod freshness;
+pub mod group_view;
+pub mod ids;
+pub mod invariant;
+pub mod membership;
+pub mod outcome;
+pub mod placement;
+pub mod position;
+pub mod retry;
+pub mod routing;
+pub mod tenant;
+pub mod token;
+
+/// A point in time in microseconds on the caller's monotonic clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Instant(pub u64);
+
+impl Instant {
+    /// Builds a time from whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Instant(millis * 1_000)
+    }
+
+    /// This time moved later by `millis` milliseconds.
+    pub const fn plus_millis(self, millis: u64) -> Self {
+        Instant(self.0 + millis * 1_000)
+    }
+
+    /// Whole milliseconds since `earlier`, zero if `earlier` is later.
+    pub const fn millis_since(self, earlier: Instant) -> u64 {
+        self.0.saturating_sub(earlier.0) / 1_000
+    }
+}
--- /dev/null
+++ b/crates/millwind-wire/src/lib.rs
@@ -0,0 +1,120 @@
+//! Messages between millwind processes and their binary codec.
+//!
+//! A frame is a length (written by the transport), a protocol version and one
+//! [`PeerMessage`]. Lengths are bounded before anything is allocated, so a
+//! damaged or hostile frame costs an error and no memory.
+
+pub mod control;
+pub mod request;
+mod text;
+
+use std::io::Cursor;
+
+use binrw::{BinRead, BinWrite, binrw};
+use thiserror::Error;
+
+pub use control::ControlMessage;
+pub use request::{
+    AwaitPrimary, CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, GroupStatus, Intent,
+    MemberStatus, ResolveReply, ResolveRequest, ResolveResult, WirePosition, WireTermStart,
+};
+
+/// Version of the protocol between nodes; the first byte of every frame.
+pub const PROTOCOL_VERSION: u8 = 1;
+/// Longest frame in bytes, version byte included.
+pub const MAXIMUM_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+/// Introduces the sender; first message on every link.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hello {
+    /// Name of the sending node.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub node: String,
+    /// Start time of the sending process, in milliseconds since 1970.
+    pub incarnation: u64,
+}
+
+/// Everything one node may say to another.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerMessage {
+    /// First message on a link.
+    #[brw(magic = 1u8)]
+    Hello(Hello),
+    /// Membership and configuration.
+    #[brw(magic = 2u8)]
+    Control(ControlMessage),
+    /// Run a batch of statements on an instance.
+    #[brw(magic = 3u8)]
+    Execute(ExecuteRequest),
+    /// Answer to `Execute`.
+    #[brw(magic = 4u8)]
+    ExecuteReply(ExecuteReply),
+    /// Settle a request id whose outcome is unknown.
+    #[brw(magic = 5u8)]
+    Resolve(ResolveRequest),
+    /// Answer to `Resolve`.
+    #[brw(magic = 6u8)]
+    ResolveReply(ResolveReply),
+    /// Ask for a group's primary, waiting for a change.
+    #[brw(magic = 7u8)]
+    AwaitPrimary(AwaitPrimary),
+    /// Answer to `AwaitPrimary`.
+    #[brw(magic = 8u8)]
+    GroupStatus(GroupStatus),
+    /// Cancel a request, or roll back and free a pinned connection.
+    #[brw(magic = 9u8)]
+    Cancel(CancelRequest),
+    /// Keeps a silent link known to be alive.
+    #[brw(magic = 10u8)]
+    KeepAlive,
+}
+
+/// Why a frame was not understood.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// The frame is empty or of another protocol version.
+    #[error("frame has protocol version {found:?}, this node speaks {PROTOCOL_VERSION}")]
+    Version {
+        /// Version found, none for an empty frame.
+        found: Option<u8>,
+    },
+    /// The frame's content is damaged.
+    #[error("frame cannot be decoded: {0}")]
+    Malformed(#[from] binrw::Error),
+    /// Bytes follow the message.
+    #[error("frame has {0} bytes after its message")]
+    TrailingBytes(usize),
+}
+
+/// Encodes a message with its version byte.
+pub fn encode(message: &PeerMessage) -> Result<Vec<u8>, WireError> {
+    let mut cursor = Cursor::new(vec![PROTOCOL_VERSION]);
+    cursor.set_position(1);
+    message.write(&mut cursor)?;
+    Ok(cursor.into_inner())
+}
+
+/// Decodes a frame made by [`encode`].
+pub fn decode(frame: &[u8]) -> Result<PeerMessage, WireError> {
+    match frame.first() {
+        Some(&PROTOCOL_VERSION) => {}
+        other => {
+            return Err(WireError::Version {
+                found: other.copied(),
+            });
+        }
+    }
+    let mut cursor = Cursor::new(frame);
+    cursor.set_position(1);
+    let message = PeerMessage::read(&mut cursor)?;
+    let rest = frame.len() - cursor.position() as usize;
+    if rest > 0 {
+        return Err(WireError::TrailingBytes(rest));
+    }
+    Ok(message)
+}
