--- a/crates/millwind-core/src/classify.rs
+++ b/crates/millwind-core/src/classify.rs
@@ -3,7 +3,7 @@
 
 use std::ops::ControlFlow;
 
-use sqlparser::ast::{Expr, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor};
+use sqlparser::ast::{Expr, Ident, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor};
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
@@ -47,6 +47,13 @@
         /// Name of the setting.
         name: String,
     },
+    /// Shows a setting of the proxy itself.
+    ShowProxy {
+        /// Name without the `millwind.` prefix.
+        name: String,
+    },
+    /// Needs a back-end session of its own, or a protocol the proxy lacks.
+    Unsupported,
     /// Nothing but white space and comments.
     Empty,
 }
@@ -143,7 +150,16 @@
 fn kind_of(statement: &Statement) -> StatementKind {
     match statement {
         Statement::Query(query) if is_read_only(query) => StatementKind::Read,
-        Statement::ShowVariable { .. } => StatementKind::Read,
+        Statement::ShowVariable { variable } => show_kind(variable),
+        Statement::Copy { .. }
+        | Statement::LISTEN { .. }
+        | Statement::UNLISTEN { .. }
+        | Statement::Prepare { .. }
+        | Statement::Execute { .. }
+        | Statement::Deallocate { .. }
+        | Statement::Declare { .. }
+        | Statement::Discard { .. } => StatementKind::Unsupported,
+        Statement::CreateTable(table) if table.temporary => StatementKind::Unsupported,
         Statement::StartTransaction { modes, .. } => StatementKind::Begin {
             read_only: modes
                 .iter()
@@ -156,6 +172,17 @@
     }
 }
 
+fn show_kind(variable: &[Ident]) -> StatementKind {
+    let names: Vec<String> = variable.iter().map(|part| part.value.to_lowercase()).collect();
+    match names.split_first() {
+        Some((first, rest)) if first == "millwind" => StatementKind::ShowProxy { name: rest.join(".") },
+        _ => match names.join(".").strip_prefix("millwind.") {
+            Some(name) => StatementKind::ShowProxy { name: name.to_owned() },
+            None => StatementKind::Read,
+        },
+    }
+}
+
 fn set_kind(set: &Set) -> StatementKind {
     let Set::SingleAssignment { scope, variable, values, .. } = set else {
         return StatementKind::SetSession {
--- a/crates/millwind-core/src/control.rs
+++ b/crates/millwind-core/src/control.rs
@@ -7,7 +7,7 @@
 //! contact with the platform is. The platform's load grows with the number of
 //! zones, not of nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millwind_wire::ControlMessage;
 use millwind_wire::control::{Digest, Liveness, MemberRecord, NodeRevision, WireDocument, ZoneReport};
@@ -115,6 +115,11 @@
         self.gate.may_serve(now, self.config.revision() > 0)
     }
 
+    /// The evidence by which the node may serve.
+    pub fn gate(&self) -> &ServingGate {
+        &self.gate
+    }
+
     /// Age of the newest contact with the platform, in milliseconds.
     pub fn platform_age_ms(&self, now: Instant) -> u32 {
         self.gate.platform_age_ms(now)
@@ -479,24 +484,33 @@
         reachable * 2 >= scope
     }
 
-    /// Owner of an instance, by the members and zones heard lately.
-    pub fn owner(&self, now: Instant, instance: &InstanceName, zone: &ZoneName, region: &RegionName) -> Option<NodeName> {
+    /// The zones heard lately, the own one included.
+    pub fn reachable_zones(&self, now: Instant) -> BTreeSet<String> {
+        let own = &self.membership.own().zone;
+        self.membership
+            .zones()
+            .into_keys()
+            .filter(|zone| zone == own || self.zone_is_heard(now, zone))
+            .collect()
+    }
+
+    /// The nodes that may own instances, by the members and zones heard lately.
+    pub fn owner_table(&self, now: Instant) -> OwnerTable {
         let own = self.membership.own();
-        let names: Vec<(NodeName, ZoneName, RegionName)> = self
+        let reachable = self.reachable_zones(now);
+        let alone = self.membership.live().count() == 1;
+        let candidates = self
             .membership
             .live()
-            .filter(|record| record.leaving == 0 || record.node == own.node && self.membership.live().count() == 1)
-            .filter(|record| record.zone == own.zone || self.zone_is_heard(now, &record.zone))
-            .map(|record| {
-                (
-                    NodeName::from(record.node.as_str()),
-                    ZoneName::from(record.zone.as_str()),
-                    RegionName::from(record.region.as_str()),
-                )
+            .filter(|record| record.leaving == 0 || alone && record.node == own.node)
+            .filter(|record| reachable.contains(&record.zone))
+            .map(|record| OwnerCandidate {
+                node: NodeName::from(record.node.as_str()),
+                zone: ZoneName::from(record.zone.as_str()),
+                region: RegionName::from(record.region.as_str()),
             })
             .collect();
-        let candidates = names.iter().map(|(node, zone, region)| placement::Candidate { node, zone, region });
-        placement::owner(instance, zone, region, candidates).cloned()
+        OwnerTable { candidates }
     }
 
     fn zone_is_heard(&self, now: Instant, zone: &str) -> bool {
@@ -507,3 +521,29 @@
         age.unwrap_or(now.millis_since(started)) <= ZONE_LIFETIME_MS
     }
 }
+
+/// A node that may own instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct OwnerCandidate {
+    node: NodeName,
+    zone: ZoneName,
+    region: RegionName,
+}
+
+/// The nodes that may own instances, as one node sees them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct OwnerTable {
+    candidates: Vec<OwnerCandidate>,
+}
+
+impl OwnerTable {
+    /// Owner of an instance in `zone` of `region`.
+    pub fn owner(&self, instance: &InstanceName, zone: &ZoneName, region: &RegionName) -> Option<&NodeName> {
+        let candidates = self.candidates.iter().map(|candidate| placement::Candidate {
+            node: &candidate.node,
+            zone: &candidate.zone,
+            region: &candidate.region,
+        });
+        placement::owner(instance, zone, region, candidates)
+    }
+}
--- a/crates/millwind-core/src/placement.rs
+++ b/crates/millwind-core/src/placement.rs
@@ -44,7 +44,7 @@
     candidates
         .max_by_key(|candidate| {
             let weight = score(candidate.node.as_str(), instance.as_str());
-            (nearness(candidate), weight, candidate.node.clone())
+            (nearness(candidate), weight, candidate.node)
         })
         .map(|candidate| candidate.node)
 }
--- /dev/null
+++ b/crates/millwind-node/src/config_watch.rs
@@ -0,0 +1,138 @@
+//! Watches the platform's store while this node is a relay, and feeds the
+//! control actor. Calls are paced; an outage of any length only means retries.
+
+use log::{info, warn};
+use millwind_core::config_state::DocumentKind;
+use millwind_platform::pacing::Backoff;
+use millwind_platform::{Entry, Store, StoreError, Watch};
+use millwind_wire::control::WireDocument;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+use crate::control::{ControlHandle, FromPlatform};
+
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What is stored under a configuration key, as JSON.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredDocument {
+    /// Names the change.
+    pub change_id: String,
+    /// True when the document is deleted.
+    #[serde(default)]
+    pub deleted: bool,
+    /// TOML text.
+    pub body: String,
+}
+
+/// Where documents lie in the store.
+#[derive(Debug, Clone)]
+pub struct KeySpace {
+    prefix: String,
+}
+
+impl KeySpace {
+    /// Keys under `prefix`.
+    pub fn new(prefix: &str) -> Self {
+        KeySpace {
+            prefix: prefix.to_owned(),
+        }
+    }
+
+    /// Prefix of all keys.
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// Store key of a document.
+    pub fn document(&self, key: &str) -> String {
+        format!("{}config/{key}", self.prefix)
+    }
+
+    /// Store key that every change also writes, so that changes that were
+    /// checked against the same state cannot both be accepted.
+    pub fn head(&self) -> String {
+        format!("{}head", self.prefix)
+    }
+
+    /// Store key of a machine list entry.
+    pub fn machine(&self, name: &str) -> String {
+        format!("{}machines/{name}", self.prefix)
+    }
+
+    /// The document an entry holds; none for keys that are not documents.
+    pub fn parse(&self, entry: &Entry) -> Option<WireDocument> {
+        let rest = entry.key.strip_prefix(&self.prefix)?;
+        if let Some(name) = rest.strip_prefix("machines/") {
+            return Some(machine_document(name, entry));
+        }
+        let key = rest.strip_prefix("config/")?;
+        let stored: Option<StoredDocument> = entry
+            .value
+            .as_deref()
+            .and_then(|value| serde_json::from_slice(value).ok());
+        let deleted = stored.as_ref().is_none_or(|stored| stored.deleted);
+        Some(WireDocument {
+            key: key.to_owned(),
+            revision: entry.revision,
+            deleted: u8::from(deleted),
+            change_id: stored.as_ref().map(|stored| stored.change_id.clone()).unwrap_or_default(),
+            body: stored.map(|stored| stored.body).unwrap_or_default(),
+        })
+    }
+}
+
+fn machine_document(name: &str, entry: &Entry) -> WireDocument {
+    WireDocument {
+        key: DocumentKind::Machine.key(name),
+        revision: entry.revision,
+        deleted: u8::from(entry.value.is_none()),
+        change_id: String::new(),
+        body: entry
+            .value
+            .as_deref()
+            .map(|value| String::from_utf8_lossy(value).into_owned())
+            .unwrap_or_default(),
+    }
+}
+
+/// Watches for as long as the node runs.
+pub async fn run<S: Store>(store: S, keys: KeySpace, control: ControlHandle) {
+    let mut backoff = Backoff::default();
+    loop {
+        if !control.view().is_relay() {
+            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
+        let result = watch_while_relay(&store, &keys, &control, &mut backoff).await;
+        if let Err(error) = result {
+            let delay = backoff.next_delay();
+            warn!("event=platform_lost error={:?} retry_ms={}", error.to_string(), delay.as_millis());
+            tokio::time::sleep(delay).await;
+        }
+    }
+}
+
+async fn watch_while_relay<S: Store>(
+    store: &S,
+    keys: &KeySpace,
+    control: &ControlHandle,
+    backoff: &mut Backoff,
+) -> Result<(), StoreError> {
+    let listing = store.list(keys.prefix()).await?;
+    let documents = documents(keys, &listing.entries);
+    info!("event=platform_listed revision={} documents={}", listing.revision, documents.len());
+    let mut watch = store.watch(keys.prefix(), listing.revision).await?;
+    let _ = control.actor.send(FromPlatform::Snapshot(listing.revision, documents)).await;
+    backoff.reset();
+    while control.view().is_relay() {
+        let report = watch.next().await?;
+        let changes = self::documents(keys, &report.changes);
+        let _ = control.actor.send(FromPlatform::Changes(report.revision, changes)).await;
+    }
+    Ok(())
+}
+
+fn documents(keys: &KeySpace, entries: &[Entry]) -> Vec<WireDocument> {
+    entries.iter().filter_map(|entry| keys.parse(entry)).collect()
+}
--- /dev/null
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -0,0 +1,480 @@
+//! Runs a batch: chooses instances, sends it to their owners, and follows each
+//! failure with what may truthfully be done about it.
+
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use log::warn;
+use millwind_core::error_kind::ErrorKind;
+use millwind_core::ids::InstanceName;
+use millwind_core::outcome::{NextStep, Progress, after_failure};
+use millwind_core::position::Position;
+use millwind_core::routing::{Choice, ReadRequest, order_for_read};
+use millwind_core::tenant::{GroupSpec, TenantSettings};
+use millwind_wire::{
+    CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, Intent, PeerMessage, ResolveRequest, ResolveResult,
+    WirePosition,
+};
+
+use super::request::Terms;
+use super::{Gateway, TenantRuntime, directory};
+use crate::clock;
+use crate::owner::LOCAL_LINK;
+use crate::peer::CallError;
+use crate::pg::STATUS_IDLE;
+
+/// Between two tries while an instance cannot serve.
+const RETRY_PAUSE: Duration = Duration::from_millis(15);
+/// Added to a request's window when waiting for a peer's reply.
+const REPLY_SLACK: Duration = Duration::from_millis(250);
+
+/// A transaction's connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pin {
+    /// Number at the owner.
+    pub id: u64,
+    /// Instance it leads to.
+    pub instance: InstanceName,
+    /// Owner that holds it, by peer address; none when it is this node.
+    pub owner: Option<std::net::SocketAddr>,
+}
+
+/// A batch that was answered.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Encoded backend messages.
+    pub messages: Vec<u8>,
+    /// Transaction status byte.
+    pub transaction_status: u8,
+    /// Position the session must see from now on.
+    pub position: Option<Position>,
+    /// Open transaction, if one is open.
+    pub pin: Option<Pin>,
+    /// Instance that answered.
+    pub instance: InstanceName,
+    /// Whether it was the primary.
+    pub primary: bool,
+}
+
+/// A batch that was given up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// What the caller is told.
+    pub kind: ErrorKind,
+    /// Detail for people.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A refusal of `kind`.
+    pub fn new(kind: ErrorKind, detail: impl ToString) -> Self {
+        Refusal {
+            kind,
+            detail: detail.to_string(),
+        }
+    }
+}
+
+struct Failed {
+    kind: ErrorKind,
+    progress: Progress,
+    detail: String,
+}
+
+/// One batch on its way.
+#[derive(Debug)]
+pub struct Dispatch<'a> {
+    /// The node's gateway.
+    pub gateway: &'a Arc<Gateway>,
+    /// The tenant's settings.
+    pub tenant: &'a TenantSettings,
+    /// What sessions of the tenant share.
+    pub runtime: &'a TenantRuntime,
+    /// The group.
+    pub spec: Arc<GroupSpec>,
+    /// Terms of service.
+    pub terms: &'a Terms,
+    /// Encoded frontend messages.
+    pub batch: &'a [u8],
+    /// Candidates as they were weighed, for watchers.
+    pub weighed: Vec<Choice>,
+}
+
+impl Dispatch<'_> {
+    fn request(&self, instance: &InstanceName, intent: Intent) -> ExecuteRequest {
+        let left = clock::until(self.terms.deadline).as_millis();
+        ExecuteRequest {
+            request_id: self.gateway.links.next_request_id(),
+            intent,
+            tenant: self.tenant.name.0.clone(),
+            group: self.spec.name.0.clone(),
+            instance: instance.0.clone(),
+            pin: 0,
+            window_ms: u32::try_from(left).unwrap_or(u32::MAX),
+            weight: self.tenant.weight,
+            value: self.terms.value,
+            token: WirePosition::default(),
+            staleness_ms: self.terms.staleness_ms,
+            wait_ms: 0,
+            request_key: String::new(),
+            batch: self.batch.to_vec(),
+        }
+    }
+
+    fn owner_address(&self, instance: &InstanceName) -> Result<Option<std::net::SocketAddr>, Failed> {
+        let view = self.gateway.control.view();
+        let unknown = || Failed {
+            kind: ErrorKind::BackEndUnreachable,
+            progress: Progress::NotSent,
+            detail: "no node owns the instance".to_owned(),
+        };
+        let entry = self.spec.instances.iter().find(|entry| entry.name == *instance);
+        let entry = entry.ok_or_else(unknown)?;
+        let owner = view.owner(&entry.name, &entry.zone, &entry.region).ok_or_else(unknown)?;
+        if owner.as_str() == view.own_name() {
+            return Ok(None);
+        }
+        view.address(owner.as_str()).map(Some).ok_or_else(unknown)
+    }
+
+    /// Gives a request to the owner of its instance and waits for the reply.
+    async fn send(
+        &self,
+        instance: &InstanceName,
+        owner: Option<std::net::SocketAddr>,
+        request: ExecuteRequest,
+    ) -> Result<Outcome, Failed> {
+        let limit = clock::until(self.terms.deadline) + REPLY_SLACK;
+        let reply = match owner {
+            None => self.send_local(request).await,
+            Some(address) => {
+                let id = request.request_id;
+                let message = PeerMessage::Execute(request);
+                match self.gateway.links.call(address, id, message, limit).await {
+                    Ok(PeerMessage::ExecuteReply(reply)) => Ok(reply),
+                    Ok(_) => Err(CallError::Lost),
+                    Err(error) => Err(error),
+                }
+            }
+        };
+        let reply = reply.map_err(|error| Failed {
+            kind: ErrorKind::BackEndUnreachable,
+            progress: match error {
+                CallError::NotSent => Progress::NotSent,
+                CallError::Lost => Progress::Sent,
+            },
+            detail: format!("owner of {instance}: {error}"),
+        })?;
+        self.gateway.directory.learn(&self.spec, instance, &reply);
+        outcome(instance, owner, reply)
+    }
+
+    /// Runs on its own task, so that a caller who leaves cuts nothing short.
+    async fn send_local(&self, request: ExecuteRequest) -> Result<ExecuteReply, CallError> {
+        let owner = self.gateway.owner.clone();
+        tokio::spawn(async move { owner.execute(LOCAL_LINK, request).await })
+            .await
+            .map_err(|_| CallError::Lost)
+    }
+
+    /// Runs a read on the best instance that covers `token`.
+    pub async fn read(&mut self, token: Option<Position>) -> Result<Outcome, Refusal> {
+        self.deposit();
+        let mut first = true;
+        loop {
+            let order = self.read_order(token);
+            let mut last = Failed {
+                kind: ErrorKind::ReplicaBehind,
+                progress: Progress::NotSent,
+                detail: "no instance may serve the read".to_owned(),
+            };
+            let discarded = order.iter().any(|choice| choice.reason == millwind_core::routing::Reason::Discarded);
+            for choice in order.iter().filter(|choice| choice.reason.eligible()) {
+                if !first && !self.withdraw() {
+                    return Err(Refusal::new(last.kind, last.detail));
+                }
+                first = false;
+                match self.read_on(choice, token).await {
+                    Ok(outcome) => return Ok(outcome),
+                    Err(failed) => last = failed,
+                }
+                if last.kind == ErrorKind::SessionDiscarded || clock::now() >= self.terms.deadline {
+                    return Err(Refusal::new(last.kind, last.detail));
+                }
+                self.note_failure(&choice.instance, last.kind);
+            }
+            if discarded && order.iter().all(|choice| !choice.reason.eligible()) {
+                return Err(Refusal::new(ErrorKind::SessionDiscarded, "a later term discarded it"));
+            }
+            if self.gateway.directory.primary(&self.spec).is_none() {
+                let found = directory::await_primary(self.gateway, &self.spec, self.terms.deadline).await;
+                if found.is_none() {
+                    return Err(Refusal::new(ErrorKind::NoPrimary, "and no replica could serve"));
+                }
+            }
+            if clock::now() >= self.terms.deadline {
+                return Err(Refusal::new(last.kind, last.detail));
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn read_order(&mut self, token: Option<Position>) -> Vec<Choice> {
+        let (mut hints, expected_lag_ms) = self.gateway.directory.hints(&self.spec);
+        let config = self.gateway.control.config();
+        for hint in &mut hints {
+            hint.leaving = config.is_leaving(&self.spec.name, &hint.instance);
+        }
+        let request = ReadRequest {
+            token,
+            wait_ms: self.replica_wait_ms(),
+            expected_lag_ms,
+            policy: self.tenant.read_policy,
+        };
+        let order = order_for_read(clock::now(), &self.gateway.locality, &hints, &request);
+        if self.gateway.decisions.is_watched() {
+            self.weighed = order.clone();
+        }
+        order
+    }
+
+    /// A read may wait for a replica for half its window at most.
+    fn replica_wait_ms(&self) -> u64 {
+        let left = clock::until(self.terms.deadline).as_millis() as u64;
+        self.tenant.replica_wait_ms.min(left / 2)
+    }
+
+    async fn read_on(&self, choice: &Choice, token: Option<Position>) -> Result<Outcome, Failed> {
+        let mut request = self.request(&choice.instance, Intent::Read);
+        request.token = wire(token);
+        request.wait_ms = self.replica_wait_ms() as u32;
+        let owner = self.owner_address(&choice.instance)?;
+        self.send(&choice.instance, owner, request).await
+    }
+
+    fn note_failure(&self, instance: &InstanceName, kind: ErrorKind) {
+        match kind {
+            ErrorKind::BackEndUnreachable => self.gateway.directory.failed(&self.spec, instance),
+            ErrorKind::NotPrimary | ErrorKind::NoPrimary => {
+                self.gateway.directory.not_primary(&self.spec, instance);
+            }
+            _ => {}
+        }
+    }
+
+    fn deposit(&self) {
+        self.runtime
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .deposit();
+    }
+
+    fn withdraw(&self) -> bool {
+        self.runtime
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .withdraw()
+    }
+
+    /// The primary's position now: the floor of a session without a token.
+    pub async fn floor(&self) -> Result<Option<Position>, Refusal> {
+        let empty = Dispatch {
+            gateway: self.gateway,
+            tenant: self.tenant,
+            runtime: self.runtime,
+            spec: self.spec.clone(),
+            terms: self.terms,
+            batch: &[],
+            weighed: Vec::new(),
+        };
+        let outcome = empty.on_primary(Intent::Read).await?;
+        Ok(outcome.position)
+    }
+
+    /// Runs a write, or begins a transaction, on the primary.
+    pub async fn on_primary(&self, intent: Intent) -> Result<Outcome, Refusal> {
+        self.deposit();
+        loop {
+            let hold_until = self.terms.hold_until;
+            let Some(primary) = directory::await_primary(self.gateway, &self.spec, hold_until).await else {
+                return Err(Refusal::new(ErrorKind::NoPrimary, "none was found in the window"));
+            };
+            let mut request = self.request(&primary.instance, intent);
+            if intent == Intent::Write {
+                request.request_key = self.terms.request_key.clone();
+            }
+            let sent = match self.owner_address(&primary.instance) {
+                Ok(owner) => self.send(&primary.instance, owner, request).await,
+                Err(failed) => Err(failed),
+            };
+            let failed = match sent {
+                Ok(outcome) => return Ok(outcome),
+                Err(failed) => failed,
+            };
+            self.note_failure(&primary.instance, failed.kind);
+            if failed.kind == ErrorKind::OutcomeUnknown {
+                self.gateway.directory.not_primary(&self.spec, &primary.instance);
+            }
+            match self.next_step(intent, &failed) {
+                NextStep::Tell(kind) => return Err(Refusal::new(kind, failed.detail)),
+                NextStep::Resolve => return self.resolve(&failed.detail).await,
+                NextStep::RunAgain if clock::now() >= hold_until => {
+                    return Err(Refusal::new(failed.kind, failed.detail));
+                }
+                NextStep::RunAgain => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn next_step(&self, intent: Intent, failed: &Failed) -> NextStep {
+        // The owner has already waited for these; waiting again helps nobody.
+        let settled = matches!(
+            failed.kind,
+            ErrorKind::WindowTooShort | ErrorKind::QueueFull | ErrorKind::InvalidSetting | ErrorKind::AnswerTooLarge
+                | ErrorKind::RequestFenced
+        );
+        if settled {
+            return NextStep::Tell(failed.kind);
+        }
+        match (intent, failed.progress) {
+            // An undone autocommit write has run nowhere: it is only held.
+            (_, Progress::ProvenUndone) if failed.kind == ErrorKind::NotPrimary => NextStep::RunAgain,
+            // Without a commit, a begun transaction is undone with its link.
+            (Intent::Begin, Progress::Sent) => NextStep::RunAgain,
+            (Intent::Read, _) => NextStep::RunAgain,
+            _ => after_failure(failed.progress, self.terms.traits, failed.kind),
+        }
+    }
+
+    /// Goes on in an open transaction, or commits it.
+    pub async fn in_transaction(&self, pin: &Pin, intent: Intent) -> Result<Outcome, Refusal> {
+        let mut request = self.request(&pin.instance, intent);
+        request.pin = pin.id;
+        if intent == Intent::Commit {
+            request.request_key = self.terms.request_key.clone();
+        }
+        let failed = match self.send(&pin.instance, pin.owner, request).await {
+            Ok(outcome) => return Ok(outcome),
+            Err(failed) => failed,
+        };
+        let may_have_committed = intent == Intent::Commit && failed.progress == Progress::Sent;
+        if !may_have_committed {
+            return Err(Refusal::new(ErrorKind::TransactionLost, failed.detail));
+        }
+        if self.terms.traits.has_request_id {
+            return self.resolve(&failed.detail).await;
+        }
+        Err(Refusal::new(ErrorKind::OutcomeUnknown, failed.detail))
+    }
+
+    /// Frees a pinned connection whose caller has gone.
+    pub fn free(gateway: &Gateway, pin: &Pin) {
+        let request = CancelRequest {
+            request_id: 0,
+            instance: pin.instance.0.clone(),
+            pin: pin.id,
+        };
+        match pin.owner {
+            None => gateway.owner.cancel(LOCAL_LINK, &request),
+            Some(address) => gateway.links.clone().send(address, PeerMessage::Cancel(request)),
+        }
+    }
+
+    /// Looks the request id up on the current primary before anything is said.
+    async fn resolve(&self, detail: &str) -> Result<Outcome, Refusal> {
+        self.gateway.metrics.resolved.inc();
+        while clock::now() < self.terms.deadline {
+            let found = directory::await_primary(self.gateway, &self.spec, self.terms.deadline).await;
+            let Some(primary) = found else {
+                break;
+            };
+            match self.resolve_on(&primary.instance).await {
+                Some(ResolveResult::Committed { position, batch }) => {
+                    return Ok(Outcome {
+                        messages: batch,
+                        transaction_status: STATUS_IDLE,
+                        position: Some(Position::new(position.term, position.log_position)),
+                        pin: None,
+                        instance: primary.instance,
+                        primary: true,
+                    });
+                }
+                Some(ResolveResult::Fenced) => {
+                    return Err(Refusal::new(ErrorKind::RequestFenced, detail));
+                }
+                Some(ResolveResult::Unsettled) | None => {
+                    self.gateway.directory.not_primary(&self.spec, &primary.instance);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        warn!("event=outcome_unknown tenant={} request_key={}", self.tenant.name, self.terms.request_key);
+        Err(Refusal::new(ErrorKind::OutcomeUnknown, detail))
+    }
+
+    async fn resolve_on(&self, instance: &InstanceName) -> Option<ResolveResult> {
+        let left = clock::until(self.terms.deadline);
+        let request = ResolveRequest {
+            request_id: self.gateway.links.next_request_id(),
+            group: self.spec.name.0.clone(),
+            instance: instance.0.clone(),
+            request_key: self.terms.request_key.clone(),
+            window_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        };
+        match self.owner_address(instance).ok()? {
+            None => Some(self.gateway.owner.resolve(request).await.result),
+            Some(address) => {
+                let id = request.request_id;
+                let message = PeerMessage::Resolve(request);
+                match self.gateway.links.call(address, id, message, left + REPLY_SLACK).await {
+                    Ok(PeerMessage::ResolveReply(reply)) => Some(reply.result),
+                    _ => None,
+                }
+            }
+        }
+    }
+}
+
+fn wire(position: Option<Position>) -> WirePosition {
+    position.map_or(WirePosition::default(), |position| WirePosition {
+        term: position.term.0,
+        log_position: position.log_position.0,
+    })
+}
+
+fn outcome(
+    instance: &InstanceName,
+    owner: Option<std::net::SocketAddr>,
+    reply: ExecuteReply,
+) -> Result<Outcome, Failed> {
+    match reply.result {
+        ExecuteResult::Answered {
+            position,
+            transaction_status,
+            pin,
+            batch,
+        } => Ok(Outcome {
+            messages: batch,
+            transaction_status,
+            position: (position.term > 0).then(|| Position::new(position.term, position.log_position)),
+            pin: (pin > 0).then(|| Pin {
+                id: pin,
+                instance: instance.clone(),
+                owner,
+            }),
+            instance: instance.clone(),
+            primary: reply.primary == 1,
+        }),
+        ExecuteResult::Failed { kind, progress, detail } => Err(Failed {
+            kind: ErrorKind::from_code(kind).unwrap_or(ErrorKind::OutcomeUnknown),
+            progress: match progress {
+                0 => Progress::NotSent,
+                2 => Progress::ProvenUndone,
+                _ => Progress::Sent,
+            },
+            detail,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/millwind-node/src/logging.rs
@@ -0,0 +1,20 @@
+//! Logs: one line of key=value pairs for each event.
+
+use log::LevelFilter;
+
+/// Sends log lines of `level` and above to standard error.
+pub fn start(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            let time = humantime::format_rfc3339_millis(std::time::SystemTime::now());
+            let level = record.level().as_str().to_lowercase();
+            out.finish(format_args!("time={time} level={level} target={} {message}", record.target()));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("millwind_node", level)
+        .level_for("millwind_platform", level)
+        .level_for("millwindd", level)
+        .level_for("millwind_lab", level)
+        .chain(std::io::stderr())
+        .apply()
+}
--- /dev/null
+++ b/crates/millwind-node/src/node.rs
@@ -0,0 +1,194 @@
+//! Puts a node together, runs it, and stops it as planned.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use millwind_core::control::ControlPlane;
+use millwind_core::membership::MembershipTimes;
+use millwind_platform::StoreError;
+use millwind_platform::etcd::EtcdStore;
+use millwind_wire::Hello;
+use millwind_wire::control::{Liveness, MemberRecord};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::admin::{self, AdminState};
+use crate::clock;
+use crate::config_watch::{self, KeySpace};
+use crate::control::{self, ControlHandle, Leave};
+use crate::gateway::{self, Gateway};
+use crate::metrics::Metrics;
+use crate::owner::{OwnerService, PeerService};
+use crate::peer::{self, PeerLinks};
+use crate::settings::{NodeSettings, SettingsError};
+
+/// During a planned stop, the load is looked at this often.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Peers get this long to hear of the stop before the load is looked at.
+const DRAIN_NOTICE: Duration = Duration::from_millis(1_500);
+
+/// Why a node did not start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// The settings are not usable.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// A listener's address cannot be used.
+    #[error("{field} {address}: {source}")]
+    Listen {
+        /// Field of the settings.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The platform's endpoints are not usable.
+    #[error("platform: {0}")]
+    Platform(#[from] StoreError),
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    settings: Arc<NodeSettings>,
+    gateway: Arc<Gateway>,
+    control: ControlHandle,
+    drain_requests: mpsc::Receiver<()>,
+}
+
+async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.map_err(|source| NodeError::Listen {
+        field,
+        address,
+        source,
+    })
+}
+
+impl Node {
+    /// Starts a node; returns once its listeners accept.
+    pub async fn start(mut settings: NodeSettings) -> Result<Node, NodeError> {
+        settings.check()?;
+        let clients = listen("client_address", settings.client_address).await?;
+        let peers = listen("peer_address", settings.peer_address).await?;
+        let operators = listen("admin_address", settings.admin_address).await?;
+        settings.client_address = local_address(&clients, settings.client_address);
+        settings.peer_address = local_address(&peers, settings.peer_address);
+        settings.admin_address = local_address(&operators, settings.admin_address);
+        let settings = Arc::new(settings);
+        let incarnation = clock::unix_millis();
+        let hello = Hello {
+            node: settings.name.clone(),
+            incarnation,
+        };
+        let links = PeerLinks::new(hello, Box::new(NodeSettings::clone(&settings)));
+        let plane = control_plane(&settings, incarnation);
+        let control = control::start(plane, links.clone());
+        let owner = OwnerService::start(settings.clone(), control.clone());
+        let service = PeerService {
+            owner: owner.clone(),
+            control: control.clone(),
+        };
+        tokio::spawn(peer::serve(peers, Arc::new(service)));
+        let metrics = Arc::new(Metrics::default());
+        let gateway = Gateway::new(settings.clone(), control.clone(), links, owner, metrics);
+        tokio::spawn(gateway::serve(clients, gateway.clone()));
+        let store = EtcdStore::new(&settings.platform)?;
+        let keys = KeySpace::new(&settings.platform_prefix);
+        tokio::spawn(config_watch::run(store.clone(), keys.clone(), control.clone()));
+        let (drain, drain_requests) = mpsc::channel(1);
+        let state = Arc::new(AdminState {
+            gateway: gateway.clone(),
+            store,
+            keys,
+            drain,
+        });
+        tokio::spawn(async move {
+            if let Err(error) = axum::serve(operators, admin::router(state)).await {
+                warn!("event=admin_stopped error={error:?}");
+            }
+        });
+        info!(
+            "event=node_started node={} zone={} region={} clients={} peers={} admin={}",
+            settings.name,
+            settings.zone,
+            settings.region,
+            settings.client_address,
+            settings.peer_address,
+            settings.admin_address
+        );
+        Ok(Node {
+            settings,
+            gateway,
+            control,
+            drain_requests,
+        })
+    }
+
+    /// The settings with the addresses really bound.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.settings
+    }
+
+    /// The node's gateway.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
+    /// The control plane.
+    pub fn control(&self) -> &ControlHandle {
+        &self.control
+    }
+
+    /// Waits for an operator's request to stop.
+    pub async fn drain_requested(&mut self) {
+        if self.drain_requests.recv().await.is_none() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Stops as planned: no new callers, open work ends, instances are handed
+    /// over; true when everything ended within the time set.
+    pub async fn drain(&self) -> bool {
+        info!("event=drain_started node={}", self.settings.name);
+        let give_up = tokio::time::Instant::now() + Duration::from_millis(self.settings.drain_ms);
+        let _ = self.control.actor.send(Leave).await;
+        self.gateway.drain();
+        tokio::time::sleep(DRAIN_NOTICE.min(Duration::from_millis(self.settings.drain_ms / 2))).await;
+        while tokio::time::Instant::now() < give_up {
+            if self.gateway.sessions() == 0 && self.gateway.owner.load() == 0 {
+                info!("event=drain_finished node={}", self.settings.name);
+                return true;
+            }
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+        warn!(
+            "event=drain_cut_short node={} sessions={} owner_load={}",
+            self.settings.name,
+            self.gateway.sessions(),
+            self.gateway.owner.load()
+        );
+        false
+    }
+}
+
+fn local_address(listener: &TcpListener, configured: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(configured)
+}
+
+fn control_plane(settings: &NodeSettings, incarnation: u64) -> ControlPlane {
+    let own = MemberRecord {
+        node: settings.name.clone(),
+        address: settings.peer_address.to_string(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        incarnation,
+        liveness: Liveness::Alive,
+        leaving: 0,
+    };
+    let seeds = settings.seeds.iter().map(ToString::to_string).collect();
+    ControlPlane::new(own, seeds, MembershipTimes::default(), rand::random())
+}
--- /dev/null
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -0,0 +1,339 @@
+//! Watches one database group: asks every instance for its status, keeps the
+//! view, and confirms writes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use millwind_core::confirmation::{ConfirmationTracker, Sequence, Verdict};
+use millwind_core::group_view::{GroupView, InstanceStatus};
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::Term;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::JoinHandle;
+use xtra::prelude::*;
+
+use crate::clock;
+use crate::pg::backend::{BackendConnection, BackendTarget};
+use crate::pg::put_query;
+use crate::pg::status::{STATUS_QUERY, parse_status};
+
+/// An instance is asked this often when nothing waits on it.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// While the group shows no primary it is asked this often.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(25);
+/// An instance that does not answer within this is unreachable.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Status questions in flight on one connection at most.
+const MAXIMUM_IN_FLIGHT: usize = 8;
+
+/// The view as last published.
+pub type GroupSnapshot = Arc<GroupView>;
+
+/// Access to a group's monitor.
+#[derive(Debug, Clone)]
+pub struct MonitorHandle {
+    actor: Address<MonitorActor>,
+    /// The view, changing with every status.
+    pub view: watch::Receiver<GroupSnapshot>,
+    probes: Arc<Vec<JoinHandle<()>>>,
+}
+
+impl MonitorHandle {
+    /// Confirms a commit of `term` that has finished; none when the monitor is
+    /// gone or gives no verdict before `limit`.
+    pub async fn confirm(&self, term: Term, limit: Duration) -> Option<Verdict> {
+        let id = self.actor.send(Confirm { term }).await.ok()?;
+        let (id, receiver) = id;
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(verdict) => verdict.ok(),
+            Err(_) => {
+                let _ = self.actor.send(Forget { id }).await;
+                None
+            }
+        }
+    }
+
+    /// Takes in a status that rode on another answer.
+    pub async fn observe(&self, instance: &InstanceName, status: InstanceStatus) {
+        let _ = self
+            .actor
+            .send(Observed {
+                instance: instance.clone(),
+                asked: None,
+                status,
+            })
+            .await;
+    }
+
+    /// Marks instances as leaving.
+    pub async fn set_leaving(&self, leaving: Vec<(InstanceName, bool)>) {
+        let _ = self.actor.send(SetLeaving { leaving }).await;
+    }
+
+    /// The view as last published.
+    pub fn snapshot(&self) -> GroupSnapshot {
+        self.view.borrow().clone()
+    }
+
+    /// Ends the probes.
+    pub fn stop(&self) {
+        for probe in self.probes.iter() {
+            probe.abort();
+        }
+    }
+}
+
+/// Keeps the view of one group.
+#[derive(xtra::Actor)]
+struct MonitorActor {
+    group: GroupName,
+    view: GroupView,
+    tracker: ConfirmationTracker,
+    waiting: HashMap<u64, oneshot::Sender<Verdict>>,
+    next_id: u64,
+    published: watch::Sender<GroupSnapshot>,
+    wakes: Vec<Arc<Notify>>,
+    primary: Option<(InstanceName, Term)>,
+}
+
+/// Starts watching a group.
+pub fn start(group: GroupName, targets: Vec<(InstanceName, BackendTarget)>) -> MonitorHandle {
+    let view = GroupView::new(targets.iter().map(|(name, _)| name.clone()));
+    let (published, receiver) = watch::channel(Arc::new(view.clone()));
+    let wakes: Vec<Arc<Notify>> = targets.iter().map(|_| Arc::new(Notify::new())).collect();
+    let actor = MonitorActor {
+        group,
+        view,
+        tracker: ConfirmationTracker::new(targets.len()),
+        waiting: HashMap::new(),
+        next_id: 0,
+        published,
+        wakes: wakes.clone(),
+        primary: None,
+    };
+    let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
+    let probes = targets
+        .into_iter()
+        .zip(wakes)
+        .map(|((instance, target), wake)| {
+            let probe = Probe {
+                instance,
+                target,
+                wake,
+                monitor: address.clone(),
+                view: receiver.clone(),
+            };
+            tokio::spawn(probe.run())
+        })
+        .collect();
+    MonitorHandle {
+        actor: address,
+        view: receiver,
+        probes: Arc::new(probes),
+    }
+}
+
+impl MonitorActor {
+    fn publish(&mut self) {
+        let now = clock::now();
+        let primary = self.view.primary(now).map(|(name, term)| (name.clone(), term));
+        if primary != self.primary {
+            match &primary {
+                Some((instance, term)) => {
+                    info!("event=primary_found group={} instance={instance} term={term}", self.group);
+                }
+                None => warn!("event=primary_lost group={}", self.group),
+            }
+            self.primary = primary;
+        }
+        self.published.send_replace(Arc::new(self.view.clone()));
+    }
+
+    fn decide(&mut self, decided: Vec<(u64, Verdict)>) {
+        for (id, verdict) in decided {
+            if let Some(waiter) = self.waiting.remove(&id) {
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+}
+
+struct Confirm {
+    term: Term,
+}
+
+impl Handler<Confirm> for MonitorActor {
+    type Return = (u64, oneshot::Receiver<Verdict>);
+
+    async fn handle(&mut self, confirm: Confirm, _context: &mut Context<Self>) -> Self::Return {
+        self.next_id += 1;
+        let id = self.next_id;
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(id, sender);
+        self.tracker.register(id, confirm.term);
+        for wake in &self.wakes {
+            wake.notify_one();
+        }
+        (id, receiver)
+    }
+}
+
+struct Forget {
+    id: u64,
+}
+
+impl Handler<Forget> for MonitorActor {
+    type Return = ();
+
+    async fn handle(&mut self, forget: Forget, _context: &mut Context<Self>) {
+        self.tracker.forget(forget.id);
+        self.waiting.remove(&forget.id);
+    }
+}
+
+struct DrawSequence;
+
+impl Handler<DrawSequence> for MonitorActor {
+    type Return = Sequence;
+
+    async fn handle(&mut self, _draw: DrawSequence, _context: &mut Context<Self>) -> Sequence {
+        self.tracker.draw()
+    }
+}
+
+struct Observed {
+    instance: InstanceName,
+    asked: Option<Sequence>,
+    status: InstanceStatus,
+}
+
+impl Handler<Observed> for MonitorActor {
+    type Return = ();
+
+    async fn handle(&mut self, observed: Observed, _context: &mut Context<Self>) {
+        let term = observed.status.position.term;
+        self.view.observe(clock::now(), &observed.instance, observed.status);
+        if let Some(asked) = observed.asked {
+            let decided = self.tracker.observe(&observed.instance, asked, term);
+            self.decide(decided);
+        }
+        self.publish();
+    }
+}
+
+struct Unreachable {
+    instance: InstanceName,
+    error: String,
+}
+
+impl Handler<Unreachable> for MonitorActor {
+    type Return = ();
+
+    async fn handle(&mut self, lost: Unreachable, _context: &mut Context<Self>) {
+        if self.view.status(&lost.instance).is_some() {
+            warn!(
+                "event=instance_unreachable group={} instance={} error={:?}",
+                self.group, lost.instance, lost.error
+            );
+        }
+        self.view.unreachable(&lost.instance);
+        self.publish();
+    }
+}
+
+struct SetLeaving {
+    leaving: Vec<(InstanceName, bool)>,
+}
+
+impl Handler<SetLeaving> for MonitorActor {
+    type Return = ();
+
+    async fn handle(&mut self, set: SetLeaving, _context: &mut Context<Self>) {
+        for (instance, leaving) in &set.leaving {
+            self.view.set_leaving(instance, *leaving);
+        }
+        self.publish();
+    }
+}
+
+/// Asks one instance for its status, over and over.
+struct Probe {
+    instance: InstanceName,
+    target: BackendTarget,
+    wake: Arc<Notify>,
+    monitor: Address<MonitorActor>,
+    view: watch::Receiver<GroupSnapshot>,
+}
+
+impl Probe {
+    async fn run(self) {
+        loop {
+            let error = match BackendConnection::connect(&self.target, CONNECT_TIMEOUT).await {
+                Ok(connection) => self.ask_until_lost(connection).await,
+                Err(error) => error.to_string(),
+            };
+            let lost = Unreachable {
+                instance: self.instance.clone(),
+                error,
+            };
+            if self.monitor.send(lost).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        let searching = self.view.borrow().primary(clock::now()).is_none();
+        if searching { SEARCH_INTERVAL } else { PROBE_INTERVAL }
+    }
+
+    /// Asks until the connection is lost; returns why.
+    async fn ask_until_lost(&self, mut connection: BackendConnection) -> String {
+        let mut question = bytes::BytesMut::new();
+        if let Err(error) = put_query(&mut question, STATUS_QUERY) {
+            return error.to_string();
+        }
+        let mut in_flight = std::collections::VecDeque::new();
+        let mut next_ask = tokio::time::Instant::now();
+        loop {
+            let oldest = in_flight.front().map(|(_, sent): &(Sequence, tokio::time::Instant)| *sent);
+            let give_up = oldest.unwrap_or_else(tokio::time::Instant::now) + PROBE_TIMEOUT;
+            let may_ask = in_flight.len() < MAXIMUM_IN_FLIGHT;
+            let ask = tokio::select! {
+                answer = connection.next_answer(), if !in_flight.is_empty() => {
+                    let status = match answer.map(|answer| parse_status(&answer)) {
+                        Ok(Ok(status)) => status,
+                        Ok(Err(error)) => return error.to_string(),
+                        Err(error) => return error.to_string(),
+                    };
+                    let asked = in_flight.pop_front().map(|(asked, _)| asked);
+                    let observed = Observed { instance: self.instance.clone(), asked, status };
+                    if self.monitor.send(observed).await.is_err() {
+                        return "monitor stopped".to_owned();
+                    }
+                    false
+                }
+                () = tokio::time::sleep_until(give_up), if oldest.is_some() => {
+                    return "no answer to the status question".to_owned();
+                }
+                () = self.wake.notified(), if may_ask => true,
+                () = tokio::time::sleep_until(next_ask), if may_ask && in_flight.is_empty() => true,
+            };
+            if !ask {
+                continue;
+            }
+            let Ok(asked) = self.monitor.send(DrawSequence).await else {
+                return "monitor stopped".to_owned();
+            };
+            if let Err(error) = connection.send(&question).await {
+                return error.to_string();
+            }
+            in_flight.push_back((asked, tokio::time::Instant::now()));
+            next_ask = tokio::time::Instant::now() + self.interval();
+        }
+    }
+}
--- /dev/null
+++ b/crates/millwind-node/src/peer/server.rs
@@ -0,0 +1,112 @@
+//! Inbound links: reads messages of peers and sends replies back.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use log::{debug, warn};
+use millwind_wire::PeerMessage;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::Framed;
+
+use super::frame_codec;
+
+const REPLY_QUEUE_LENGTH: usize = 4_096;
+
+/// The sending side of an inbound link.
+#[derive(Debug, Clone)]
+pub struct InboundLink {
+    /// Number of the link, unique over this process.
+    pub id: u64,
+    /// Name the peer gave in its hello.
+    pub peer: Arc<str>,
+    replies: mpsc::Sender<PeerMessage>,
+}
+
+impl InboundLink {
+    /// Sends a reply; lost when the link is gone.
+    pub async fn reply(&self, message: PeerMessage) {
+        let _ = self.replies.send(message).await;
+    }
+}
+
+/// What a node does with messages of its peers.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Takes in one message; must not wait for slow work.
+    fn handle(&self, link: &InboundLink, message: PeerMessage);
+    /// The link is gone: what it held must be given up.
+    fn closed(&self, link: &InboundLink);
+}
+
+/// Accepts links until the listener fails.
+pub async fn serve(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
+    let mut next_id = 0;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("event=peer_accept_failed error={error:?}");
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        next_id += 1;
+        let handler = handler.clone();
+        let id = next_id;
+        tokio::spawn(async move {
+            let _ = stream.set_nodelay(true);
+            serve_link(id, stream, handler).await;
+        });
+    }
+}
+
+async fn serve_link(id: u64, stream: TcpStream, handler: Arc<dyn PeerHandler>) {
+    let mut framed = Framed::new(stream, frame_codec());
+    let Some(Ok(first)) = framed.next().await else {
+        return;
+    };
+    let hello = match millwind_wire::decode(&first) {
+        Ok(PeerMessage::Hello(hello)) => hello,
+        Ok(_) => return,
+        Err(error) => {
+            warn!("event=peer_refused error={:?}", error.to_string());
+            return;
+        }
+    };
+    let (replies, mut outgoing) = mpsc::channel(REPLY_QUEUE_LENGTH);
+    let link = InboundLink {
+        id,
+        peer: Arc::from(hello.node.as_str()),
+        replies,
+    };
+    debug!("event=peer_link_opened peer={} link={id}", hello.node);
+    let (mut sink, mut source) = framed.split();
+    let writer = tokio::spawn(async move {
+        while let Some(message) = outgoing.recv().await {
+            let mut next = Some(message);
+            while let Some(message) = next {
+                let Ok(frame) = millwind_wire::encode(&message) else { return };
+                if sink.feed(Bytes::from(frame)).await.is_err() {
+                    return;
+                }
+                next = outgoing.try_recv().ok();
+            }
+            if sink.flush().await.is_err() {
+                return;
+            }
+        }
+    });
+    while let Some(Ok(frame)) = source.next().await {
+        match millwind_wire::decode(&frame) {
+            Ok(PeerMessage::KeepAlive) => link.reply(PeerMessage::KeepAlive).await,
+            Ok(message) => handler.handle(&link, message),
+            Err(error) => {
+                warn!("event=peer_frame_refused peer={} error={:?}", link.peer, error.to_string());
+                break;
+            }
+        }
+    }
+    handler.closed(&link);
+    writer.abort();
+}
--- /dev/null
+++ b/crates/millwind-node/src/pg/error_answer.rs
@@ -0,0 +1,61 @@
+//! Turns an error kind into the answer a caller gets, by the one table.
+
+use millwind_core::error_kind::{Effect, ErrorKind, Repeat};
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::response::ErrorResponse;
+
+const SEVERITY: u8 = b'S';
+const SEVERITY_UNTRANSLATED: u8 = b'V';
+const CODE: u8 = b'C';
+const MESSAGE: u8 = b'M';
+const DETAIL: u8 = b'D';
+const HINT: u8 = b'H';
+
+/// The effect's name in hints and logs.
+pub const fn effect_name(effect: Effect) -> &'static str {
+    match effect {
+        Effect::NotRun => "not_run",
+        Effect::RolledBack => "rolled_back",
+        Effect::Unknown => "unknown",
+    }
+}
+
+/// The repeat advice's name in hints and logs.
+pub const fn repeat_name(repeat: Repeat) -> &'static str {
+    match repeat {
+        Repeat::Yes => "yes",
+        Repeat::No => "no",
+        Repeat::WithRequestId => "with_request_id",
+    }
+}
+
+/// The key=value hint that programs read.
+pub fn hint(kind: ErrorKind) -> String {
+    let answer = kind.answer();
+    let mut hint = format!(
+        "kind={} effect={} repeat={}",
+        kind.name(),
+        effect_name(answer.effect),
+        repeat_name(answer.repeat)
+    );
+    if answer.retry_after_ms > 0 {
+        hint.push_str(&format!(" retry_after_ms={}", answer.retry_after_ms));
+    }
+    hint
+}
+
+/// The error message for a caller.
+pub fn error_response(kind: ErrorKind, fatal: bool, detail: &str) -> PgWireBackendMessage {
+    let severity = if fatal { "FATAL" } else { "ERROR" };
+    let mut fields = vec![
+        (SEVERITY, severity.to_owned()),
+        (SEVERITY_UNTRANSLATED, severity.to_owned()),
+        (CODE, kind.answer().sqlstate.to_owned()),
+        (MESSAGE, kind.answer().text.to_owned()),
+        (HINT, hint(kind)),
+    ];
+    if !detail.is_empty() {
+        fields.push((DETAIL, detail.to_owned()));
+    }
+    PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields))
+}
--- /dev/null
+++ b/crates/millwind-node/src/pg/status.rs
@@ -0,0 +1,80 @@
+//! The status question: role, position, term and term history of an instance,
+//! in one statement of PostgreSQL's own functions.
+
+use millwind_core::group_view::{InstanceStatus, Role};
+use millwind_core::position::{LogPosition, Position, Term, TermStart};
+use thiserror::Error;
+
+use super::answer::Answer;
+
+/// The statement that asks an instance for its status.
+pub const STATUS_QUERY: &str = "SELECT pg_is_in_recovery(), \
+CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END, \
+timeline_id, \
+CASE WHEN timeline_id > 1 THEN pg_read_file('pg_wal/' || lpad(upper(to_hex(timeline_id)), 8, '0') || '.history', true) END \
+FROM pg_control_checkpoint()";
+
+/// Why a status answer was not understood.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum StatusError {
+    /// The instance answered an error.
+    #[error("status question failed: {0}")]
+    Sql(String),
+    /// A column is missing or not of its form.
+    #[error("status answer: column {0} is missing or malformed")]
+    Column(&'static str),
+}
+
+/// Reads an answer to [`STATUS_QUERY`].
+pub fn parse_status(answer: &Answer) -> Result<InstanceStatus, StatusError> {
+    if let Some(error) = &answer.error {
+        return Err(StatusError::Sql(format!("{}: {}", error.sqlstate, error.message)));
+    }
+    let row = answer.rows.first().ok_or(StatusError::Column("row"))?;
+    let column = |index: usize| row.get(index).and_then(|value| value.as_deref());
+    let role = match column(0) {
+        Some("t") => Role::Replica,
+        Some("f") => Role::Primary,
+        _ => return Err(StatusError::Column("pg_is_in_recovery")),
+    };
+    let log_position: LogPosition = column(1)
+        .and_then(|text| text.parse().ok())
+        .ok_or(StatusError::Column("position"))?;
+    let term: u64 = column(2)
+        .and_then(|text| text.parse().ok())
+        .ok_or(StatusError::Column("timeline_id"))?;
+    Ok(InstanceStatus {
+        role,
+        position: Position {
+            term: Term(term),
+            log_position,
+        },
+        history: parse_history(column(3).unwrap_or_default(), term),
+    })
+}
+
+/// Reads a timeline history: each line names a timeline and the position at
+/// which its successor branched off.
+fn parse_history(text: &str, current: u64) -> Vec<TermStart> {
+    let ends: Vec<(u64, LogPosition)> = text
+        .lines()
+        .filter_map(|line| {
+            let mut fields = line.split_whitespace();
+            let term = fields.next()?.parse().ok()?;
+            let end = fields.next()?.parse().ok()?;
+            Some((term, end))
+        })
+        .collect();
+    let successors = ends
+        .iter()
+        .skip(1)
+        .map(|(term, _)| *term)
+        .chain(std::iter::once(current));
+    ends.iter()
+        .zip(successors)
+        .map(|((_, end), successor)| TermStart {
+            term: Term(successor),
+            start: *end,
+        })
+        .collect()
+}
--- a/crates/millwind-wire/src/request.rs
+++ b/crates/millwind-wire/src/request.rs
@@ -42,6 +42,8 @@
     Continue = 4,
     /// Only parses and describes; changes nothing.
     Describe = 5,
+    /// Ends a pinned transaction by committing it.
+    Commit = 6,
 }
 
 /// Run a batch of statements on an instance.
