--- a/crates/millwind-core/src/confirmation.rs
+++ b/crates/millwind-core/src/confirmation.rs
@@ -6,13 +6,28 @@
 //! higher term after the commit proves that no newer primary had accepted
 //! writes when the commit finished.
 //!
+//! Where the group's description asks for it, a majority must also have received
+//! the commit. Then every later primary, elected from a majority by the most
+//! advanced log, holds what was acknowledged.
+//!
 //! One round of status questions confirms every commit that finished before
 //! the round was asked, so the cost stays flat under load.
 
 use std::collections::BTreeMap;
 
 use crate::ids::InstanceName;
-use crate::position::Term;
+use crate::position::{LogPosition, Position, Term};
+
+/// What a majority must show before a commit is confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfirmationRule {
+    /// No higher term.
+    #[default]
+    Term,
+    /// The same term, and the commit received.
+    Replicated,
+}
 
 /// Orders commits and status questions on one node: a question with a higher
 /// number than a commit was asked after it.
@@ -24,8 +39,8 @@
 pub struct PendingCommit {
     /// Names the commit to the owner of the tracker.
     pub id: u64,
-    /// Term of the primary that committed.
-    pub term: Term,
+    /// Position of the commit.
+    pub position: Position,
     /// Number drawn after the commit's answer was read.
     pub finished: Sequence,
 }
@@ -43,12 +58,14 @@
 struct Shown {
     asked: Sequence,
     term: Term,
+    received: LogPosition,
 }
 
 /// Tracks status answers of a group and the commits that wait on them.
 #[derive(Debug, Clone, Default)]
 pub struct ConfirmationTracker {
     members: usize,
+    rule: ConfirmationRule,
     next: Sequence,
     shown: BTreeMap<InstanceName, Shown>,
     pending: Vec<PendingCommit>,
@@ -56,9 +73,10 @@
 
 impl ConfirmationTracker {
     /// A tracker for a group of `members` instances.
-    pub fn new(members: usize) -> Self {
+    pub fn new(members: usize, rule: ConfirmationRule) -> Self {
         ConfirmationTracker {
             members,
+            rule,
             ..Self::default()
         }
     }
@@ -69,11 +87,11 @@
         self.next
     }
 
-    /// Registers a finished commit of `term`; the verdict follows by
+    /// Registers a finished commit at `position`; the verdict follows by
     /// [`Self::observe`].
-    pub fn register(&mut self, id: u64, term: Term) {
+    pub fn register(&mut self, id: u64, position: Position) {
         let finished = self.draw();
-        self.pending.push(PendingCommit { id, term, finished });
+        self.pending.push(PendingCommit { id, position, finished });
     }
 
     /// Forgets a commit whose caller gave up.
@@ -87,16 +105,23 @@
     }
 
     /// Takes in that `instance`, in answer to a question numbered `asked`,
-    /// showed `term`; returns the commits that are decided by it.
+    /// showed `term` and had received the log up to `received`; returns the
+    /// commits that are decided by it.
     pub fn observe(
         &mut self,
         instance: &InstanceName,
         asked: Sequence,
         term: Term,
+        received: LogPosition,
     ) -> Vec<(u64, Verdict)> {
-        let entry = self.shown.entry(instance.clone()).or_insert(Shown { asked, term });
-        entry.asked = entry.asked.max(asked);
-        entry.term = entry.term.max(term);
+        let shown = Shown { asked, term, received };
+        let entry = self.shown.entry(instance.clone()).or_insert(shown);
+        if asked >= entry.asked {
+            *entry = Shown {
+                term: entry.term.max(term),
+                ..shown
+            };
+        }
         let mut decided = Vec::new();
         let pending = std::mem::take(&mut self.pending);
         for commit in pending {
@@ -109,14 +134,25 @@
     }
 
     fn verdict(&self, commit: &PendingCommit) -> Option<Verdict> {
-        if self.shown.values().any(|shown| shown.term > commit.term) {
+        let term = commit.position.term;
+        if self.shown.values().any(|shown| shown.term > term) {
             return Some(Verdict::Superseded);
         }
-        let asked_after = self
+        let agreeing = self
             .shown
             .values()
             .filter(|shown| shown.asked > commit.finished)
+            .filter(|shown| self.holds(shown, commit))
             .count();
-        (asked_after * 2 > self.members).then_some(Verdict::Confirmed)
+        (agreeing * 2 > self.members).then_some(Verdict::Confirmed)
+    }
+
+    fn holds(&self, shown: &Shown, commit: &PendingCommit) -> bool {
+        match self.rule {
+            ConfirmationRule::Term => true,
+            ConfirmationRule::Replicated => {
+                shown.term == commit.position.term && shown.received >= commit.position.log_position
+            }
+        }
     }
 }
--- a/crates/millwind-core/src/group_view.rs
+++ b/crates/millwind-core/src/group_view.rs
@@ -5,7 +5,7 @@
 
 use crate::Instant;
 use crate::ids::InstanceName;
-use crate::position::{Coverage, Position, Term, TermStart, coverage};
+use crate::position::{Coverage, LogPosition, Position, Term, TermStart, coverage};
 
 /// How many samples of the primary's position are kept for staleness.
 const PRIMARY_SAMPLES: usize = 256;
@@ -28,6 +28,8 @@
     pub role: Role,
     /// Term and replayed (or written) position.
     pub position: Position,
+    /// How far the instance has received the log; its own end for a primary.
+    pub received: LogPosition,
     /// Where the terms known to the instance began.
     pub history: Vec<TermStart>,
 }
--- a/crates/millwind-core/src/tenant.rs
+++ b/crates/millwind-core/src/tenant.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::confirmation::ConfirmationRule;
 use crate::ids::{GroupName, InstanceName, RegionName, TenantName, ZoneName};
 use crate::routing::ReadPolicy;
 
@@ -43,6 +44,9 @@
     pub password: String,
     /// Database name sent to the instances.
     pub database: String,
+    /// What a majority must show before a write is acknowledged.
+    #[serde(default)]
+    pub confirmation: ConfirmationRule,
     /// Its instances.
     pub instances: Vec<InstanceSpec>,
 }
--- /dev/null
+++ b/crates/millwind-lab/src/client.rs
@@ -0,0 +1,65 @@
+//! A caller of the proxy, through a well-known PostgreSQL client library.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio_postgres::{Client, Config, NoTls};
+
+const SESSION_PARAMETER: &str = "millwind.session";
+
+/// The session token as last reported to the caller.
+#[derive(Debug, Clone, Default)]
+pub struct TokenCell {
+    token: Arc<Mutex<Option<String>>>,
+}
+
+impl TokenCell {
+    /// The token, if one was reported.
+    pub fn get(&self) -> Option<String> {
+        self.token.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set(&self, token: &str) {
+        let mut held = self.token.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.as_deref() != Some(token) {
+            *held = Some(token.to_owned());
+        }
+    }
+}
+
+/// Connects to a node as a tenant, with a token from an earlier session.
+pub async fn connect(
+    address: SocketAddr,
+    tenant: &str,
+    token: Option<&str>,
+) -> Result<(Client, TokenCell), tokio_postgres::Error> {
+    let mut config = Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user("caller")
+        .dbname(tenant)
+        .connect_timeout(std::time::Duration::from_secs(3));
+    if let Some(token) = token {
+        config.options(format!("-c millwind.session={token}"));
+    }
+    let (client, mut connection) = config.connect(NoTls).await?;
+    let cell = TokenCell::default();
+    let reported = cell.clone();
+    tokio::spawn(async move {
+        loop {
+            let polled = futures::future::poll_fn(|context| {
+                let polled = connection.poll_message(context);
+                if let Some(token) = connection.parameter(SESSION_PARAMETER) {
+                    reported.set(token);
+                }
+                polled
+            });
+            match polled.await {
+                Some(Ok(_)) => {}
+                Some(Err(_)) | None => return,
+            }
+        }
+    });
+    Ok((client, cell))
+}
--- /dev/null
+++ b/crates/millwind-lab/src/cluster.rs
@@ -0,0 +1,627 @@
+//! Starts a whole deployment as processes of their own: the platform and
+//! database stand-ins and the nodes, with relays between zones.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use millwind_core::config_state::Machine;
+use millwind_core::confirmation::ConfirmationRule;
+use millwind_core::tenant::{GroupSpec, InstanceSpec, Tenant};
+use millwind_node::NodeSettings;
+use millwind_node::admin::{ChangeBody, StandingsReport, StatusReport, StoredBody};
+use millwind_node::config_watch::KeySpace;
+use millwind_platform::etcd::EtcdStore;
+use millwind_platform::{Store, Write};
+use thiserror::Error;
+
+use crate::deployment::Deployment;
+use crate::http::{self, HttpError};
+use crate::instance::{InstanceReport, InstanceSettings, Peer};
+use crate::platform::PlatformFaults;
+use crate::ports::free_address;
+use crate::relay::{LinkKey, Relays};
+
+/// Place name of the platform in cuts.
+pub const PLATFORM_PLACE: &str = "platform";
+/// Place name of the clients in cuts.
+pub const CLIENT_PLACE: &str = "clients";
+const START_LIMIT: Duration = Duration::from_secs(30);
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a deployment could not be started or driven.
+#[derive(Debug, Error)]
+pub enum ClusterError {
+    /// A process, file or socket failed.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// A call to a process failed.
+    #[error("{0}")]
+    Http(#[from] HttpError),
+    /// The store failed.
+    #[error("{0}")]
+    Store(#[from] millwind_platform::StoreError),
+    /// Something did not come about in time.
+    #[error("timed out waiting for {0}")]
+    Timeout(String),
+    /// A client failed.
+    #[error("client: {0}")]
+    Client(#[from] tokio_postgres::Error),
+}
+
+/// How to start a deployment.
+#[derive(Debug, Clone)]
+pub struct ClusterOptions {
+    /// Program that has the `node`, `instance` and `platform` subcommands.
+    pub program: PathBuf,
+    /// Nodes per zone.
+    pub nodes_per_zone: usize,
+    /// Groups; the deployment's number if none.
+    pub groups: Option<usize>,
+    /// Replay lag of replicas, in milliseconds.
+    pub lag_ms: u64,
+    /// Time a statement holds its slot, in microseconds.
+    pub service_us: u64,
+    /// Without latencies, for measurements of the proxy alone.
+    pub flat: bool,
+    /// What a majority must show before a write is acknowledged.
+    pub confirmation: ConfirmationRule,
+    /// Replaces the template's read policy.
+    pub primary_only: bool,
+    /// Replaces the template's hold time, in milliseconds.
+    pub hold_ms: Option<u64>,
+}
+
+impl ClusterOptions {
+    /// Usual options with this program.
+    pub fn new(program: PathBuf) -> Self {
+        ClusterOptions {
+            program,
+            nodes_per_zone: 1,
+            groups: None,
+            lag_ms: 50,
+            service_us: 1_000,
+            flat: false,
+            confirmation: ConfirmationRule::Replicated,
+            primary_only: false,
+            hold_ms: None,
+        }
+    }
+}
+
+/// A child process, killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn spawn(program: &Path, arguments: &[&str], log: &Path) -> std::io::Result<Process> {
+        let output = File::create(log)?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        Ok(Process { child })
+    }
+
+    /// Sends a signal by name, for example `STOP`.
+    pub fn signal(&self, name: &str) -> std::io::Result<()> {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(std::io::Error::other(format!("kill -{name} failed")))
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Exit code, if the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A running stand-in instance.
+#[derive(Debug)]
+pub struct InstanceHandle {
+    /// Group it belongs to.
+    pub group: String,
+    /// Zone it runs in.
+    pub zone: String,
+    /// Settings it was started with.
+    pub settings: InstanceSettings,
+    /// Its process.
+    pub process: Process,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct NodeHandle {
+    /// Settings it was started with.
+    pub settings: NodeSettings,
+    /// Where clients reach it.
+    pub client_address: SocketAddr,
+    /// Its process.
+    pub process: Process,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Its description.
+    pub deployment: Deployment,
+    /// Options it was started with.
+    pub options: ClusterOptions,
+    /// Relays between places.
+    pub relays: Arc<Relays>,
+    /// Database instances.
+    pub instances: Vec<InstanceHandle>,
+    /// Nodes.
+    pub nodes: Vec<NodeHandle>,
+    /// Control of the platform stand-in.
+    pub platform_control: SocketAddr,
+    /// Listener of the platform stand-in.
+    pub platform_address: SocketAddr,
+    platform: Process,
+    directory: PathBuf,
+    changes: u64,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.platform.kill();
+        if std::env::var_os("MILLWIND_LAB_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+impl Cluster {
+    /// Starts everything and applies the configuration.
+    pub async fn start(deployment: Deployment, options: ClusterOptions) -> Result<Cluster, ClusterError> {
+        let directory = std::env::temp_dir().join(format!("millwind-lab-{}-{:x}", std::process::id(), rand::random::<u32>()));
+        std::fs::create_dir_all(&directory)?;
+        let platform_address = free_address()?;
+        let platform_control = free_address()?;
+        let platform = Process::spawn(
+            &options.program,
+            &["platform", "--listen", &platform_address.to_string(), "--control", &platform_control.to_string()],
+            &directory.join("platform.log"),
+        )?;
+        let mut cluster = Cluster {
+            deployment,
+            options,
+            relays: Arc::default(),
+            instances: Vec::new(),
+            nodes: Vec::new(),
+            platform_control,
+            platform_address,
+            platform,
+            directory,
+            changes: 0,
+        };
+        cluster.start_instances().await?;
+        cluster.start_nodes().await?;
+        cluster.await_nodes().await?;
+        cluster.apply_configuration().await?;
+        cluster.create_tables().await?;
+        Ok(cluster)
+    }
+
+    /// Directory of logs and settings files.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
+    /// Number of groups.
+    pub fn groups(&self) -> usize {
+        self.options.groups.unwrap_or(self.deployment.groups)
+    }
+
+    /// Where a process in `zone` dials a process in `target_zone`.
+    async fn route(&self, zone: &str, target_zone: &str, target: SocketAddr) -> std::io::Result<SocketAddr> {
+        if self.options.flat || zone == target_zone {
+            return Ok(target);
+        }
+        let latency = if target_zone == PLATFORM_PLACE {
+            self.deployment.zone_latency
+        } else {
+            self.deployment.latency(zone, target_zone)
+        };
+        self.relays.open(LinkKey::new(zone, target_zone), target, latency).await
+    }
+
+    async fn start_instances(&mut self) -> Result<(), ClusterError> {
+        for group in 0..self.groups() {
+            let mut addresses = Vec::new();
+            for _ in 0..self.deployment.zones.len() {
+                addresses.push((free_address()?, free_address()?, free_address()?));
+            }
+            for index in 0..self.deployment.zones.len() {
+                // Primaries are spread over the zones.
+                let zone = self.deployment.zones[(index + group) % 3];
+                let mut peers = Vec::new();
+                for (other, (_, replication, _)) in addresses.iter().enumerate() {
+                    if other != index {
+                        let other_zone = self.deployment.zones[(other + group) % 3];
+                        let address = self.route(zone.name, other_zone.name, *replication).await?;
+                        peers.push(Peer {
+                            name: self.instance_name(group, other),
+                            address,
+                        });
+                    }
+                }
+                let (listen, replication, control) = addresses[index];
+                let settings = InstanceSettings {
+                    name: self.instance_name(group, index),
+                    listen,
+                    replication,
+                    control,
+                    peers,
+                    initial_primary: index == 0,
+                    rejoin: false,
+                    slots: self.deployment.slots as usize,
+                    connections: self.deployment.connections,
+                    connect_ms: self.deployment.connect_ms,
+                    service_us: self.options.service_us,
+                    lag_ms: self.options.lag_ms,
+                    rank: index as u64,
+                };
+                self.spawn_instance(self.deployment.group(group), zone.name.to_owned(), settings)?;
+            }
+        }
+        for instance in &self.instances {
+            let address = instance.settings.control;
+            await_answer(&instance.settings.name, || async move {
+                http::get::<InstanceReport>(address, "/report").await.is_ok()
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    fn instance_name(&self, group: usize, index: usize) -> String {
+        format!("{}-{}", self.deployment.group(group), ["a", "b", "c"][index])
+    }
+
+    fn spawn_instance(&mut self, group: String, zone: String, settings: InstanceSettings) -> Result<(), ClusterError> {
+        let process = self.instance_process(&settings)?;
+        self.instances.push(InstanceHandle {
+            group,
+            zone,
+            settings,
+            process,
+        });
+        Ok(())
+    }
+
+    fn instance_process(&self, settings: &InstanceSettings) -> Result<Process, ClusterError> {
+        let text = serde_json::to_string(settings).map_err(std::io::Error::other)?;
+        let log = self.directory.join(format!("{}.log", settings.name));
+        Ok(Process::spawn(&self.options.program, &["instance", "--settings", &text], &log)?)
+    }
+
+    /// Starts a killed instance anew; it takes everything from the others.
+    pub fn restart_instance(&mut self, index: usize) -> Result<(), ClusterError> {
+        let mut settings = self.instances[index].settings.clone();
+        settings.initial_primary = false;
+        settings.rejoin = true;
+        let process = self.instance_process(&settings)?;
+        self.instances[index].settings = settings;
+        self.instances[index].process = process;
+        Ok(())
+    }
+
+    async fn start_nodes(&mut self) -> Result<(), ClusterError> {
+        let mut plans = Vec::new();
+        for zone in self.deployment.zones {
+            for number in 0..self.options.nodes_per_zone {
+                let name = format!("{}-n{}", zone.name, number + 1);
+                plans.push((name, zone, free_address()?, free_address()?, free_address()?));
+            }
+        }
+        self.list_machines(&plans.iter().map(|plan| (plan.0.clone(), plan.3)).collect::<Vec<_>>())
+            .await?;
+        let seeds: Vec<SocketAddr> = plans.iter().map(|plan| plan.3).collect();
+        for (name, zone, client, peer, admin) in &plans {
+            let mut dial = std::collections::BTreeMap::new();
+            for (_, other_zone, _, other_peer, _) in &plans {
+                let address = self.route(zone.name, other_zone.name, *other_peer).await?;
+                dial.insert(*other_peer, address);
+            }
+            for instance in &self.instances {
+                let listen = instance.settings.listen;
+                dial.insert(listen, self.route(zone.name, &instance.zone, listen).await?);
+            }
+            let settings = NodeSettings {
+                name: name.clone(),
+                zone: zone.name.to_owned(),
+                region: zone.region.to_owned(),
+                client_address: *client,
+                peer_address: *peer,
+                admin_address: *admin,
+                platform: vec![self.route(zone.name, PLATFORM_PLACE, self.platform_address).await?],
+                platform_prefix: "/millwind/".to_owned(),
+                seeds: seeds.clone(),
+                dial,
+                maximum_clients: 20_000,
+                drain_ms: 15_000,
+                log_level: log::LevelFilter::Info,
+            };
+            let client_address = if self.options.flat {
+                *client
+            } else {
+                let key = LinkKey::new(CLIENT_PLACE, name);
+                self.relays.open(key, *client, self.deployment.client_latency).await?
+            };
+            let process = self.node_process(&settings)?;
+            self.nodes.push(NodeHandle {
+                settings,
+                client_address,
+                process,
+            });
+        }
+        Ok(())
+    }
+
+    fn node_process(&self, settings: &NodeSettings) -> Result<Process, ClusterError> {
+        let path = self.directory.join(format!("{}.toml", settings.name));
+        let text = toml::to_string(settings).map_err(std::io::Error::other)?;
+        std::fs::write(&path, text)?;
+        let log = self.directory.join(format!("{}.log", settings.name));
+        let config = path.to_string_lossy();
+        Ok(Process::spawn(&self.options.program, &["node", "--config", &config], &log)?)
+    }
+
+    /// Starts a stopped or killed node anew.
+    pub fn restart_node(&mut self, index: usize) -> Result<(), ClusterError> {
+        let process = self.node_process(&self.nodes[index].settings)?;
+        self.nodes[index].process = process;
+        Ok(())
+    }
+
+    async fn list_machines(&self, machines: &[(String, SocketAddr)]) -> Result<(), ClusterError> {
+        for (name, address) in machines {
+            self.list_machine(name, &address.to_string(), false).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes an entry of the platform's machine list.
+    pub async fn list_machine(&self, name: &str, address: &str, leaving: bool) -> Result<(), ClusterError> {
+        let machine = Machine {
+            name: name.to_owned(),
+            address: address.to_owned(),
+            leaving,
+        };
+        let text = toml::to_string(&machine).map_err(std::io::Error::other)?;
+        let store = EtcdStore::new(&[self.platform_address])?;
+        let write = Write {
+            key: KeySpace::new("/millwind/").machine(name),
+            value: text.into_bytes(),
+        };
+        let give_up = tokio::time::Instant::now() + START_LIMIT;
+        loop {
+            match store.swap(&[], std::slice::from_ref(&write)).await {
+                Ok(_) => return Ok(()),
+                Err(error) if tokio::time::Instant::now() > give_up => return Err(error.into()),
+                Err(_) => tokio::time::sleep(POLL_PAUSE).await,
+            }
+        }
+    }
+
+    /// Waits until every node serves its administration and knows the others.
+    async fn await_nodes(&self) -> Result<(), ClusterError> {
+        let count = self.nodes.len();
+        for node in &self.nodes {
+            let address = node.settings.admin_address;
+            await_answer(&node.settings.name, || async move {
+                http::get::<Vec<millwind_node::admin::NodeRow>>(address, "/nodes")
+                    .await
+                    .is_ok_and(|rows| rows.len() == count)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Status of a node.
+    pub async fn status(&self, index: usize) -> Result<StatusReport, ClusterError> {
+        Ok(http::get(self.nodes[index].settings.admin_address, "/status").await?)
+    }
+
+    async fn apply_configuration(&mut self) -> Result<(), ClusterError> {
+        let mut revision = 0;
+        for index in 0..self.groups() {
+            let spec = self.group_spec(index);
+            let text = toml::to_string(&spec).map_err(std::io::Error::other)?;
+            revision = self.store(0, &format!("group/{}", spec.name), &text).await?;
+        }
+        let template = self.template_text();
+        self.store(0, &format!("template/{}", self.deployment.template_name), &template)
+            .await?;
+        for index in 0..self.groups() {
+            let tenant = self.tenant(index);
+            let text = toml::to_string(&tenant).map_err(std::io::Error::other)?;
+            revision = self.store(0, &format!("tenant/{}", tenant.name), &text).await?;
+        }
+        self.await_in_force(0, revision).await
+    }
+
+    fn template_text(&self) -> String {
+        let mut text = self.deployment.template.to_owned();
+        if self.options.primary_only {
+            text = text.replace("read_policy = \"replica\"", "read_policy = \"primary_only\"");
+        }
+        text
+    }
+
+    /// Description of a group.
+    pub fn group_spec(&self, index: usize) -> GroupSpec {
+        let name = self.deployment.group(index);
+        let region = |zone: &str| {
+            let found = self.deployment.zones.iter().find(|entry| entry.name == zone);
+            found.map_or("", |entry| entry.region)
+        };
+        GroupSpec {
+            name: name.as_str().into(),
+            user: "millwind".to_owned(),
+            password: String::new(),
+            database: name.clone(),
+            confirmation: self.options.confirmation,
+            instances: self
+                .instances
+                .iter()
+                .filter(|instance| instance.group == name)
+                .map(|instance| InstanceSpec {
+                    name: instance.settings.name.as_str().into(),
+                    address: instance.settings.listen,
+                    zone: instance.zone.as_str().into(),
+                    region: region(&instance.zone).into(),
+                    slots: self.deployment.slots,
+                    connections: self.deployment.connections,
+                    leaving: false,
+                })
+                .collect(),
+        }
+    }
+
+    fn tenant(&self, index: usize) -> Tenant {
+        let mut parameters = std::collections::BTreeMap::new();
+        if let Some(hold_ms) = self.options.hold_ms {
+            parameters.insert(millwind_core::tenant::Parameter::HoldMs, hold_ms);
+        }
+        Tenant {
+            name: self.deployment.tenant(index).as_str().into(),
+            template: self.deployment.template_name.to_owned(),
+            group: self.deployment.group(index).as_str().into(),
+            password: String::new(),
+            parameters,
+        }
+    }
+
+    /// Stores a document through a node; returns its revision.
+    pub async fn store(&mut self, node: usize, key: &str, text: &str) -> Result<u64, ClusterError> {
+        self.changes += 1;
+        let body = ChangeBody {
+            change_id: format!("lab-{}-{}", std::process::id(), self.changes),
+            expected_revision: None,
+            body: Some(text.to_owned()),
+        };
+        let address = self.nodes[node].settings.admin_address;
+        let stored: StoredBody = http::put(address, &format!("/documents/{key}"), &body).await?;
+        Ok(stored.revision)
+    }
+
+    /// Waits until a revision is in force on every live node.
+    pub async fn await_in_force(&self, node: usize, revision: u64) -> Result<(), ClusterError> {
+        let address = self.nodes[node].settings.admin_address;
+        await_answer(&format!("revision {revision} in force"), || async move {
+            http::get::<StandingsReport>(address, &format!("/standings?revision={revision}"))
+                .await
+                .is_ok_and(|report| report.pending.is_empty())
+        })
+        .await
+    }
+
+    async fn create_tables(&self) -> Result<(), ClusterError> {
+        let statements = [
+            millwind_node::owner::CREATE_LEDGER,
+            "CREATE TABLE IF NOT EXISTS booking (request TEXT, session TEXT, seq INTEGER)",
+            "CREATE INDEX IF NOT EXISTS booking_session ON booking (session)",
+        ];
+        for index in 0..self.groups() {
+            let tenant = self.deployment.tenant(index);
+            let (client, _) = crate::client::connect(self.nodes[0].client_address, &tenant, None).await?;
+            for statement in statements {
+                client.simple_query(statement).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Index and report of the instance that leads a group with the highest term.
+    pub async fn leader(&self, group: &str) -> Option<(usize, InstanceReport)> {
+        let mut best: Option<(usize, InstanceReport)> = None;
+        for (index, instance) in self.instances.iter().enumerate() {
+            if instance.group != group {
+                continue;
+            }
+            let report: Result<InstanceReport, _> = http::get(instance.settings.control, "/report").await;
+            let Ok(report) = report else { continue };
+            let newer = best.as_ref().is_none_or(|(_, held)| report.term > held.term);
+            if report.leads && newer {
+                best = Some((index, report));
+            }
+        }
+        best
+    }
+
+    /// Waits for a group to have a leader of a term above `term`.
+    pub async fn await_leader(&self, group: &str, term: u64) -> Result<(usize, InstanceReport), ClusterError> {
+        let give_up = tokio::time::Instant::now() + START_LIMIT;
+        while tokio::time::Instant::now() < give_up {
+            if let Some((index, report)) = self.leader(group).await {
+                if report.term > term {
+                    return Ok((index, report));
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Err(ClusterError::Timeout(format!("leader of {group}")))
+    }
+
+    /// Sets faults of the platform stand-in.
+    pub async fn set_platform_faults(&self, faults: &PlatformFaults) -> Result<(), ClusterError> {
+        Ok(http::post(self.platform_control, "/faults", faults).await?)
+    }
+
+    /// Cuts or heals everything between a zone and the rest.
+    pub fn set_zone_cut(&self, zone: &str, cut: bool) {
+        for other in self.deployment.zones {
+            if other.name != zone {
+                self.relays.set_cut(zone, other.name, cut);
+            }
+        }
+        self.relays.set_cut(zone, PLATFORM_PLACE, cut);
+    }
+}
+
+async fn await_answer<F, Fut>(what: &str, mut check: F) -> Result<(), ClusterError>
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let give_up = tokio::time::Instant::now() + START_LIMIT;
+    while tokio::time::Instant::now() < give_up {
+        if check().await {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+    Err(ClusterError::Timeout(what.to_owned()))
+}
--- /dev/null
+++ b/crates/millwind-lab/src/instance/session.rs
@@ -0,0 +1,682 @@
+//! A client's session at a stand-in instance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use millwind_node::pg::put_backend;
+use millwind_node::pg::status::STATUS_QUERY;
+use pgwire::messages::data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription};
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, SslResponse, TransactionStatus};
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
+use pgwire::messages::{DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage};
+use rusqlite::types::ValueRef;
+use rusqlite::{Connection, ErrorCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::OwnedMutexGuard;
+
+use super::Instance;
+use super::database;
+use super::log_state::{Role, Statement, await_majority};
+use super::status;
+
+const LOCK_TIMEOUT: Duration = Duration::from_secs(5);
+const TEXT_OID: u32 = 25;
+const INT8_OID: u32 = 20;
+const TARGET_STATEMENT: u8 = b'S';
+const BINARY_FORMAT: i16 = 1;
+
+/// Accepts clients.
+pub async fn serve(listener: TcpListener, instance: Arc<Instance>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let instance = instance.clone();
+        tokio::spawn(async move {
+            let _ = stream.set_nodelay(true);
+            let admitted = instance.connection_opened();
+            let _ = serve_client(stream, &instance, admitted).await;
+            instance.connection_closed();
+        });
+    }
+}
+
+/// An error as the client gets it.
+#[derive(Debug, Clone)]
+struct SqlError {
+    sqlstate: &'static str,
+    message: String,
+}
+
+impl SqlError {
+    fn new(sqlstate: &'static str, message: impl ToString) -> Self {
+        SqlError {
+            sqlstate,
+            message: message.to_string(),
+        }
+    }
+}
+
+impl From<rusqlite::Error> for SqlError {
+    fn from(error: rusqlite::Error) -> Self {
+        let text = error.to_string();
+        let sqlstate = match error.sqlite_error_code() {
+            Some(ErrorCode::ConstraintViolation) => "23505",
+            Some(ErrorCode::ReadOnly) => "25006",
+            Some(ErrorCode::DatabaseBusy | ErrorCode::DatabaseLocked) => "55P03",
+            _ if text.contains("no such table") => "42P01",
+            _ if text.contains("no such column") => "42703",
+            _ => "42601",
+        };
+        SqlError::new(sqlstate, text)
+    }
+}
+
+#[derive(Debug)]
+struct Transaction {
+    /// Held from the first write on.
+    lock: Option<OwnedMutexGuard<()>>,
+    statements: Vec<Statement>,
+    failed: bool,
+}
+
+#[derive(Debug, Clone)]
+struct PreparedStatement {
+    sql: String,
+    type_oids: Vec<u32>,
+}
+
+#[derive(Debug)]
+struct Portal {
+    sql: String,
+    parameters: Vec<Option<String>>,
+    formats: Vec<i16>,
+}
+
+/// Rows of a result, as text.
+#[derive(Debug, Default)]
+struct ResultSet {
+    columns: Vec<(String, u32)>,
+    rows: Vec<Vec<Option<String>>>,
+    tag: String,
+}
+
+struct Session {
+    instance: Arc<Instance>,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    context: DecodeContext,
+    connection: Connection,
+    generation: u64,
+    transaction: Option<Transaction>,
+    prepared: HashMap<String, PreparedStatement>,
+    portals: HashMap<String, Portal>,
+    /// Extended messages are skipped until `Sync` after an error.
+    skipping: bool,
+}
+
+async fn serve_client(stream: TcpStream, instance: &Arc<Instance>, admitted: bool) -> std::io::Result<()> {
+    let generation = instance.state.lock().generation;
+    let connection = database::open(instance, generation).map_err(std::io::Error::other)?;
+    let mut session = Session {
+        instance: instance.clone(),
+        stream,
+        input: BytesMut::new(),
+        output: BytesMut::new(),
+        context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
+        connection,
+        generation,
+        transaction: None,
+        prepared: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+    };
+    if !session.start(admitted).await? {
+        return Ok(());
+    }
+    while let Some(message) = session.read().await? {
+        if matches!(message, PgWireFrontendMessage::Terminate(_)) {
+            return Ok(());
+        }
+        if session.instance.state.lock().generation != session.generation {
+            // The database was built anew: the connection ends, as it would
+            // when a server restarts to be rewound.
+            return Ok(());
+        }
+        session.handle(message).await?;
+    }
+    Ok(())
+}
+
+impl Session {
+    async fn read(&mut self) -> std::io::Result<Option<PgWireFrontendMessage>> {
+        loop {
+            let decoded = PgWireFrontendMessage::decode(&mut self.input, &self.context);
+            if let Some(message) = decoded.map_err(std::io::Error::other)? {
+                return Ok(Some(message));
+            }
+            self.flush().await?;
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn flush(&mut self) -> std::io::Result<()> {
+        if !self.output.is_empty() {
+            let bytes = self.output.split();
+            self.stream.write_all(&bytes).await?;
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, message: PgWireBackendMessage) {
+        // Messages of this stand-in are small and always encode.
+        let _ = put_backend(&mut self.output, &message);
+    }
+
+    fn put_error(&mut self, error: &SqlError, severity: &str) {
+        let fields = vec![
+            (b'S', severity.to_owned()),
+            (b'V', severity.to_owned()),
+            (b'C', error.sqlstate.to_owned()),
+            (b'M', error.message.clone()),
+        ];
+        self.put(PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)));
+    }
+
+    /// Startup; false when the client is refused.
+    async fn start(&mut self, admitted: bool) -> std::io::Result<bool> {
+        loop {
+            match self.read().await? {
+                Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                    self.context.awaiting_frontend_ssl = false;
+                }
+                Some(PgWireFrontendMessage::SslNegotiation(_)) => {
+                    self.put(PgWireBackendMessage::SslResponse(SslResponse::Refuse));
+                }
+                Some(PgWireFrontendMessage::Startup(_)) => break,
+                _ => return Ok(false),
+            }
+        }
+        self.context.awaiting_frontend_startup = false;
+        if !admitted {
+            self.put_error(&SqlError::new("53300", "too many connections"), "FATAL");
+            self.flush().await?;
+            return Ok(false);
+        }
+        tokio::time::sleep(Duration::from_millis(self.instance.settings.connect_ms)).await;
+        self.put(PgWireBackendMessage::Authentication(Authentication::Ok));
+        for (name, value) in [("server_version", "15.0"), ("client_encoding", "UTF8"), ("standard_conforming_strings", "on")] {
+            let parameter = ParameterStatus::new(name.to_owned(), value.to_owned());
+            self.put(PgWireBackendMessage::ParameterStatus(parameter));
+        }
+        self.put(PgWireBackendMessage::BackendKeyData(BackendKeyData::new(1, SecretKey::I32(1))));
+        self.put_ready();
+        self.flush().await?;
+        Ok(true)
+    }
+
+    fn put_ready(&mut self) {
+        let status = match &self.transaction {
+            None => TransactionStatus::Idle,
+            Some(transaction) if transaction.failed => TransactionStatus::Error,
+            Some(_) => TransactionStatus::Transaction,
+        };
+        self.put(PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status)));
+    }
+
+    async fn handle(&mut self, message: PgWireFrontendMessage) -> std::io::Result<()> {
+        match message {
+            PgWireFrontendMessage::Query(query) => {
+                self.simple_query(&query.query).await;
+                self.put_ready();
+            }
+            PgWireFrontendMessage::Sync(_) => {
+                self.skipping = false;
+                self.put_ready();
+            }
+            _ if self.skipping => {}
+            other => {
+                if let Err(error) = self.extended(other).await {
+                    self.fail(&error);
+                    self.skipping = true;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self, error: &SqlError) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.failed = true;
+        }
+        self.put_error(error, "ERROR");
+    }
+
+    async fn simple_query(&mut self, text: &str) {
+        let statements = split_statements(text);
+        if statements.is_empty() {
+            self.put(PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
+            return;
+        }
+        let implicit = statements.len() > 1 && self.transaction.is_none() && !is_control(&statements[0]);
+        if implicit {
+            self.begin();
+        }
+        for sql in &statements {
+            match self.execute(sql, &[]).await {
+                Ok(result) => self.put_result(&result, &[], true),
+                Err(error) => {
+                    self.fail(&error);
+                    if implicit {
+                        self.roll_back();
+                    }
+                    return;
+                }
+            }
+        }
+        if implicit && self.transaction.is_some() {
+            if let Err(error) = self.commit().await {
+                self.fail(&error);
+            }
+        }
+    }
+
+    async fn extended(&mut self, message: PgWireFrontendMessage) -> Result<(), SqlError> {
+        match message {
+            PgWireFrontendMessage::Parse(parse) => {
+                self.check_syntax(&parse.query)?;
+                let statement = PreparedStatement {
+                    sql: parse.query,
+                    type_oids: parse.type_oids,
+                };
+                self.prepared.insert(parse.name.unwrap_or_default(), statement);
+                self.put(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+            }
+            PgWireFrontendMessage::Bind(bind) => {
+                let statement = self.statement(bind.statement_name.as_deref().unwrap_or_default())?;
+                let formats = &bind.parameter_format_codes;
+                let parameters = bind
+                    .parameters
+                    .iter()
+                    .enumerate()
+                    .map(|(index, value)| parameter_text(value.as_ref(), format_of(formats, index), &statement, index))
+                    .collect();
+                let portal = Portal {
+                    sql: statement.sql,
+                    parameters,
+                    formats: bind.result_column_format_codes,
+                };
+                self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
+                self.put(PgWireBackendMessage::BindComplete(BindComplete::new()));
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                self.describe(describe.target_type, &describe.name.unwrap_or_default())?;
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                let name = execute.name.unwrap_or_default();
+                let portal = self
+                    .portals
+                    .remove(&name)
+                    .ok_or_else(|| SqlError::new("34000", format!("portal {name:?} does not exist")))?;
+                let result = self.execute(&portal.sql, &portal.parameters).await?;
+                self.put_result(&result, &portal.formats, false);
+            }
+            PgWireFrontendMessage::Close(_) => {
+                self.put(PgWireBackendMessage::CloseComplete(CloseComplete::new()));
+            }
+            _ => return Err(SqlError::new("0A000", "message not supported")),
+        }
+        Ok(())
+    }
+
+    fn statement(&self, name: &str) -> Result<PreparedStatement, SqlError> {
+        self.prepared
+            .get(name)
+            .cloned()
+            .ok_or_else(|| SqlError::new("26000", format!("prepared statement {name:?} does not exist")))
+    }
+
+    fn check_syntax(&self, sql: &str) -> Result<(), SqlError> {
+        if is_control(sql) || sql.trim().is_empty() {
+            return Ok(());
+        }
+        self.connection.prepare_cached(sql)?;
+        Ok(())
+    }
+
+    fn describe(&mut self, target: u8, name: &str) -> Result<(), SqlError> {
+        let sql = if target == TARGET_STATEMENT {
+            let statement = self.statement(name)?;
+            let count = self.parameter_count(&statement.sql)?;
+            let types = (0..count).map(|index| type_oid(&statement, index)).collect();
+            self.put(PgWireBackendMessage::ParameterDescription(ParameterDescription::new(types)));
+            statement.sql
+        } else {
+            self.portals.get(name).map(|portal| portal.sql.clone()).unwrap_or_default()
+        };
+        let columns = self.columns(&sql)?;
+        if columns.is_empty() {
+            self.put(PgWireBackendMessage::NoData(NoData::new()));
+        } else {
+            self.put(PgWireBackendMessage::RowDescription(row_description(&columns, &[])));
+        }
+        Ok(())
+    }
+
+    fn parameter_count(&self, sql: &str) -> Result<usize, SqlError> {
+        if is_control(sql) {
+            return Ok(0);
+        }
+        Ok(self.connection.prepare_cached(sql)?.parameter_count())
+    }
+
+    fn columns(&self, sql: &str) -> Result<Vec<(String, u32)>, SqlError> {
+        if is_control(sql) || sql.trim().is_empty() {
+            return Ok(Vec::new());
+        }
+        let prepared = self.connection.prepare_cached(sql)?;
+        Ok(columns_of(&prepared))
+    }
+
+    fn put_result(&mut self, result: &ResultSet, formats: &[i16], describe: bool) {
+        if describe && !result.columns.is_empty() {
+            self.put(PgWireBackendMessage::RowDescription(row_description(&result.columns, formats)));
+        }
+        for row in &result.rows {
+            let row = data_row(row, &result.columns, formats);
+            self.put(PgWireBackendMessage::DataRow(row));
+        }
+        let complete = CommandComplete::new(result.tag.clone());
+        self.put(PgWireBackendMessage::CommandComplete(complete));
+    }
+
+    async fn execute(&mut self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
+        if sql == STATUS_QUERY {
+            return self.status();
+        }
+        let word = first_word(sql);
+        match word.as_str() {
+            "BEGIN" | "START" => {
+                self.begin();
+                return Ok(tagged("BEGIN"));
+            }
+            "COMMIT" | "END" => return self.commit().await,
+            "ROLLBACK" | "ABORT" => {
+                self.roll_back();
+                return Ok(tagged("ROLLBACK"));
+            }
+            "SET" => return Ok(tagged("SET")),
+            _ => {}
+        }
+        if self.transaction.as_ref().is_some_and(|transaction| transaction.failed) {
+            return Err(SqlError::new("25P02", "current transaction is aborted"));
+        }
+        self.instance.statements.fetch_add(1, Ordering::Relaxed);
+        let instance = self.instance.clone();
+        let _slot = instance.slots.acquire().await;
+        if instance.settings.service_us > 0 {
+            tokio::time::sleep(Duration::from_micros(instance.settings.service_us)).await;
+        }
+        let read_only = self.connection.prepare_cached(sql)?.readonly();
+        if read_only {
+            return self.query(sql, parameters);
+        }
+        drop(_slot);
+        self.write(sql, parameters).await
+    }
+
+    fn status(&self) -> Result<ResultSet, SqlError> {
+        let core = self.instance.state.lock();
+        let row = status::row(&core).ok_or_else(|| SqlError::new("57P03", "instance has not joined its group"))?;
+        Ok(ResultSet {
+            columns: status::COLUMNS.iter().map(|name| ((*name).to_owned(), TEXT_OID)).collect(),
+            rows: vec![row],
+            tag: "SELECT 1".to_owned(),
+        })
+    }
+
+    fn query(&self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
+        let mut prepared = self.connection.prepare_cached(sql)?;
+        let columns = columns_of(&prepared);
+        database::bind(&mut prepared, parameters)?;
+        let mut found = prepared.raw_query();
+        let mut rows = Vec::new();
+        while let Some(row) = found.next()? {
+            let values = (0..columns.len()).map(|index| Ok(text_of(row.get_ref(index)?)));
+            rows.push(values.collect::<Result<Vec<_>, rusqlite::Error>>()?);
+        }
+        let tag = format!("SELECT {}", rows.len());
+        Ok(ResultSet { columns, rows, tag })
+    }
+
+    async fn write(&mut self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
+        let autocommit = self.transaction.is_none();
+        if autocommit {
+            self.begin();
+        }
+        let result = self.write_in_transaction(sql, parameters).await;
+        match result {
+            Ok(result) if autocommit => {
+                self.commit().await?;
+                Ok(result)
+            }
+            Err(error) if autocommit => {
+                self.roll_back();
+                Err(error)
+            }
+            other => other,
+        }
+    }
+
+    async fn write_in_transaction(&mut self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
+        self.instance.writes.fetch_add(1, Ordering::Relaxed);
+        self.check_leads()?;
+        let locked = self.transaction.as_ref().is_some_and(|transaction| transaction.lock.is_some());
+        if !locked {
+            let lock = tokio::time::timeout(LOCK_TIMEOUT, self.instance.write_lock.clone().lock_owned())
+                .await
+                .map_err(|_| SqlError::new("55P03", "lock timeout"))?;
+            self.connection.execute_batch("BEGIN IMMEDIATE")?;
+            if let Some(transaction) = &mut self.transaction {
+                transaction.lock = Some(lock);
+            }
+        }
+        let mut result = self.query(sql, parameters)?;
+        let count = self.connection.changes();
+        result.tag = match first_word(sql).as_str() {
+            "INSERT" => format!("INSERT 0 {count}"),
+            word @ ("UPDATE" | "DELETE") => format!("{word} {count}"),
+            word => word.to_owned(),
+        };
+        if let Some(transaction) = &mut self.transaction {
+            transaction.statements.push(Statement {
+                sql: sql.to_owned(),
+                parameters: parameters.to_vec(),
+            });
+        }
+        Ok(result)
+    }
+
+    fn check_leads(&self) -> Result<(), SqlError> {
+        if self.instance.state.lock().role == Role::Leader {
+            return Ok(());
+        }
+        Err(SqlError::new("25006", "cannot execute a write in a read-only transaction"))
+    }
+
+    fn begin(&mut self) {
+        self.transaction.get_or_insert(Transaction {
+            lock: None,
+            statements: Vec::new(),
+            failed: false,
+        });
+    }
+
+    fn roll_back(&mut self) {
+        if let Some(transaction) = self.transaction.take() {
+            if transaction.lock.is_some() {
+                let _ = self.connection.execute_batch("ROLLBACK");
+            }
+        }
+    }
+
+    async fn commit(&mut self) -> Result<ResultSet, SqlError> {
+        let failed = self.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        if failed {
+            self.roll_back();
+            return Ok(tagged("ROLLBACK"));
+        }
+        let Some(transaction) = self.transaction.take() else {
+            return Ok(tagged("COMMIT"));
+        };
+        if transaction.lock.is_none() {
+            return Ok(tagged("COMMIT"));
+        }
+        let length = {
+            let mut core = self.instance.state.lock();
+            if core.role != Role::Leader || core.generation != self.generation {
+                let _ = self.connection.execute_batch("ROLLBACK");
+                return Err(SqlError::new("25006", "instance stopped leading before the commit"));
+            }
+            self.connection.execute_batch("COMMIT")?;
+            core.append(transaction.statements);
+            core.log.len()
+        };
+        drop(transaction.lock);
+        self.instance.state.notify();
+        await_majority(&self.instance.state, self.instance.settings.peers.len(), length).await;
+        Ok(tagged("COMMIT"))
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.roll_back();
+    }
+}
+
+fn tagged(tag: &str) -> ResultSet {
+    ResultSet {
+        tag: tag.to_owned(),
+        ..ResultSet::default()
+    }
+}
+
+/// Splits a text at semicolons outside quotes and comments.
+fn split_statements(text: &str) -> Vec<String> {
+    let mut statements = Vec::new();
+    let mut current = String::new();
+    let mut quote = None;
+    for character in text.chars() {
+        match quote {
+            None if character == ';' => {
+                statements.push(std::mem::take(&mut current));
+                continue;
+            }
+            None if character == '\'' || character == '"' => quote = Some(character),
+            Some(open) if open == character => quote = None,
+            _ => {}
+        }
+        current.push(character);
+    }
+    statements.push(current);
+    statements.retain(|statement| !statement.trim().is_empty());
+    statements
+}
+
+fn first_word(sql: &str) -> String {
+    let mut rest = sql.trim_start();
+    while let Some(comment) = rest.strip_prefix("/*") {
+        rest = comment.split_once("*/").map_or("", |(_, after)| after).trim_start();
+    }
+    rest.split(|character: char| !character.is_ascii_alphabetic())
+        .next()
+        .unwrap_or_default()
+        .to_uppercase()
+}
+
+fn is_control(sql: &str) -> bool {
+    sql == STATUS_QUERY
+        || matches!(
+            first_word(sql).as_str(),
+            "BEGIN" | "START" | "COMMIT" | "END" | "ROLLBACK" | "ABORT" | "SET"
+        )
+}
+
+fn columns_of(prepared: &rusqlite::Statement<'_>) -> Vec<(String, u32)> {
+    prepared
+        .columns()
+        .map(|column| {
+            let declared = column.decl_type().unwrap_or_default().to_uppercase();
+            let oid = if declared.contains("INT") { INT8_OID } else { TEXT_OID };
+            (column.name().to_owned(), oid)
+        })
+        .collect()
+}
+
+fn text_of(value: ValueRef<'_>) -> Option<String> {
+    match value {
+        ValueRef::Null => None,
+        ValueRef::Integer(number) => Some(number.to_string()),
+        ValueRef::Real(number) => Some(number.to_string()),
+        ValueRef::Text(text) | ValueRef::Blob(text) => Some(String::from_utf8_lossy(text).into_owned()),
+    }
+}
+
+fn type_oid(statement: &PreparedStatement, index: usize) -> u32 {
+    let given = statement.type_oids.get(index).copied().unwrap_or(0);
+    if given == 0 { TEXT_OID } else { given }
+}
+
+fn format_of(formats: &[i16], index: usize) -> i16 {
+    match formats {
+        [] => 0,
+        [only] => *only,
+        several => several.get(index).copied().unwrap_or(0),
+    }
+}
+
+fn parameter_text(value: Option<&Bytes>, format: i16, statement: &PreparedStatement, index: usize) -> Option<String> {
+    let bytes = value?;
+    if format == BINARY_FORMAT && type_oid(statement, index) != TEXT_OID {
+        let number = match bytes.len() {
+            2 => i64::from(i16::from_be_bytes([bytes[0], bytes[1]])),
+            4 => i64::from(i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])),
+            8 => i64::from_be_bytes(bytes[..8].try_into().unwrap_or_default()),
+            _ => return Some(String::from_utf8_lossy(bytes).into_owned()),
+        };
+        return Some(number.to_string());
+    }
+    Some(String::from_utf8_lossy(bytes).into_owned())
+}
+
+fn row_description(columns: &[(String, u32)], formats: &[i16]) -> RowDescription {
+    let fields = columns.iter().enumerate().map(|(index, (name, oid))| {
+        let size = if *oid == INT8_OID { 8 } else { -1 };
+        FieldDescription::new(name.clone(), 0, 0, *oid, size, -1, format_of(formats, index))
+    });
+    RowDescription::new(fields.collect())
+}
+
+fn data_row(values: &[Option<String>], columns: &[(String, u32)], formats: &[i16]) -> DataRow {
+    let mut data = BytesMut::new();
+    for (index, value) in values.iter().enumerate() {
+        let Some(text) = value else {
+            data.extend_from_slice(&(-1i32).to_be_bytes());
+            continue;
+        };
+        let binary = format_of(formats, index) == BINARY_FORMAT && columns[index].1 == INT8_OID;
+        let bytes = match text.parse::<i64>() {
+            Ok(number) if binary => number.to_be_bytes().to_vec(),
+            _ => text.as_bytes().to_vec(),
+        };
+        data.extend_from_slice(&(bytes.len() as i32).to_be_bytes());
+        data.extend_from_slice(&bytes);
+    }
+    DataRow::new(data, values.len() as i16)
+}
--- /dev/null
+++ b/crates/millwind-lab/src/lib.rs
@@ -0,0 +1,19 @@
+//! Scaffolding for millwind: stand-ins of the outside systems, a load
+//! generator that checks every answer, fault experiments, and hollow runs of
+//! the control plane.
+
+pub mod client;
+pub mod cluster;
+
+pub mod deployment;
+
+pub mod history;
+
+pub mod http;
+pub mod instance;
+
+pub mod platform;
+pub mod ports;
+pub mod relay;
+
+pub mod workload;
--- a/crates/millwind-node/src/bin/millwindd.rs
+++ b/crates/millwind-node/src/bin/millwindd.rs
@@ -5,14 +5,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use log::{LevelFilter, info};
-use millwind_node::{Node, NodeSettings, logging};
-use tokio::signal::unix::{SignalKind, signal};
-
-/// Exit code when settings are refused or a listener cannot be opened.
-const EXIT_REFUSED: u8 = 2;
-/// Exit code when a planned stop had to cut work short.
-const EXIT_CUT_SHORT: u8 = 3;
+use log::LevelFilter;
+use millwind_node::{NodeSettings, daemon};
 
 /// Database proxy that keeps each caller's session consistent.
 #[derive(Debug, Parser)]
@@ -64,44 +58,11 @@
     let arguments = Arguments::parse();
     let mut settings = match NodeSettings::read(&arguments.config) {
         Ok(settings) => settings,
-        Err(error) => return refuse(&error.to_string()),
+        Err(error) => return daemon::refuse(&error.to_string()),
     };
     arguments.apply(&mut settings);
-    if let Err(error) = settings.check() {
-        return refuse(&error.to_string());
-    }
     if arguments.check_config {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
-    }
-    if let Err(error) = logging::start(settings.log_level) {
-        return refuse(&error.to_string());
-    }
-    run(settings).await
-}
-
-fn refuse(error: &str) -> ExitCode {
-    eprintln!("millwindd: {error}");
-    ExitCode::from(EXIT_REFUSED)
-}
-
-async fn run(settings: NodeSettings) -> ExitCode {
-    let mut node = match Node::start(settings).await {
-        Ok(node) => node,
-        Err(error) => return refuse(&error.to_string()),
-    };
-    let (mut terminate, mut interrupt) = match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
-        (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
-        _ => return refuse("signal handlers cannot be installed"),
-    };
-    tokio::select! {
-        _ = terminate.recv() => info!("event=signal name=SIGTERM"),
-        _ = interrupt.recv() => info!("event=signal name=SIGINT"),
-        () = node.drain_requested() => info!("event=drain_requested"),
-    }
-    if node.drain().await {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(EXIT_CUT_SHORT)
+        return daemon::check(&settings);
     }
+    daemon::run(settings).await
 }
--- a/crates/millwind-node/src/lib.rs
+++ b/crates/millwind-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod config_watch;
 pub mod control;
+pub mod daemon;
 pub mod decisions;
 pub mod gateway;
 pub mod logging;
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -322,7 +322,7 @@
         }
         let verdict = self
             .monitor
-            .confirm(status.position.term, clock::until(self.deadline))
+            .confirm(status.position, clock::until(self.deadline))
             .await;
         match verdict {
             Some(Verdict::Confirmed) => Ok(()),
--- a/crates/millwind-node/src/owner/monitor.rs
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -3,13 +3,14 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use log::{info, warn};
-use millwind_core::confirmation::{ConfirmationTracker, Sequence, Verdict};
+use millwind_core::confirmation::{ConfirmationRule, ConfirmationTracker, Sequence, Verdict};
 use millwind_core::group_view::{GroupView, InstanceStatus};
 use millwind_core::ids::{GroupName, InstanceName};
-use millwind_core::position::Term;
+use millwind_core::position::{Position, Term};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
 use xtra::prelude::*;
@@ -23,6 +24,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// While the group shows no primary it is asked this often.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(25);
+/// While commits wait for their confirmation, instances are asked this often.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(5);
 /// An instance that does not answer within this is unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,11 +45,10 @@
 }
 
 impl MonitorHandle {
-    /// Confirms a commit of `term` that has finished; none when the monitor is
-    /// gone or gives no verdict before `limit`.
-    pub async fn confirm(&self, term: Term, limit: Duration) -> Option<Verdict> {
-        let id = self.actor.send(Confirm { term }).await.ok()?;
-        let (id, receiver) = id;
+    /// Confirms a commit at `position` that has finished; none when the monitor
+    /// is gone or gives no verdict before `limit`.
+    pub async fn confirm(&self, position: Position, limit: Duration) -> Option<Verdict> {
+        let (id, receiver) = self.actor.send(Confirm { position }).await.ok()?;
         match tokio::time::timeout(limit, receiver).await {
             Ok(verdict) => verdict.ok(),
             Err(_) => {
@@ -97,22 +99,29 @@
     published: watch::Sender<GroupSnapshot>,
     wakes: Vec<Arc<Notify>>,
     primary: Option<(InstanceName, Term)>,
+    waiting_flag: Arc<AtomicBool>,
 }
 
 /// Starts watching a group.
-pub fn start(group: GroupName, targets: Vec<(InstanceName, BackendTarget)>) -> MonitorHandle {
+pub fn start(
+    group: GroupName,
+    rule: ConfirmationRule,
+    targets: Vec<(InstanceName, BackendTarget)>,
+) -> MonitorHandle {
     let view = GroupView::new(targets.iter().map(|(name, _)| name.clone()));
     let (published, receiver) = watch::channel(Arc::new(view.clone()));
     let wakes: Vec<Arc<Notify>> = targets.iter().map(|_| Arc::new(Notify::new())).collect();
+    let waiting = Arc::new(AtomicBool::new(false));
     let actor = MonitorActor {
         group,
         view,
-        tracker: ConfirmationTracker::new(targets.len()),
+        tracker: ConfirmationTracker::new(targets.len(), rule),
         waiting: HashMap::new(),
         next_id: 0,
         published,
         wakes: wakes.clone(),
         primary: None,
+        waiting_flag: waiting.clone(),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
     let probes = targets
@@ -125,6 +134,7 @@
                 wake,
                 monitor: address.clone(),
                 view: receiver.clone(),
+                waiting: waiting.clone(),
             };
             tokio::spawn(probe.run())
         })
@@ -162,7 +172,7 @@
 }
 
 struct Confirm {
-    term: Term,
+    position: Position,
 }
 
 impl Handler<Confirm> for MonitorActor {
@@ -173,7 +183,8 @@
         let id = self.next_id;
         let (sender, receiver) = oneshot::channel();
         self.waiting.insert(id, sender);
-        self.tracker.register(id, confirm.term);
+        self.tracker.register(id, confirm.position);
+        self.waiting_flag.store(true, Ordering::Relaxed);
         for wake in &self.wakes {
             wake.notify_one();
         }
@@ -215,9 +226,11 @@
 
     async fn handle(&mut self, observed: Observed, _context: &mut Context<Self>) {
         let term = observed.status.position.term;
+        let received = observed.status.received;
         self.view.observe(clock::now(), &observed.instance, observed.status);
         if let Some(asked) = observed.asked {
-            let decided = self.tracker.observe(&observed.instance, asked, term);
+            let decided = self.tracker.observe(&observed.instance, asked, term, received);
+            self.waiting_flag.store(self.tracker.is_waiting(), Ordering::Relaxed);
             self.decide(decided);
         }
         self.publish();
@@ -266,6 +279,7 @@
     wake: Arc<Notify>,
     monitor: Address<MonitorActor>,
     view: watch::Receiver<GroupSnapshot>,
+    waiting: Arc<AtomicBool>,
 }
 
 impl Probe {
@@ -287,6 +301,9 @@
     }
 
     fn interval(&self) -> Duration {
+        if self.waiting.load(Ordering::Relaxed) {
+            return CONFIRM_INTERVAL;
+        }
         let searching = self.view.borrow().primary(clock::now()).is_none();
         if searching { SEARCH_INTERVAL } else { PROBE_INTERVAL }
     }
--- a/crates/millwind-node/src/owner/service.rs
+++ b/crates/millwind-node/src/owner/service.rs
@@ -183,7 +183,7 @@
             .iter()
             .map(|instance| (instance.name.clone(), self.target(spec, instance)))
             .collect();
-        let monitor = monitor::start(spec.name.clone(), targets);
+        let monitor = monitor::start(spec.name.clone(), spec.confirmation, targets);
         let runtime = GroupRuntime {
             spec: spec.clone(),
             monitor: monitor.clone(),
--- a/crates/millwind-node/src/pg/status.rs
+++ b/crates/millwind-node/src/pg/status.rs
@@ -11,7 +11,8 @@
 pub const STATUS_QUERY: &str = "SELECT pg_is_in_recovery(), \
 CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END, \
 timeline_id, \
-CASE WHEN timeline_id > 1 THEN pg_read_file('pg_wal/' || lpad(upper(to_hex(timeline_id)), 8, '0') || '.history', true) END \
+CASE WHEN timeline_id > 1 THEN pg_read_file('pg_wal/' || lpad(upper(to_hex(timeline_id)), 8, '0') || '.history', true) END, \
+CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn() ELSE pg_current_wal_lsn() END \
 FROM pg_control_checkpoint()";
 
 /// Why a status answer was not understood.
@@ -49,6 +50,7 @@
             term: Term(term),
             log_position,
         },
+        received: column(4).and_then(|text| text.parse().ok()).unwrap_or(log_position),
         history: parse_history(column(3).unwrap_or_default(), term),
     })
 }
