Check every property from outside under failure: experiments

Ruled out: an SQLite transaction held open between client messages in the stand-in: in-memory SQLite blocks readers meanwhile, a status answer stalled over 800 ms and elections ran in a steady load. Change: experiments with faults, histories checked against the databases' logs; the stand-in replays a transaction's statements and undoes them at once.

--- a/crates/millwind-lab/src/http.rs
+++ b/crates/millwind-lab/src/http.rs
@@ -66,6 +66,12 @@
     serde_json::from_slice(&bytes).map_err(transport)
 }
 
+/// Reads text.
+pub async fn get_text(address: SocketAddr, path: &str) -> Result<String, HttpError> {
+    let bytes = call(Method::GET, address, path, Vec::new()).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
 /// Sends JSON; the answer's body is dropped.
 pub async fn post<T: Serialize>(address: SocketAddr, path: &str, body: &T) -> Result<(), HttpError> {
     let bytes = serde_json::to_vec(body).map_err(transport)?;
--- a/crates/millwind-lab/src/instance/session.rs
+++ b/crates/millwind-lab/src/instance/session.rs
@@ -424,7 +424,7 @@
         }
         let read_only = self.connection.prepare_cached(sql)?.readonly();
         if read_only {
-            return self.query(sql, parameters);
+            return self.query_in_transaction(sql, parameters);
         }
         drop(_slot);
         self.write(sql, parameters).await
@@ -440,6 +440,28 @@
         })
     }
 
+    /// Runs a statement as the open transaction would see it: behind the
+    /// transaction's earlier statements, and undone at once. The database is
+    /// thus never locked between two messages of a client.
+    fn query_in_transaction(&self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
+        let Some(transaction) = self.transaction.as_ref().filter(|transaction| transaction.lock.is_some()) else {
+            return self.query(sql, parameters);
+        };
+        self.connection.execute_batch("BEGIN IMMEDIATE")?;
+        let result = self
+            .run_all(&transaction.statements)
+            .and_then(|()| self.query(sql, parameters));
+        self.connection.execute_batch("ROLLBACK")?;
+        result
+    }
+
+    fn run_all(&self, statements: &[Statement]) -> Result<(), SqlError> {
+        for statement in statements {
+            database::run(&self.connection, statement)?;
+        }
+        Ok(())
+    }
+
     fn query(&self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
         let mut prepared = self.connection.prepare_cached(sql)?;
         let columns = columns_of(&prepared);
@@ -481,12 +503,11 @@
             let lock = tokio::time::timeout(LOCK_TIMEOUT, self.instance.write_lock.clone().lock_owned())
                 .await
                 .map_err(|_| SqlError::new("55P03", "lock timeout"))?;
-            self.connection.execute_batch("BEGIN IMMEDIATE")?;
             if let Some(transaction) = &mut self.transaction {
                 transaction.lock = Some(lock);
             }
         }
-        let mut result = self.query(sql, parameters)?;
+        let mut result = self.query_in_transaction(sql, parameters)?;
         let count = self.connection.changes();
         result.tag = match first_word(sql).as_str() {
             "INSERT" => format!("INSERT 0 {count}"),
@@ -518,11 +539,7 @@
     }
 
     fn roll_back(&mut self) {
-        if let Some(transaction) = self.transaction.take() {
-            if transaction.lock.is_some() {
-                let _ = self.connection.execute_batch("ROLLBACK");
-            }
-        }
+        self.transaction = None;
     }
 
     async fn commit(&mut self) -> Result<ResultSet, SqlError> {
@@ -540,9 +557,13 @@
         let length = {
             let mut core = self.instance.state.lock();
             if core.role != Role::Leader || core.generation != self.generation {
-                let _ = self.connection.execute_batch("ROLLBACK");
                 return Err(SqlError::new("25006", "instance stopped leading before the commit"));
             }
+            self.connection.execute_batch("BEGIN IMMEDIATE")?;
+            if let Err(error) = self.run_all(&transaction.statements) {
+                self.connection.execute_batch("ROLLBACK")?;
+                return Err(error);
+            }
             self.connection.execute_batch("COMMIT")?;
             core.append(transaction.statements);
             core.log.len()
--- a/crates/millwind-lab/src/lib.rs
+++ b/crates/millwind-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 
 pub mod deployment;
+pub mod experiment;
 
 pub mod history;
 
--- a/crates/millwind-lab/src/main.rs
+++ b/crates/millwind-lab/src/main.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use millwind_lab::deployment::DeploymentName;
+use millwind_lab::experiment::{self, Baseline, ExperimentName, ExperimentOptions};
 use millwind_lab::instance::{Instance, InstanceSettings};
 use millwind_lab::platform::Platform;
 use millwind_node::{NodeSettings, daemon, logging};
@@ -41,6 +42,8 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Run an experiment; the last line is one JSON object.
+    Experiment(ExperimentArguments),
     /// Start a deployment and leave it running.
     Cluster {
         /// Which user's deployment.
@@ -52,6 +55,57 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct ExperimentArguments {
+    /// The experiment.
+    #[arg(value_enum)]
+    name: ExperimentName,
+    /// Which user's deployment.
+    #[arg(long, value_enum, default_value = "glasfail")]
+    deployment: DeploymentName,
+    /// Seed of all choices.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of the load, in seconds.
+    #[arg(long, default_value_t = 12)]
+    seconds: u64,
+    /// Callers per tenant.
+    #[arg(long, default_value_t = 8)]
+    sessions: usize,
+    /// Nodes per zone.
+    #[arg(long, default_value_t = 1)]
+    nodes_per_zone: usize,
+    /// Replay lag of replicas, in milliseconds.
+    #[arg(long, default_value_t = 50)]
+    lag_ms: u64,
+    /// Requests between two writes of a session.
+    #[arg(long, default_value_t = 5)]
+    write_every: u32,
+    /// Settings to compare with.
+    #[arg(long, value_enum)]
+    baseline: Option<Baseline>,
+    /// Print only the JSON line.
+    #[arg(long)]
+    json: bool,
+}
+
+impl ExperimentArguments {
+    fn options(&self, program: PathBuf) -> ExperimentOptions {
+        ExperimentOptions {
+            program,
+            deployment: self.deployment,
+            seed: self.seed,
+            seconds: self.seconds,
+            sessions: self.sessions,
+            nodes_per_zone: self.nodes_per_zone,
+            lag_ms: self.lag_ms,
+            write_every: self.write_every,
+            baseline: self.baseline,
+            verbose: !self.json,
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     match Arguments::parse().command {
@@ -61,6 +115,7 @@
             Ok(settings) => daemon::run(settings).await,
             Err(error) => daemon::refuse(&error.to_string()),
         },
+        Command::Experiment(arguments) => run_experiment(&arguments).await,
         Command::Cluster { deployment, nodes_per_zone } => run_cluster(deployment, nodes_per_zone).await,
     }
 }
@@ -90,6 +145,26 @@
     }
 }
 
+async fn run_experiment(arguments: &ExperimentArguments) -> ExitCode {
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(error) => return fail(&error),
+    };
+    let (summary, _) = match experiment::run(arguments.name, &arguments.options(program)).await {
+        Ok(result) => result,
+        Err(error) => return fail(&error),
+    };
+    match serde_json::to_string(&summary) {
+        Ok(line) => println!("{line}"),
+        Err(error) => return fail(&error),
+    }
+    if summary.is_clean() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
 async fn run_cluster(deployment: DeploymentName, nodes_per_zone: usize) -> ExitCode {
     use millwind_lab::cluster::{Cluster, ClusterOptions};
     use millwind_lab::deployment::Deployment;
