Prove the core protocol by model check; mend what it and a cut zone showed

Cause: (1) the model check found that a majority showing no higher term does not protect an acknowledged write: with an election under way the commit is in the old primary's tail only. Ruled out: waiting longer before counting a silent node (its silence was measured from the last question, not from the change); trusting the time a report arrives (a cut link delivers it late). Change: a commit is confirmed when a majority has received it in its own term; questions run ahead of the primary's answer; a primary needs a majority heard lately; a floor is confirmed like a commit; contacts with the platform count from when they were asked for; a node without a change counts as stopped only once the bound has passed since the change. millwind-model: 3 models, 15 rules.

--- a/crates/millwind-core/src/confirmation.rs
+++ b/crates/millwind-core/src/confirmation.rs
@@ -6,12 +6,15 @@
 //! higher term after the commit proves that no newer primary had accepted
 //! writes when the commit finished.
 //!
-//! Where the group's description asks for it, a majority must also have received
-//! the commit. Then every later primary, elected from a majority by the most
-//! advanced log, holds what was acknowledged.
+//! Unless the group's description says otherwise, the majority must also have
+//! received the commit. Then every later primary, elected from a majority by the
+//! most advanced log, holds what was acknowledged. The model checker shows that
+//! the term alone does not give this.
 //!
-//! One round of status questions confirms every commit that finished before
-//! the round was asked, so the cost stays flat under load.
+//! One round of status questions confirms every commit that it covers, so the
+//! cost stays flat under load. An instance that shows the commit itself was
+//! certainly asked after it; questions may therefore run ahead of the primary's
+//! answer, and most commits are confirmed by the time that answer comes.
 
 use std::collections::BTreeMap;
 
@@ -22,10 +25,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ConfirmationRule {
-    /// No higher term.
-    #[default]
+    /// No higher term. Only for groups whose instances cannot say how far they
+    /// have received the log: a write acknowledged while an election is under
+    /// way may then be lost with the old primary's tail.
     Term,
     /// The same term, and the commit received.
+    #[default]
     Replicated,
 }
 
@@ -87,11 +92,16 @@
         self.next
     }
 
-    /// Registers a finished commit at `position`; the verdict follows by
-    /// [`Self::observe`].
-    pub fn register(&mut self, id: u64, position: Position) {
+    /// Registers a finished commit at `position`. The verdict is returned if it
+    /// is already known, else it follows by [`Self::observe`].
+    pub fn register(&mut self, id: u64, position: Position) -> Option<Verdict> {
         let finished = self.draw();
-        self.pending.push(PendingCommit { id, position, finished });
+        let commit = PendingCommit { id, position, finished };
+        let verdict = self.verdict(&commit);
+        if verdict.is_none() {
+            self.pending.push(commit);
+        }
+        verdict
     }
 
     /// Forgets a commit whose caller gave up.
@@ -117,10 +127,7 @@
         let shown = Shown { asked, term, received };
         let entry = self.shown.entry(instance.clone()).or_insert(shown);
         if asked >= entry.asked {
-            *entry = Shown {
-                term: entry.term.max(term),
-                ..shown
-            };
+            *entry = shown;
         }
         let mut decided = Vec::new();
         let pending = std::mem::take(&mut self.pending);
@@ -134,22 +141,18 @@
     }
 
     fn verdict(&self, commit: &PendingCommit) -> Option<Verdict> {
-        let term = commit.position.term;
-        if self.shown.values().any(|shown| shown.term > term) {
-            return Some(Verdict::Superseded);
+        let agreeing = self.shown.values().filter(|shown| self.holds(shown, commit)).count();
+        if agreeing * 2 > self.members {
+            return Some(Verdict::Confirmed);
         }
-        let agreeing = self
-            .shown
-            .values()
-            .filter(|shown| shown.asked > commit.finished)
-            .filter(|shown| self.holds(shown, commit))
-            .count();
-        (agreeing * 2 > self.members).then_some(Verdict::Confirmed)
+        let superseded = self.shown.values().any(|shown| shown.term > commit.position.term);
+        superseded.then_some(Verdict::Superseded)
     }
 
     fn holds(&self, shown: &Shown, commit: &PendingCommit) -> bool {
         match self.rule {
-            ConfirmationRule::Term => true,
+            ConfirmationRule::Term => shown.asked > commit.finished && shown.term <= commit.position.term,
+            // Whoever shows the commit was asked after it.
             ConfirmationRule::Replicated => {
                 shown.term == commit.position.term && shown.received >= commit.position.log_position
             }
--- a/crates/millwind-core/src/control.rs
+++ b/crates/millwind-core/src/control.rs
@@ -4,10 +4,13 @@
 //! A few relays per zone watch the platform. They push each change to the
 //! nodes of their zone; every node also sends a digest to a relay now and then,
 //! so that a lost push is repaired and the node learns how old the zone's
-//! contact with the platform is. The platform's load grows with the number of
-//! zones, not of nodes.
+//! contact with the platform is. Relays do the same with relays of the other
+//! zones. The platform's load grows with the number of zones, not of nodes.
+//!
+//! Ages in a report count from when the node asked, never from when the report
+//! came: a report that was under way for long must not look fresh.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use millwind_wire::ControlMessage;
 use millwind_wire::control::{Digest, Liveness, MemberRecord, NodeRevision, WireDocument, ZoneReport};
@@ -23,6 +26,10 @@
 pub const DIGEST_INTERVAL_MS: u64 = 2_000;
 /// Between two reports of a relay to the other zones, in milliseconds.
 pub const REPORT_INTERVAL_MS: u64 = 1_000;
+/// A digest without a report is forgotten after this long.
+const DIGEST_LIFETIME_MS: u64 = 10_000;
+/// Revisions whose arrival is remembered.
+const REMEMBERED_REVISIONS: usize = 256;
 /// A whole member table is sent to the same node at most this often.
 const TABLE_INTERVAL_MS: u64 = 20_000;
 /// Members of a zone unheard for this long are not candidates for ownership.
@@ -56,6 +63,10 @@
     seeds: Vec<String>,
     confirmed: BTreeMap<String, Confirmed>,
     tables_sent: BTreeMap<String, Instant>,
+    digests: BTreeMap<u64, Instant>,
+    digest_sequence: u64,
+    /// When this node first had a revision or a later one.
+    reached: VecDeque<(u64, Instant)>,
     started: Option<Instant>,
     next_digest: Instant,
     next_report: Instant,
@@ -76,6 +87,9 @@
             seeds,
             confirmed: BTreeMap::new(),
             tables_sent: BTreeMap::new(),
+            digests: BTreeMap::new(),
+            digest_sequence: 0,
+            reached: VecDeque::new(),
             started: None,
             next_digest: Instant::default(),
             next_report: Instant::default(),
@@ -110,6 +124,17 @@
         self.membership.leave();
     }
 
+    /// Says goodbye to all relays: this node has stopped serving.
+    pub fn depart(&mut self) -> Vec<Outgoing> {
+        let goodbye = self.membership.goodbye();
+        let mut out = Vec::new();
+        let zones: Vec<String> = self.membership.zones().into_keys().collect();
+        for relay in zones.iter().flat_map(|zone| self.relays_without_self(zone)) {
+            self.send(relay.as_str(), goodbye.clone(), &mut out);
+        }
+        out
+    }
+
     /// Whether requests may be served at `now`.
     pub fn may_serve(&self, now: Instant) -> Result<(), NotServing> {
         self.gate.may_serve(now, self.config.revision() > 0)
@@ -137,7 +162,7 @@
         self.join_seeds(now, &mut out);
         if now >= self.next_digest {
             self.next_digest = now.plus_millis(DIGEST_INTERVAL_MS);
-            self.send_digest(&mut out);
+            self.send_digest(now, &mut out);
         }
         if now >= self.next_report {
             self.next_report = now.plus_millis(REPORT_INTERVAL_MS);
@@ -169,41 +194,40 @@
         relays
     }
 
-    fn send_digest(&mut self, out: &mut Vec<Outgoing>) {
-        let relays = self.relays_without_self(&self.membership.own().zone);
+    fn send_digest(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
+        let zone = self.membership.own().zone.clone();
+        self.send_digest_to_zone(now, &zone, out);
+    }
+
+    /// Sends a digest to one relay of `zone`, to each in turn.
+    fn send_digest_to_zone(&mut self, now: Instant, zone: &str, out: &mut Vec<Outgoing>) {
+        let relays = self.relays_without_self(zone);
         if relays.is_empty() {
             return;
         }
         self.rotation += 1;
         let relay = &relays[self.rotation % relays.len()];
-        let message = self.digest_message();
-        self.send(relay.as_str(), message, out);
-    }
-
-    fn digest_message(&self) -> ControlMessage {
-        ControlMessage::ConfigDigest {
+        self.digest_sequence += 1;
+        self.digests.insert(self.digest_sequence, now);
+        self.digests
+            .retain(|_, sent| now.millis_since(*sent) < DIGEST_LIFETIME_MS);
+        let message = ControlMessage::ConfigDigest {
+            sequence: self.digest_sequence,
             digest: self.config.digest(),
             members_hash: self.membership.hash(),
-        }
+        };
+        self.send(relay.as_str(), message, out);
     }
 
+    /// A relay asks the relays of the other zones.
     fn send_reports(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
         if !self.membership.is_relay() {
             return;
         }
-        self.rotation += 1;
+        let own = self.membership.own().zone.clone();
         let zones: Vec<String> = self.membership.zones().into_keys().collect();
-        for zone in zones {
-            let relays = self.relays_without_self(&zone);
-            if relays.is_empty() {
-                continue;
-            }
-            let relay = &relays[self.rotation % relays.len()];
-            let message = ControlMessage::ZoneReports {
-                zones: self.gate.reports(now),
-                digest: self.config.digest(),
-            };
-            self.send(relay.as_str(), message, out);
+        for zone in zones.into_iter().filter(|zone| *zone != own) {
+            self.send_digest_to_zone(now, &zone, out);
         }
     }
 
@@ -217,20 +241,26 @@
         }
     }
 
-    /// Takes in that the platform was heard at `now` and has shown every
-    /// change up to `revision`.
-    pub fn platform_heard(&mut self, now: Instant, revision: u64) {
+    /// Takes in that the platform, asked at `asked`, has shown every change up
+    /// to `revision`.
+    pub fn platform_heard(&mut self, asked: Instant, revision: u64) {
         if self.config.revision() >= revision {
-            self.gate.platform_contact(now);
+            self.gate.platform_contact(asked);
         }
     }
 
-    /// Takes in the platform's whole content.
-    pub fn platform_snapshot(&mut self, now: Instant, revision: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+    /// Takes in the platform's whole content, asked for at `asked`.
+    pub fn platform_snapshot(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        revision: u64,
+        documents: &[WireDocument],
+    ) -> Vec<Outgoing> {
         let before = self.config.revision();
         let moved = self.config.apply_snapshot(revision, documents);
-        self.platform_heard(now, revision);
-        self.after_apply(moved, before)
+        self.platform_heard(asked, revision);
+        self.after_apply(now, moved, before)
     }
 
     /// Takes in changes that the platform's watch reported; they are complete
@@ -238,16 +268,19 @@
     pub fn platform_changes(&mut self, now: Instant, revision: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
         let before = self.config.revision();
         let moved = self.config.apply(before, revision, documents).unwrap_or(false);
-        self.platform_heard(now, revision);
-        self.after_apply(moved, before)
+        self.after_apply(now, moved, before)
     }
 
-    fn after_apply(&mut self, moved: bool, before: u64) -> Vec<Outgoing> {
+    fn after_apply(&mut self, now: Instant, moved: bool, before: u64) -> Vec<Outgoing> {
         let mut out = Vec::new();
         if !moved {
             return out;
         }
         self.config_changed = true;
+        self.reached.push_back((self.config.revision(), now));
+        if self.reached.len() > REMEMBERED_REVISIONS {
+            self.reached.pop_front();
+        }
         self.push_to_zone(before, &mut out);
         out
     }
@@ -280,21 +313,25 @@
     /// Takes in a message from `from`.
     pub fn receive(&mut self, now: Instant, from: &str, message: &ControlMessage) -> Vec<Outgoing> {
         match message {
-            ControlMessage::ConfigDigest { digest, members_hash } => {
-                self.digest_received(now, from, digest, *members_hash)
-            }
-            ControlMessage::ConfigReport { digest, platform_age_ms, zones } => {
-                self.report_received(now, from, digest, *platform_age_ms, zones)
-            }
+            ControlMessage::ConfigDigest {
+                sequence,
+                digest,
+                members_hash,
+            } => self.digest_received(now, from, *sequence, digest, *members_hash),
+            ControlMessage::ConfigReport {
+                sequence,
+                digest,
+                platform_age_ms,
+                zones,
+            } => self.report_received(from, *sequence, digest, *platform_age_ms, zones),
             ControlMessage::ConfigDelta { from: since, to, documents } => {
-                self.delta_received(from, *since, *to, documents)
+                self.delta_received(now, from, *since, *to, documents)
             }
             ControlMessage::Applied { revision } => {
                 self.confirm(now, from, *revision);
                 Vec::new()
             }
             ControlMessage::RevisionsRequest { sequence } => self.revisions_requested(now, from, *sequence),
-            ControlMessage::ZoneReports { zones, digest } => self.zones_received(now, from, zones, digest),
             ControlMessage::ConfigPull { revision } => {
                 let mut out = Vec::new();
                 self.send(from, self.delta(*revision), &mut out);
@@ -317,10 +354,18 @@
         entry.heard = now;
     }
 
-    fn digest_received(&mut self, now: Instant, from: &str, digest: &Digest, members_hash: u64) -> Vec<Outgoing> {
+    fn digest_received(
+        &mut self,
+        now: Instant,
+        from: &str,
+        sequence: u64,
+        digest: &Digest,
+        members_hash: u64,
+    ) -> Vec<Outgoing> {
         self.confirm(now, from, digest.revision);
         let mut out = Vec::new();
         let report = ControlMessage::ConfigReport {
+            sequence,
             digest: self.config.digest(),
             platform_age_ms: self.platform_age_ms(now),
             zones: self.gate.reports(now),
@@ -346,58 +391,55 @@
 
     fn report_received(
         &mut self,
-        now: Instant,
         from: &str,
+        sequence: u64,
         digest: &Digest,
         platform_age_ms: u32,
         zones: &[ZoneReport],
     ) -> Vec<Outgoing> {
+        let Some(asked) = self.digests.remove(&sequence) else {
+            return Vec::new();
+        };
         for report in zones {
-            self.gate.zone_report(now, report);
+            self.gate.zone_report(asked, report);
         }
-        self.adopt_contact(now, digest, platform_age_ms);
-        self.pull_if_behind(from, digest)
+        self.adopt_contact(asked, digest, platform_age_ms);
+        self.pull_if_different(from, digest)
     }
 
     /// A peer's contact counts only with a configuration at least as new as
     /// the peer's: the contact vouches for that revision.
-    fn adopt_contact(&mut self, now: Instant, digest: &Digest, platform_age_ms: u32) {
+    fn adopt_contact(&mut self, asked: Instant, digest: &Digest, platform_age_ms: u32) {
         if self.config.revision() < digest.revision {
             return;
         }
-        if let Some(at) = now.0.checked_sub(u64::from(platform_age_ms) * 1_000) {
+        if let Some(at) = asked.0.checked_sub(u64::from(platform_age_ms) * 1_000) {
             self.gate.platform_contact(Instant(at));
         }
     }
 
-    fn pull_if_behind(&self, from: &str, digest: &Digest) -> Vec<Outgoing> {
+    fn pull_if_different(&self, from: &str, digest: &Digest) -> Vec<Outgoing> {
+        let own = self.config.digest();
         let mut out = Vec::new();
-        let revision = self.config.revision();
-        if digest.revision > revision {
+        if digest.revision > own.revision {
+            let revision = own.revision;
             self.send(from, ControlMessage::ConfigPull { revision }, &mut out);
+        } else if digest.revision == own.revision && digest.hash != own.hash {
+            // The same revision with other documents: take the whole content.
+            self.send(from, ControlMessage::ConfigPull { revision: 0 }, &mut out);
         }
         out
     }
 
-    fn zones_received(&mut self, now: Instant, from: &str, zones: &[ZoneReport], digest: &Digest) -> Vec<Outgoing> {
-        for report in zones {
-            self.gate.zone_report(now, report);
-        }
-        if let Some(sender) = zones.first() {
-            self.adopt_contact(now, digest, sender.platform_age_ms);
-        }
-        self.pull_if_behind(from, digest)
-    }
-
-    fn delta_received(&mut self, from: &str, since: u64, to: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+    fn delta_received(&mut self, now: Instant, from: &str, since: u64, to: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
         let before = self.config.revision();
         match self.config.apply(since, to, documents) {
             Ok(moved) => {
-                let mut out = self.after_apply(moved, before);
+                let mut out = self.after_apply(now, moved, before);
                 let revision = self.config.revision();
                 self.send(from, ControlMessage::Applied { revision }, &mut out);
                 if moved {
-                    self.send_digest(&mut out);
+                    self.send_digest(now, &mut out);
                 }
                 out
             }
@@ -435,24 +477,30 @@
     }
 
     /// Where each known node stands with respect to `revision`, given what the
-    /// relays said and when each node was last heard by any of them.
+    /// relays said.
     ///
-    /// A node is left out only when its own rule has stopped it: it has not
-    /// been heard for longer than the freshness bound, while its scope was
-    /// reachable, so that it had no excuse to go on.
-    pub fn standings(&self, now: Instant, revision: u64, reports: &BTreeMap<String, NodeRevision>) -> BTreeMap<String, Standing> {
+    /// Must hold because a change is said to be in force on it: a node without
+    /// the revision has no contact with the platform younger than the change.
+    /// Once the freshness bound has passed since this node had the change, such
+    /// a node has stopped by its own rule, unless it can plead an outage that
+    /// its whole scope shares.
+    pub fn standings(
+        &self,
+        now: Instant,
+        revision: u64,
+        reports: &BTreeMap<String, NodeRevision>,
+    ) -> BTreeMap<String, Standing> {
         let bound = FRESHNESS_BOUND_MS + FRESHNESS_MARGIN_MS;
+        let reached = self.reached.iter().find(|(reached, _)| *reached >= revision);
+        let lapsed = reached.is_some_and(|(_, at)| now.millis_since(*at) > bound);
         self.membership
             .records()
             .map(|record| {
-                let report = reports.get(&record.node);
-                let confirmed = report.is_some_and(|report| report.revision >= revision);
-                let silent_ms = report.map_or(u64::MAX, |report| u64::from(report.age_ms));
-                let since_start = self.started.map_or(0, |started| now.millis_since(started));
-                let silent = silent_ms.min(since_start) > bound;
+                let confirmed = reports.get(&record.node).is_some_and(|report| report.revision >= revision);
+                let departed = record.liveness == Liveness::Dead && record.leaving == 1;
                 let standing = if confirmed {
                     Standing::InForce
-                } else if record.liveness == Liveness::Dead && silent || silent && self.scope_is_reachable(now, record) {
+                } else if departed || lapsed && self.scope_is_reachable(now, record) {
                     Standing::Stopped
                 } else {
                     Standing::Pending
--- a/crates/millwind-core/src/freshness.rs
+++ b/crates/millwind-core/src/freshness.rs
@@ -77,9 +77,9 @@
         age_ms(now, self.platform_contact)
     }
 
-    /// Takes in what a zone reported.
-    pub fn zone_report(&mut self, now: Instant, report: &ZoneReport) {
-        let made = earlier(now, report.age_ms);
+    /// Takes in what a zone reported; its ages count from `asked`.
+    pub fn zone_report(&mut self, asked: Instant, report: &ZoneReport) {
+        let made = earlier(asked, report.age_ms);
         let contact = (report.platform_age_ms != UNKNOWN_AGE_MS)
             .then(|| earlier(made.unwrap_or_default(), report.platform_age_ms))
             .flatten();
--- a/crates/millwind-core/src/group_view.rs
+++ b/crates/millwind-core/src/group_view.rs
@@ -104,10 +104,21 @@
             .unwrap_or_default()
     }
 
-    /// The primary of the highest term shown, if it was heard lately.
+    /// The primary of the highest term shown, if it and a majority were heard
+    /// lately.
     ///
-    /// Must hold because an instance that leads a lower term is an old primary.
+    /// Must hold because an instance that leads a lower term is an old primary,
+    /// and without a majority nobody can tell whether there is a higher one.
     pub fn primary(&self, now: Instant) -> Option<(&InstanceName, Term)> {
+        let heard = self
+            .members
+            .values()
+            .filter_map(|member| member.status.as_ref())
+            .filter(|(heard, _)| now.millis_since(*heard) <= STATUS_LIFETIME_MS)
+            .count();
+        if heard * 2 <= self.members.len() {
+            return None;
+        }
         let highest = self.highest_term();
         self.members.iter().find_map(|(name, member)| {
             let (heard, status) = member.status.as_ref()?;
--- a/crates/millwind-core/src/membership.rs
+++ b/crates/millwind-core/src/membership.rs
@@ -192,6 +192,18 @@
         self.raise_incarnation(self.own.incarnation);
     }
 
+    /// The node's own word that it has stopped.
+    pub fn goodbye(&self) -> ControlMessage {
+        ControlMessage::Table {
+            members: vec![MemberRecord {
+                incarnation: self.own.incarnation + 1,
+                liveness: Liveness::Dead,
+                leaving: 1,
+                ..self.own.clone()
+            }],
+        }
+    }
+
     fn raise_incarnation(&mut self, seen: u64) {
         self.hash ^= record_hash(&self.own);
         self.own.incarnation = seen.max(self.own.incarnation) + 1;
--- a/crates/millwind-lab/src/platform.rs
+++ b/crates/millwind-lab/src/platform.rs
@@ -403,17 +403,21 @@
         while platform.faults().outage {
             tokio::time::sleep(OUTAGE_CHECK).await;
         }
-        let response = {
+        let (header, events) = {
             let content = platform.content();
             let events = content.events_after(sent, &create);
             sent = content.revision;
-            WatchResponse {
-                header: content.header(),
-                events,
-                ..WatchResponse::default()
-            }
+            (content.header(), events)
+        };
+        let response = |events| WatchResponse {
+            header: header.clone(),
+            events,
+            ..WatchResponse::default()
         };
-        if (progress || !response.events.is_empty()) && sender.send(Ok(response)).await.is_err() {
+        if !events.is_empty() && sender.send(Ok(response(events))).await.is_err() {
+            return;
+        }
+        if progress && sender.send(Ok(response(Vec::new()))).await.is_err() {
             return;
         }
     }
--- /dev/null
+++ b/crates/millwind-model/src/lib.rs
@@ -0,0 +1,16 @@
+//! A small specification of the core protocol and its explicit-state check.
+//!
+//! Three models share one checker: [`writes`] (terms, elections, confirmation,
+//! tokens, the ledger), [`configuration`] (revisions, lost answers, racing
+//! operators, the right to serve) and [`links`] (pins and replies). Transitions
+//! call `millwind-core` where it decides. Each guarding rule can be switched
+//! off, and the check must then find a counterexample.
+
+pub mod checker;
+pub mod configuration;
+pub mod links;
+pub mod rule;
+pub mod writes;
+
+pub use checker::{Counterexample, Model, Outcome, check};
+pub use rule::Rule;
--- /dev/null
+++ b/crates/millwind-model/src/rule.rs
@@ -0,0 +1,38 @@
+//! The guarding rules, each of which can be switched off.
+
+use clap::ValueEnum;
+
+/// A rule that some property rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, ValueEnum)]
+pub enum Rule {
+    /// A write is acknowledged only after its confirmation.
+    Confirmation,
+    /// The confirming majority has received the commit.
+    Replicated,
+    /// A read is released only when the position covers the token.
+    Coverage,
+    /// A position of a later term covers only what that term kept.
+    BranchPoint,
+    /// "Not run" after sending is told only behind a fence in the ledger.
+    Fence,
+    /// A request with an id is recorded in its own transaction.
+    LedgerRow,
+    /// A request without an id is not sent again once sent.
+    NoRepeatAfterSent,
+    /// A configuration document is replaced only by a newer one.
+    NewerOnly,
+    /// A change names the revision it was made from.
+    CompareAndSwap,
+    /// A change is recognised by its id when its answer was lost.
+    ChangeId,
+    /// A node without a fresh contact stops serving.
+    Freshness,
+    /// A contact passed on counts only with a configuration as new.
+    ContactVouches,
+    /// The age of a contact counts from when it was asked for.
+    ContactFromAsking,
+    /// Pins of an earlier process never name a transaction of this one.
+    PinEpoch,
+    /// A reply is matched by its request id, not by its order.
+    ReplyById,
+}
--- a/crates/millwind-node/src/clock.rs
+++ b/crates/millwind-node/src/clock.rs
@@ -15,6 +15,11 @@
     Instant(elapsed.as_micros() as u64)
 }
 
+/// A time read from the standard clock.
+pub fn at(time: std::time::Instant) -> Instant {
+    Instant(now().0.saturating_sub(time.elapsed().as_micros() as u64))
+}
+
 /// Milliseconds since 1970, for incarnations and change identifiers.
 pub fn unix_millis() -> u64 {
     SystemTime::now()
--- a/crates/millwind-node/src/config_watch.rs
+++ b/crates/millwind-node/src/config_watch.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+use crate::clock;
 use crate::control::{ControlHandle, FromPlatform};
 
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -119,16 +120,26 @@
     control: &ControlHandle,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
+    let asked = clock::now();
     let listing = store.list(keys.prefix()).await?;
     let documents = documents(keys, &listing.entries);
     info!("event=platform_listed revision={} documents={}", listing.revision, documents.len());
     let mut watch = store.watch(keys.prefix(), listing.revision).await?;
-    let _ = control.actor.send(FromPlatform::Snapshot(listing.revision, documents)).await;
+    let snapshot = FromPlatform::Snapshot {
+        asked,
+        revision: listing.revision,
+        documents,
+    };
+    let _ = control.actor.send(snapshot).await;
     backoff.reset();
     while control.view().is_relay() {
         let report = watch.next().await?;
-        let changes = self::documents(keys, &report.changes);
-        let _ = control.actor.send(FromPlatform::Changes(report.revision, changes)).await;
+        let changes = FromPlatform::Changes {
+            asked: report.asked.map(clock::at),
+            revision: report.revision,
+            documents: self::documents(keys, &report.changes),
+        };
+        let _ = control.actor.send(changes).await;
     }
     Ok(())
 }
--- a/crates/millwind-node/src/control.rs
+++ b/crates/millwind-node/src/control.rs
@@ -307,9 +307,23 @@
 /// News from the platform's store.
 pub enum FromPlatform {
     /// The whole content at a revision.
-    Snapshot(u64, Vec<WireDocument>),
+    Snapshot {
+        /// When it was asked for.
+        asked: Instant,
+        /// The revision.
+        revision: u64,
+        /// The content.
+        documents: Vec<WireDocument>,
+    },
     /// Changes up to a revision; none for a sign of life.
-    Changes(u64, Vec<WireDocument>),
+    Changes {
+        /// When a sign of life was asked for.
+        asked: Option<Instant>,
+        /// The revision.
+        revision: u64,
+        /// The changes.
+        documents: Vec<WireDocument>,
+    },
 }
 
 impl Handler<FromPlatform> for ControlActor {
@@ -318,8 +332,22 @@
     async fn handle(&mut self, news: FromPlatform, _context: &mut Context<Self>) {
         let now = clock::now();
         let outgoing = match news {
-            FromPlatform::Snapshot(revision, documents) => self.plane.platform_snapshot(now, revision, &documents),
-            FromPlatform::Changes(revision, documents) => self.plane.platform_changes(now, revision, &documents),
+            FromPlatform::Snapshot {
+                asked,
+                revision,
+                documents,
+            } => self.plane.platform_snapshot(now, asked, revision, &documents),
+            FromPlatform::Changes {
+                asked,
+                revision,
+                documents,
+            } => {
+                let outgoing = self.plane.platform_changes(now, revision, &documents);
+                if let Some(asked) = asked {
+                    self.plane.platform_heard(asked, revision);
+                }
+                outgoing
+            }
         };
         self.send_all(outgoing);
         self.publish();
@@ -338,6 +366,18 @@
     }
 }
 
+/// Says goodbye: the node has stopped serving.
+pub struct Depart;
+
+impl Handler<Depart> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _depart: Depart, _context: &mut Context<Self>) {
+        let outgoing = self.plane.depart();
+        self.send_all(outgoing);
+    }
+}
+
 /// Where every node stands with respect to a revision; also asks the relays
 /// again, so that the next call knows more.
 pub struct AskStandings {
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -289,7 +289,7 @@
             batch: &[],
             weighed: Vec::new(),
         };
-        let outcome = empty.on_primary(Intent::Read).await?;
+        let outcome = empty.on_primary(Intent::Floor).await?;
         Ok(outcome.position)
     }
 
@@ -343,7 +343,7 @@
             (_, Progress::ProvenUndone) if failed.kind == ErrorKind::NotPrimary => NextStep::RunAgain,
             // Without a commit, a begun transaction is undone with its link.
             (Intent::Begin, Progress::Sent) => NextStep::RunAgain,
-            (Intent::Read, _) => NextStep::RunAgain,
+            (Intent::Floor, _) => NextStep::RunAgain,
             _ => after_failure(failed.progress, self.terms.traits, failed.kind),
         }
     }
--- a/crates/millwind-node/src/gateway/session.rs
+++ b/crates/millwind-node/src/gateway/session.rs
@@ -57,6 +57,9 @@
     prepared: PreparedStatements,
     transaction: Transaction,
     token: Option<SessionToken>,
+    /// Position of the session's own last write; what it has read may be
+    /// further on, and be discarded by a failover without harm.
+    written: Option<Position>,
     told_token: Option<Position>,
     runtime: Arc<TenantRuntime>,
     _place: ClientPlace,
@@ -87,6 +90,7 @@
             caller,
             prepared: PreparedStatements::new(),
             transaction: Transaction::None,
+            written: token.as_ref().map(|token: &SessionToken| token.position),
             token,
             told_token: None,
             runtime,
@@ -293,14 +297,24 @@
                 Some(position) => Some(position),
                 None => {
                     let floor = dispatch.floor().await?;
+                    self.written = floor;
                     self.raise_token(settings, floor);
                     floor
                 }
             };
-            dispatch.read(token).await
+            match dispatch.read(token).await {
+                Err(refusal) if refusal.kind == ErrorKind::SessionDiscarded && self.written < token => {
+                    self.forget_reads(settings);
+                    dispatch.read(self.written).await
+                }
+                result => result,
+            }
         } else {
             dispatch.on_primary(intent).await
         };
+        if let (Ok(outcome), true) = (&result, intent != Intent::Read) {
+            self.written = self.written.max(outcome.position);
+        }
         publish_decision(&dispatch, intent, &result, started);
         let outcome = result?;
         self.conclude(settings, batch, outcome)
@@ -337,7 +351,10 @@
         let result = dispatch.in_transaction(pin, intent).await;
         publish_decision(&dispatch, intent, &result, started);
         match result {
-            Ok(outcome) => (name, self.conclude(settings, batch, outcome)),
+            Ok(outcome) => {
+                self.written = self.written.max(outcome.position);
+                (name, self.conclude(settings, batch, outcome))
+            }
             Err(refusal) => {
                 if commits {
                     Dispatch::free(gateway, pin);
@@ -369,6 +386,7 @@
                 }
             }
             if let Some(token) = self.caller.session.take() {
+                self.written = Some(token.position);
                 self.token = Some(*token);
             }
         }
@@ -414,6 +432,14 @@
         }
     }
 
+    /// Takes the token back to the session's own last write.
+    fn forget_reads(&mut self, settings: &TenantSettings) {
+        self.token = self.written.map(|position| SessionToken {
+            group: settings.group.clone(),
+            position,
+        });
+    }
+
     fn conclude(&mut self, settings: &TenantSettings, batch: &Batch, outcome: Outcome) -> Result<CallerAnswer, Refusal> {
         self.raise_token(settings, outcome.position);
         self.transaction = match outcome.pin {
@@ -544,7 +570,7 @@
         return;
     }
     let kind = match intent {
-        Intent::Read | Intent::Describe => "read",
+        Intent::Read | Intent::Describe | Intent::Floor => "read",
         Intent::Write => "write",
         Intent::Begin => "begin",
         Intent::Continue => "continue",
--- a/crates/millwind-node/src/node.rs
+++ b/crates/millwind-node/src/node.rs
@@ -18,7 +18,7 @@
 use crate::admin::{self, AdminState};
 use crate::clock;
 use crate::config_watch::{self, KeySpace};
-use crate::control::{self, ControlHandle, Leave};
+use crate::control::{self, ControlHandle, Depart, Leave};
 use crate::gateway::{self, Gateway};
 use crate::metrics::Metrics;
 use crate::owner::{OwnerService, PeerService};
@@ -30,6 +30,9 @@
 /// Peers get this long to hear of the stop before the load is looked at.
 const DRAIN_NOTICE: Duration = Duration::from_millis(1_500);
 
+/// Time for the goodbye to leave the process.
+const GOODBYE_TIME: Duration = Duration::from_millis(100);
+
 /// Why a node did not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -160,6 +163,8 @@
         tokio::time::sleep(DRAIN_NOTICE.min(Duration::from_millis(self.settings.drain_ms / 2))).await;
         while tokio::time::Instant::now() < give_up {
             if self.gateway.sessions() == 0 && self.gateway.owner.load() == 0 {
+                let _ = self.control.actor.send(Depart).await;
+                tokio::time::sleep(GOODBYE_TIME).await;
                 info!("event=drain_finished node={}", self.settings.name);
                 return true;
             }
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -106,6 +106,7 @@
     pub async fn run(&self) -> Result<Answered, Failure> {
         match self.request.intent {
             Intent::Read | Intent::Describe => self.run_read().await,
+            Intent::Floor => self.run_floor().await,
             Intent::Write if self.request.request_key.is_empty() => self.run_write().await,
             Intent::Write => ledger::run_write(self).await,
             Intent::Begin => self.run_begin().await,
@@ -254,12 +255,28 @@
         (!fresh).then_some(ErrorKind::ReplicaBehind)
     }
 
+    /// The position a session without a token must see: the primary's own, and
+    /// confirmed as a commit is, lest an old primary name one that lacks what
+    /// its successor has acknowledged.
+    async fn run_floor(&self) -> Result<Answered, Failure> {
+        self.leading_term()?;
+        let _expected = self.monitor.expect_commit();
+        let answered = self.run_read().await?;
+        let position = answered.position.unwrap_or_default();
+        let verdict = self.monitor.confirm(position, clock::until(self.deadline)).await;
+        match verdict {
+            Some(Verdict::Confirmed) => Ok(answered),
+            _ => Err(Failure::not_sent(ErrorKind::NoPrimary, "the primary's position was not confirmed")),
+        }
+    }
+
     async fn run_write(&self) -> Result<Answered, Failure> {
         let term = self.leading_term()?;
         let mut slot = self.acquire().await?;
         let mut connection = self.connection(&mut slot).await?;
         let mut bytes = BytesMut::from(&self.request.batch[..]);
         put_query(&mut bytes, STATUS_QUERY).map_err(|error| Failure::not_sent(ErrorKind::Unsupported, error))?;
+        let _expected = self.monitor.expect_commit();
         let exchange = async {
             connection.send(&bytes).await?;
             let answer = connection.next_answer().await?;
@@ -418,6 +435,7 @@
         let pin = self.request.pin;
         let mut connection = self.take_pin()?;
         let term = self.monitor.snapshot().highest_term();
+        let _expected = self.monitor.expect_commit();
         let result = ledger::commit(self, &mut connection, term).await;
         self.pins.free(pin);
         let (answer, status) = result?;
--- a/crates/millwind-node/src/owner/ledger.rs
+++ b/crates/millwind-node/src/owner/ledger.rs
@@ -124,6 +124,7 @@
     if answer.messages.len() > MAXIMUM_LEDGER_ANSWER_BYTES {
         return Err(Failure::undone(ErrorKind::AnswerTooLarge, "longer than the ledger keeps"));
     }
+    let _expected = execution.monitor.expect_commit();
     let status = execution
         .guarded(term, close(execution, &mut connection, &answer))
         .await??;
@@ -267,6 +268,7 @@
     let term = execution.leading_term()?;
     let mut slot = execution.acquire().await?;
     let mut connection = execution.connection(&mut slot).await?;
+    let _expected = execution.monitor.expect_commit();
     let exchange = async {
         let inserted = ask(&mut connection, &insert(key, STATE_FENCED, "")).await?;
         let recorded = match &inserted.error {
--- a/crates/millwind-node/src/owner/monitor.rs
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use log::{info, warn};
@@ -23,8 +23,8 @@
 /// An instance is asked this often when nothing waits on it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// While the group shows no primary it is asked this often.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(25);
-/// While commits wait for their confirmation, instances are asked this often.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(10);
+/// While commits are on their way, instances are asked this often.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(5);
 /// An instance that does not answer within this is unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -41,6 +41,7 @@
     actor: Address<MonitorActor>,
     /// The view, changing with every status.
     pub view: watch::Receiver<GroupSnapshot>,
+    commits: Arc<Commits>,
     probes: Arc<Vec<JoinHandle<()>>>,
 }
 
@@ -58,6 +59,16 @@
         }
     }
 
+    /// Announces a commit, so that the questions which confirm it run ahead of
+    /// the primary's answer; end it with the commit.
+    pub fn expect_commit(&self) -> ExpectedCommit {
+        self.commits.count.fetch_add(1, Ordering::Relaxed);
+        self.commits.wake_all();
+        ExpectedCommit {
+            commits: self.commits.clone(),
+        }
+    }
+
     /// Takes in a status that rode on another answer.
     pub async fn observe(&self, instance: &InstanceName, status: InstanceStatus) {
         let _ = self
@@ -97,9 +108,40 @@
     waiting: HashMap<u64, oneshot::Sender<Verdict>>,
     next_id: u64,
     published: watch::Sender<GroupSnapshot>,
-    wakes: Vec<Arc<Notify>>,
+    commits: Arc<Commits>,
     primary: Option<(InstanceName, Term)>,
-    waiting_flag: Arc<AtomicBool>,
+}
+
+/// Commits on their way to their confirmation. While there are any, instances
+/// are asked often, ahead of the primary's answer.
+#[derive(Debug)]
+struct Commits {
+    count: AtomicUsize,
+    wakes: Vec<Notify>,
+}
+
+impl Commits {
+    fn wake_all(&self) {
+        for wake in &self.wakes {
+            wake.notify_one();
+        }
+    }
+
+    fn are_expected(&self) -> bool {
+        self.count.load(Ordering::Relaxed) > 0
+    }
+}
+
+/// Held while a commit is on its way.
+#[derive(Debug)]
+pub struct ExpectedCommit {
+    commits: Arc<Commits>,
+}
+
+impl Drop for ExpectedCommit {
+    fn drop(&mut self) {
+        self.commits.count.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Starts watching a group.
@@ -110,8 +152,10 @@
 ) -> MonitorHandle {
     let view = GroupView::new(targets.iter().map(|(name, _)| name.clone()));
     let (published, receiver) = watch::channel(Arc::new(view.clone()));
-    let wakes: Vec<Arc<Notify>> = targets.iter().map(|_| Arc::new(Notify::new())).collect();
-    let waiting = Arc::new(AtomicBool::new(false));
+    let commits = Arc::new(Commits {
+        count: AtomicUsize::new(0),
+        wakes: targets.iter().map(|_| Notify::new()).collect(),
+    });
     let actor = MonitorActor {
         group,
         view,
@@ -119,22 +163,21 @@
         waiting: HashMap::new(),
         next_id: 0,
         published,
-        wakes: wakes.clone(),
+        commits: commits.clone(),
         primary: None,
-        waiting_flag: waiting.clone(),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
     let probes = targets
         .into_iter()
-        .zip(wakes)
-        .map(|((instance, target), wake)| {
+        .enumerate()
+        .map(|(index, (instance, target))| {
             let probe = Probe {
                 instance,
                 target,
-                wake,
+                index,
+                commits: commits.clone(),
                 monitor: address.clone(),
                 view: receiver.clone(),
-                waiting: waiting.clone(),
             };
             tokio::spawn(probe.run())
         })
@@ -142,6 +185,7 @@
     MonitorHandle {
         actor: address,
         view: receiver,
+        commits,
         probes: Arc::new(probes),
     }
 }
@@ -182,11 +226,14 @@
         self.next_id += 1;
         let id = self.next_id;
         let (sender, receiver) = oneshot::channel();
-        self.waiting.insert(id, sender);
-        self.tracker.register(id, confirm.position);
-        self.waiting_flag.store(true, Ordering::Relaxed);
-        for wake in &self.wakes {
-            wake.notify_one();
+        match self.tracker.register(id, confirm.position) {
+            Some(verdict) => {
+                let _ = sender.send(verdict);
+            }
+            None => {
+                self.waiting.insert(id, sender);
+                self.commits.wake_all();
+            }
         }
         (id, receiver)
     }
@@ -230,7 +277,6 @@
         self.view.observe(clock::now(), &observed.instance, observed.status);
         if let Some(asked) = observed.asked {
             let decided = self.tracker.observe(&observed.instance, asked, term, received);
-            self.waiting_flag.store(self.tracker.is_waiting(), Ordering::Relaxed);
             self.decide(decided);
         }
         self.publish();
@@ -276,10 +322,10 @@
 struct Probe {
     instance: InstanceName,
     target: BackendTarget,
-    wake: Arc<Notify>,
+    index: usize,
+    commits: Arc<Commits>,
     monitor: Address<MonitorActor>,
     view: watch::Receiver<GroupSnapshot>,
-    waiting: Arc<AtomicBool>,
 }
 
 impl Probe {
@@ -301,7 +347,7 @@
     }
 
     fn interval(&self) -> Duration {
-        if self.waiting.load(Ordering::Relaxed) {
+        if self.commits.are_expected() {
             return CONFIRM_INTERVAL;
         }
         let searching = self.view.borrow().primary(clock::now()).is_none();
@@ -337,8 +383,8 @@
                 () = tokio::time::sleep_until(give_up), if oldest.is_some() => {
                     return "no answer to the status question".to_owned();
                 }
-                () = self.wake.notified(), if may_ask => true,
-                () = tokio::time::sleep_until(next_ask), if may_ask && in_flight.is_empty() => true,
+                () = self.commits.wakes[self.index].notified(), if may_ask => true,
+                () = tokio::time::sleep_until(next_ask), if may_ask && (in_flight.is_empty() || self.commits.are_expected()) => true,
             };
             if !ask {
                 continue;
--- a/crates/millwind-platform/src/etcd.rs
+++ b/crates/millwind-platform/src/etcd.rs
@@ -1,9 +1,9 @@
 //! The store as an etcd v3 client.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::client::Grpc;
 use tonic::codegen::http::uri::PathAndQuery;
@@ -20,9 +20,9 @@
 
 /// Longest wait for the answer to one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// A silent watch is asked for a sign of life this often.
+/// A watch is asked for a sign of life this often.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
-/// A watch that gives no sign of life for this long is dropped.
+/// A watch that gives no sign of life this long after it was asked is dropped.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
 /// A client of one etcd endpoint or several.
@@ -138,6 +138,8 @@
         Ok(EtcdWatch {
             requests,
             responses: response.into_inner(),
+            asked: None,
+            next_ask: Instant::now(),
         })
     }
 
@@ -205,43 +207,56 @@
 pub struct EtcdWatch {
     requests: mpsc::Sender<WatchRequest>,
     responses: Streaming<WatchResponse>,
+    /// When the sign of life under way was asked for; at most one is.
+    asked: Option<Instant>,
+    next_ask: Instant,
 }
 
 impl Watch for EtcdWatch {
     async fn next(&mut self) -> Result<WatchReport, StoreError> {
-        let mut silent = Duration::ZERO;
         loop {
-            match timeout(PROGRESS_INTERVAL, self.responses.message()).await {
+            let due = match self.asked {
+                Some(asked) => asked + SILENCE_LIMIT,
+                None => self.next_ask,
+            };
+            match timeout_at(due.into(), self.responses.message()).await {
                 // The creation notice vouches for nothing: events may follow it.
                 Ok(Ok(Some(response))) if response.created && response.events.is_empty() => {}
-                Ok(Ok(Some(response))) => return report(response),
+                Ok(Ok(Some(response))) => return self.report(response),
                 Ok(Ok(None)) => return Err(StoreError::WatchEnded("stream closed".into())),
                 Ok(Err(status)) => return Err(status_error(status)),
-                Err(_) => {
-                    silent += PROGRESS_INTERVAL;
-                    if silent >= SILENCE_LIMIT {
-                        return Err(StoreError::WatchEnded("silent for too long".into()));
-                    }
-                    send(&self.requests, WatchRequestKind::Progress(WatchProgressRequest {})).await?;
+                Err(_) if self.asked.is_some() => {
+                    return Err(StoreError::WatchEnded("silent for too long".into()));
                 }
+                Err(_) => self.ask().await?,
             }
         }
     }
 }
 
-fn report(response: WatchResponse) -> Result<WatchReport, StoreError> {
-    if response.canceled {
-        return Err(StoreError::WatchEnded(response.cancel_reason));
+impl EtcdWatch {
+    async fn ask(&mut self) -> Result<(), StoreError> {
+        let now = Instant::now();
+        self.asked = Some(now);
+        self.next_ask = now + PROGRESS_INTERVAL;
+        send(&self.requests, WatchRequestKind::Progress(WatchProgressRequest {})).await
+    }
+
+    fn report(&mut self, response: WatchResponse) -> Result<WatchReport, StoreError> {
+        if response.canceled {
+            return Err(StoreError::WatchEnded(response.cancel_reason));
+        }
+        let header = response.header.unwrap_or_default();
+        let changes: Vec<Entry> = response.events.into_iter().filter_map(change).collect();
+        // A response with events vouches for those only; an empty one answers
+        // the question under way and vouches for everything up to its revision.
+        let newest = changes.iter().map(|entry| entry.revision).max();
+        Ok(WatchReport {
+            revision: newest.unwrap_or(header.revision as u64),
+            asked: if newest.is_none() { self.asked.take() } else { None },
+            changes,
+        })
     }
-    let header = response.header.unwrap_or_default();
-    let changes: Vec<Entry> = response.events.into_iter().filter_map(change).collect();
-    // A response with events vouches for those only; the header of an empty
-    // one vouches for everything up to its revision.
-    let newest = changes.iter().map(|entry| entry.revision).max();
-    Ok(WatchReport {
-        revision: newest.unwrap_or(header.revision as u64),
-        changes,
-    })
 }
 
 fn change(event: Event) -> Option<Entry> {
--- a/crates/millwind-platform/src/lib.rs
+++ b/crates/millwind-platform/src/lib.rs
@@ -37,6 +37,9 @@
     pub revision: u64,
     /// Changed keys, in order; empty for a sign of life.
     pub changes: Vec<Entry>,
+    /// When the store was asked for this sign of life; none for changes, which
+    /// may have been under way for any time.
+    pub asked: Option<std::time::Instant>,
 }
 
 /// A condition on a key's revision; zero means that the key must not exist.
--- a/crates/millwind-wire/src/control.rs
+++ b/crates/millwind-wire/src/control.rs
@@ -166,6 +166,8 @@
     /// My configuration and what I need to know that it is current.
     #[brw(magic = 6u8)]
     ConfigDigest {
+        /// Matches the report; ages in it count from when this was sent.
+        sequence: u64,
         /// What the sender has in force.
         digest: Digest,
         /// Hash over the sender's member table.
@@ -174,6 +176,8 @@
     /// Answer to `ConfigDigest`.
     #[brw(magic = 7u8)]
     ConfigReport {
+        /// Sequence of the digest.
+        sequence: u64,
         /// What the answering node has in force.
         digest: Digest,
         /// Time since the answering node heard the platform, in milliseconds.
@@ -217,16 +221,6 @@
         #[bw(write_with = write_list)]
         nodes: Vec<NodeRevision>,
     },
-    /// What zones say of their contact with the platform, between relays.
-    #[brw(magic = 12u8)]
-    ZoneReports {
-        /// The sender's own zone first.
-        #[br(parse_with = read_list)]
-        #[bw(write_with = write_list)]
-        zones: Vec<ZoneReport>,
-        /// What the sender has in force.
-        digest: Digest,
-    },
     /// Send me what I lack beyond this revision.
     #[brw(magic = 13u8)]
     ConfigPull {
--- a/crates/millwind-wire/src/request.rs
+++ b/crates/millwind-wire/src/request.rs
@@ -44,6 +44,8 @@
     Describe = 5,
     /// Ends a pinned transaction by committing it.
     Commit = 6,
+    /// Asks for the primary's confirmed position; the batch is empty.
+    Floor = 7,
 }
 
 /// Run a batch of statements on an instance.
