Operate and measure: millwindctl, core tests, hollow runs

Cause: no operator's command line, no figures at the size in view. Change: millwindctl; property tests of core and wire; millwind-lab hollow.

--- /dev/null
+++ b/crates/millwind-core/tests/session.rs
@@ -0,0 +1,167 @@
+//! Positions, tokens, confirmation and what may truthfully be said.
+
+use millwind_core::confirmation::{ConfirmationRule, ConfirmationTracker, Sequence, Verdict};
+use millwind_core::error_kind::{Effect, ErrorKind};
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::outcome::{NextStep, Progress, RequestTraits, after_failure, is_truthful};
+use millwind_core::position::{Coverage, LogPosition, Position, Term, TermStart, coverage};
+use millwind_core::token::{MAXIMUM_TOKEN_BYTES, SessionToken, TokenError};
+use proptest::prelude::*;
+
+fn start(term: u64, start: u64) -> TermStart {
+    TermStart {
+        term: Term(term),
+        start: LogPosition(start),
+    }
+}
+
+#[test]
+fn a_replica_of_the_same_term_covers_by_its_position() {
+    assert_eq!(coverage(Position::new(1, 10), &[], Position::new(1, 10)), Coverage::Covered);
+    assert_eq!(coverage(Position::new(1, 9), &[], Position::new(1, 10)), Coverage::Behind);
+}
+
+#[test]
+fn an_old_term_never_covers_a_new_one() {
+    assert_eq!(coverage(Position::new(1, 999), &[], Position::new(2, 1)), Coverage::Behind);
+}
+
+#[test]
+fn a_position_in_a_discarded_tail_is_told() {
+    let history = [start(2, 90)];
+    assert_eq!(coverage(Position::new(2, 120), &history, Position::new(1, 100)), Coverage::Discarded);
+    assert_eq!(coverage(Position::new(2, 120), &history, Position::new(1, 90)), Coverage::Covered);
+}
+
+#[test]
+fn a_later_term_without_its_branch_point_covers_nothing() {
+    assert_eq!(coverage(Position::new(3, 500), &[], Position::new(1, 1)), Coverage::Behind);
+}
+
+#[test]
+fn the_lowest_branch_point_decides() {
+    let history = [start(2, 100), start(3, 50)];
+    assert_eq!(coverage(Position::new(3, 500), &history, Position::new(1, 60)), Coverage::Discarded);
+}
+
+#[test]
+fn tokens_name_what_is_wrong() {
+    assert_eq!("mw1:g:1".parse::<SessionToken>(), Err(TokenError::Shape));
+    assert_eq!("mw1:g:x:1".parse::<SessionToken>(), Err(TokenError::Field("term")));
+    assert_eq!("mw1:g:1:zz".parse::<SessionToken>(), Err(TokenError::Field("position")));
+    let long = "x".repeat(MAXIMUM_TOKEN_BYTES + 1);
+    assert_eq!(long.parse::<SessionToken>(), Err(TokenError::TooLong));
+}
+
+fn tracker(rule: ConfirmationRule) -> ConfirmationTracker {
+    ConfirmationTracker::new(3, rule)
+}
+
+fn instance(name: &str) -> InstanceName {
+    InstanceName::from(name)
+}
+
+#[test]
+fn a_majority_that_has_received_the_commit_confirms_it() {
+    let mut tracker = tracker(ConfirmationRule::Replicated);
+    assert_eq!(tracker.register(7, Position::new(1, 100)), None);
+    let asked = tracker.draw();
+    let short = tracker.observe(&instance("b"), asked, Term(1), LogPosition(99));
+    assert!(short.is_empty());
+    assert!(tracker.observe(&instance("a"), asked, Term(1), LogPosition(100)).is_empty());
+    let decided = tracker.observe(&instance("b"), asked, Term(1), LogPosition(100));
+    assert_eq!(decided, vec![(7, Verdict::Confirmed)]);
+}
+
+#[test]
+fn what_was_shown_before_the_answer_confirms_at_once() {
+    let mut tracker = tracker(ConfirmationRule::Replicated);
+    let asked = tracker.draw();
+    tracker.observe(&instance("b"), asked, Term(1), LogPosition(100));
+    tracker.observe(&instance("c"), asked, Term(1), LogPosition(120));
+    assert_eq!(tracker.register(7, Position::new(1, 100)), Some(Verdict::Confirmed));
+}
+
+#[test]
+fn a_higher_term_supersedes_a_commit_that_no_majority_holds() {
+    let mut tracker = tracker(ConfirmationRule::Replicated);
+    tracker.register(7, Position::new(1, 100));
+    let asked = tracker.draw();
+    let decided = tracker.observe(&instance("b"), asked, Term(2), LogPosition(90));
+    assert_eq!(decided, vec![(7, Verdict::Superseded)]);
+}
+
+#[test]
+fn by_the_term_alone_only_later_questions_count() {
+    let mut tracker = tracker(ConfirmationRule::Term);
+    let early = tracker.draw();
+    tracker.observe(&instance("a"), early, Term(1), LogPosition(0));
+    tracker.observe(&instance("b"), early, Term(1), LogPosition(0));
+    assert_eq!(tracker.register(7, Position::new(1, 100)), None);
+    let late = tracker.draw();
+    assert!(tracker.observe(&instance("a"), late, Term(1), LogPosition(0)).is_empty());
+    let decided = tracker.observe(&instance("b"), late, Term(1), LogPosition(0));
+    assert_eq!(decided, vec![(7, Verdict::Confirmed)]);
+}
+
+#[test]
+fn an_older_answer_does_not_replace_a_newer_one() {
+    let mut tracker = tracker(ConfirmationRule::Replicated);
+    tracker.observe(&instance("b"), Sequence(9), Term(1), LogPosition(100));
+    tracker.observe(&instance("b"), Sequence(3), Term(1), LogPosition(50));
+    tracker.observe(&instance("c"), Sequence(9), Term(1), LogPosition(100));
+    assert_eq!(tracker.register(1, Position::new(1, 100)), Some(Verdict::Confirmed));
+}
+
+#[test]
+fn the_table_holds_every_kind_once() {
+    for (index, kind) in ErrorKind::ALL.into_iter().enumerate() {
+        assert_eq!(usize::from(kind.code()), index + 1, "{}", kind.name());
+        assert_eq!(ErrorKind::from_code(kind.code()), Some(kind));
+        assert_eq!(kind.answer().sqlstate.len(), 5, "{}", kind.name());
+    }
+    assert_eq!(ErrorKind::from_code(0), None);
+}
+
+fn progress() -> impl Strategy<Value = Progress> {
+    prop_oneof![
+        Just(Progress::NotSent),
+        Just(Progress::Sent),
+        Just(Progress::ProvenUndone),
+        Just(Progress::Answered),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::with_cases(1024) })]
+
+    #[test]
+    fn a_token_survives_its_text(group in "[a-z][a-z0-9-]{0,20}", term in any::<u64>(), position in any::<u64>()) {
+        let token = SessionToken { group: GroupName::from(group.as_str()), position: Position::new(term, position) };
+        prop_assert_eq!(token.to_string().parse::<SessionToken>(), Ok(token));
+    }
+
+    #[test]
+    fn any_text_is_a_token_or_an_error(text in ".{0,300}") {
+        let _ = text.parse::<SessionToken>();
+        let _ = text.parse::<LogPosition>();
+    }
+
+    /// What is told after a failure is true, and a write without leave to be
+    /// repeated is never run again once sent.
+    #[test]
+    fn the_next_step_is_truthful(progress in progress(), read_only: bool, may_repeat: bool, has_request_id: bool) {
+        let traits = RequestTraits { read_only, may_repeat, has_request_id };
+        match after_failure(progress, traits, ErrorKind::TransactionLost) {
+            NextStep::Tell(kind) => {
+                prop_assert!(is_truthful(progress, read_only, kind));
+                prop_assert!(kind.answer().effect != Effect::NotRun || progress != Progress::Sent || read_only);
+            }
+            NextStep::RunAgain => {
+                let sent = matches!(progress, Progress::Sent | Progress::Answered);
+                prop_assert!(!sent || read_only);
+            }
+            NextStep::Resolve => prop_assert!(has_request_id),
+        }
+    }
+}
--- a/crates/millwind-ctl/src/main.rs
+++ b/crates/millwind-ctl/src/main.rs
@@ -1,2 +1,211 @@
-//! x
-fn main(){}
+//! Command line for operators of millwind: goes through any node.
+
+mod apply;
+mod client;
+mod tables;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use millwind_node::admin::{DocumentRow, InstanceRow, NodeRow, PoolRow, StatusReport, TenantRow};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::client::{Admin, ClientError};
+use crate::tables::Table;
+
+/// Exit code when a change is stored but not yet in force everywhere.
+const EXIT_STORED_ONLY: u8 = 3;
+/// Exit code when somebody else changed the document first.
+const EXIT_CONFLICT: u8 = 4;
+/// Exit code when the outcome of a change is unknown; ask again with its id.
+const EXIT_UNKNOWN: u8 = 5;
+
+/// Operate millwind through any of its nodes.
+#[derive(Debug, Parser)]
+#[command(name = "millwindctl", version, about)]
+struct Arguments {
+    /// Administration address of a node.
+    #[arg(long, env = "MILLWIND_ADMIN", default_value = "127.0.0.1:8432")]
+    node: SocketAddr,
+    /// How to print.
+    #[arg(long, value_enum, default_value = "table")]
+    output: Output,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Output {
+    /// Tables for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// The node at a glance.
+    Status,
+    /// Members as the node sees them.
+    Nodes,
+    /// Database instances, their owners and positions.
+    Groups,
+    /// Pools the node keeps.
+    Pools,
+    /// Tenants' settings in force.
+    Tenants,
+    /// Database groups.
+    Group {
+        #[command(subcommand)]
+        action: DocumentAction,
+    },
+    /// Templates.
+    Template {
+        #[command(subcommand)]
+        action: DocumentAction,
+    },
+    /// Tenants.
+    Tenant {
+        #[command(subcommand)]
+        action: DocumentAction,
+    },
+    /// How far a revision has come into force.
+    Config {
+        /// The revision; the node's own if none.
+        #[arg(long)]
+        revision: Option<u64>,
+    },
+    /// Watch decisions as they are made.
+    Watch,
+    /// Stop the node as planned.
+    Drain,
+}
+
+/// What to do with documents of a kind.
+#[derive(Debug, Clone, Subcommand)]
+pub enum DocumentAction {
+    /// List names and revisions.
+    List,
+    /// Print one, with the revision it is at.
+    Get {
+        /// Its name.
+        name: String,
+    },
+    /// Store a file and wait for it to be in force.
+    Apply {
+        /// TOML file; a first line `# revision = N` names the revision it was
+        /// made from.
+        file: PathBuf,
+        /// Names the change; give the same again after an unknown outcome.
+        #[arg(long)]
+        change_id: Option<String>,
+        /// Longest wait for the change to be in force, in seconds.
+        #[arg(long, default_value_t = 20)]
+        wait: u64,
+    },
+    /// Show how a file differs from what is in force.
+    Diff {
+        /// TOML file.
+        file: PathBuf,
+    },
+    /// Delete one and wait for it to be in force.
+    Delete {
+        /// Its name.
+        name: String,
+        /// Longest wait for the change to be in force, in seconds.
+        #[arg(long, default_value_t = 20)]
+        wait: u64,
+    },
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let admin = Admin::new(arguments.node);
+    match run(&admin, &arguments).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("millwindctl: {error}");
+            match error {
+                ClientError::Conflict(_) => ExitCode::from(EXIT_CONFLICT),
+                ClientError::Unknown(_) => ExitCode::from(EXIT_UNKNOWN),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+async fn run(admin: &Admin, arguments: &Arguments) -> Result<ExitCode, ClientError> {
+    let output = arguments.output;
+    match &arguments.command {
+        Command::Status => print(output, &admin.get::<StatusReport>("/status").await?, tables::status),
+        Command::Nodes => print_list::<NodeRow>(admin, output, "/nodes", tables::nodes).await?,
+        Command::Groups => print_list::<InstanceRow>(admin, output, "/groups", tables::groups).await?,
+        Command::Pools => print_list::<PoolRow>(admin, output, "/pools", tables::pools).await?,
+        Command::Tenants => print_list::<TenantRow>(admin, output, "/tenants", tables::tenants).await?,
+        Command::Group { action } => return documents(admin, output, "group", action).await,
+        Command::Template { action } => return documents(admin, output, "template", action).await,
+        Command::Tenant { action } => return documents(admin, output, "tenant", action).await,
+        Command::Config { revision } => return apply::report(admin, *revision).await,
+        Command::Watch => admin.stream("/decisions").await?,
+        Command::Drain => {
+            admin.post("/drain").await?;
+            println!("drain requested");
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn documents(
+    admin: &Admin,
+    output: Output,
+    kind: &'static str,
+    action: &DocumentAction,
+) -> Result<ExitCode, ClientError> {
+    match action {
+        DocumentAction::List => {
+            print_list::<DocumentRow>(admin, output, &format!("/documents/{kind}"), tables::documents).await?;
+        }
+        DocumentAction::Get { name } => {
+            let document: DocumentRow = admin.get(&format!("/documents/{kind}/{name}")).await?;
+            match output {
+                Output::Json => print_json(&document),
+                Output::Table => println!("{}{}\n{}", apply::REVISION_LINE, document.revision, document.body.trim_end()),
+            }
+        }
+        DocumentAction::Apply { file, change_id, wait } => {
+            return apply::apply(admin, kind, file, change_id.clone(), *wait).await;
+        }
+        DocumentAction::Diff { file } => apply::diff(admin, kind, file).await?,
+        DocumentAction::Delete { name, wait } => return apply::delete(admin, kind, name, *wait).await,
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn print_list<T: Serialize + DeserializeOwned>(
+    admin: &Admin,
+    output: Output,
+    path: &str,
+    table: fn(&Vec<T>) -> Table,
+) -> Result<(), ClientError> {
+    let rows: Vec<T> = admin.get(path).await?;
+    print(output, &rows, table);
+    Ok(())
+}
+
+fn print<T: Serialize>(output: Output, value: &T, table: fn(&T) -> Table) {
+    match output {
+        Output::Json => print_json(value),
+        Output::Table => print!("{}", table(value)),
+    }
+}
+
+fn print_json<T: Serialize>(value: &T) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("millwindctl: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/millwind-lab/src/hollow/scene.rs
@@ -0,0 +1,493 @@
+//! The events of a hollow run, one after another.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant as WallInstant;
+
+use millwind_core::Instant;
+use millwind_core::control::ControlPlane;
+use millwind_core::membership::MembershipTimes;
+use millwind_wire::control::{Liveness, MemberRecord, WireDocument};
+use millwind_wire::{AwaitPrimary, ControlMessage, GroupStatus, MemberStatus, PeerMessage, WirePosition, decode, encode};
+
+use super::HollowSize;
+use super::network::{HollowNode, Network, TICK_MS};
+use super::report::{HollowReport, role_load};
+
+const START: Instant = Instant::from_millis(1_000_000);
+const INSTANCES_PER_GROUP: usize = 3;
+/// Relays ask the platform for a sign of life this often.
+const PLATFORM_INTERVAL_MS: u64 = 1_000;
+/// From the store's change to a relay's hearing of it.
+const WATCH_LATENCY_MS: u64 = 5;
+const SETTLE_MS: u64 = 10_000;
+const CHANGES: u64 = 10;
+const LIMIT_MS: u64 = 60_000;
+/// Longer than the freshness bound and its margin.
+const ISOLATION_MS: u64 = 12_000;
+/// Bytes of a status question and its answer, transport included; see
+/// `docs/CAPACITY.md`.
+const PROBE_BYTES: f64 = 330.0;
+/// Status questions per second: to an owned instance or the primary, and to
+/// another.
+const NEAR_PROBES: f64 = 10.0;
+const DISTANT_PROBES: f64 = 2.0;
+/// While a group has no primary its instances are asked this often.
+const SEARCH_INTERVAL_MS: f64 = 10.0;
+const FAR_LATENCY_MS: f64 = 20.0;
+
+struct Scene {
+    size: HollowSize,
+    network: Network,
+    revision: u64,
+    documents: BTreeMap<String, WireDocument>,
+    platform_up: bool,
+    next_platform: Instant,
+}
+
+/// Runs all events.
+pub(super) fn run(size: HollowSize) -> HollowReport {
+    let started = WallInstant::now();
+    let before = resident_bytes();
+    let mut scene = Scene::new(size);
+    let mut report = HollowReport {
+        size: Some(size),
+        ..HollowReport::default()
+    };
+    scene.pass(SETTLE_MS);
+    report.memory_bytes_per_node = resident_bytes().saturating_sub(before) / size.nodes as u64;
+    scene.steady(&mut report);
+    scene.ownership(&mut report);
+    scene.primary_change(&mut report);
+    scene.changes(&mut report);
+    scene.death_and_restart(&mut report);
+    scene.relays_lost(&mut report);
+    scene.zone_cut(&mut report);
+    scene.region_cut(&mut report);
+    scene.platform_outage(&mut report);
+    report.wall_seconds = started.elapsed().as_secs_f64();
+    report
+}
+
+fn member(size: &HollowSize, index: usize, incarnation: u64) -> MemberRecord {
+    let zone = index % size.zones;
+    let region = zone * size.regions / size.zones;
+    MemberRecord {
+        node: format!("node-{index:04}"),
+        address: format!("127.{}.{}.{}:7432", zone + 1, index / 250, index % 250),
+        zone: format!("zone-{zone}"),
+        region: format!("region-{region}"),
+        incarnation,
+        liveness: Liveness::Alive,
+        leaving: 0,
+    }
+}
+
+fn hollow_node(size: &HollowSize, index: usize, incarnation: u64) -> HollowNode {
+    let own = member(size, index, incarnation);
+    let seeds = (0..3).map(|seed| member(size, seed, 1).address).collect();
+    HollowNode {
+        zone: own.zone.clone(),
+        region: own.region.clone(),
+        plane: ControlPlane::new(own, seeds, MembershipTimes::default(), size.seed + index as u64),
+        alive: true,
+        busy: std::time::Duration::ZERO,
+        sent: BTreeMap::new(),
+        received: (0, 0),
+    }
+}
+
+fn document(key: String, revision: u64, body: String) -> WireDocument {
+    WireDocument {
+        key,
+        revision,
+        deleted: 0,
+        change_id: format!("change-{revision}"),
+        body,
+    }
+}
+
+fn group_body(size: &HollowSize, group: usize) -> String {
+    let mut body = format!("name = \"group-{group}\"\nuser = \"millwind\"\ndatabase = \"group-{group}\"\n");
+    for member in 0..INSTANCES_PER_GROUP {
+        let zone = (group + member) % size.zones;
+        let region = zone * size.regions / size.zones;
+        body.push_str(&format!(
+            "[[instances]]\nname = \"group-{group}-{member}\"\naddress = \"127.0.0.1:5432\"\nzone = \"zone-{zone}\"\nregion = \"region-{region}\"\nslots = 10\nconnections = 100\n"
+        ));
+    }
+    body
+}
+
+impl Scene {
+    fn new(size: HollowSize) -> Self {
+        let nodes = (0..size.nodes).map(|index| hollow_node(&size, index, 1)).collect();
+        let mut scene = Scene {
+            size,
+            network: Network::new(nodes, START),
+            revision: 0,
+            documents: BTreeMap::new(),
+            platform_up: true,
+            next_platform: START,
+        };
+        scene.fill_store();
+        scene.introduce();
+        scene
+    }
+
+    fn groups(&self) -> usize {
+        self.size.databases.div_ceil(INSTANCES_PER_GROUP)
+    }
+
+    fn fill_store(&mut self) {
+        for group in 0..self.groups() {
+            self.revision += 1;
+            let key = format!("group/group-{group}");
+            let body = group_body(&self.size, group);
+            self.documents.insert(key.clone(), document(key, self.revision, body));
+            self.revision += 1;
+            let key = format!("tenant/tenant-{group}");
+            let body = format!("name = \"tenant-{group}\"\ntemplate = \"t\"\ngroup = \"group-{group}\"\n");
+            self.documents.insert(key.clone(), document(key, self.revision, body));
+        }
+    }
+
+    /// All nodes know each other and have the configuration, as after a night.
+    fn introduce(&mut self) {
+        let members: Vec<MemberRecord> = (0..self.size.nodes).map(|index| member(&self.size, index, 1)).collect();
+        let table = ControlMessage::Table { members };
+        let documents: Vec<WireDocument> = self.documents.values().cloned().collect();
+        let revision = self.revision;
+        for index in 0..self.size.nodes {
+            let from = member(&self.size, 0, 1).node;
+            self.network.on_node(index, |plane, now| plane.receive(now, &from, &table));
+            self.network.on_node(index, |plane, now| {
+                plane.platform_snapshot(now, now, revision, &documents);
+                Vec::new()
+            });
+        }
+    }
+
+    /// Lets virtual time pass.
+    fn pass(&mut self, milliseconds: u64) {
+        let end = self.network.now.plus_millis(milliseconds);
+        while self.network.now < end {
+            self.network.tick();
+            self.platform_signs();
+            let next = self.network.now.plus_millis(TICK_MS);
+            self.network.run_until(next);
+        }
+    }
+
+    fn relays(&self) -> Vec<usize> {
+        let by_name: HashMap<&str, usize> = self
+            .network
+            .nodes
+            .iter()
+            .enumerate()
+            .map(|(index, node)| (node.plane.membership().own().node.as_str(), index))
+            .collect();
+        (0..self.size.zones)
+            .filter_map(|zone| self.network.nodes.iter().find(|node| node.alive && node.zone == format!("zone-{zone}")))
+            .flat_map(|node| node.plane.membership().relays(&node.zone))
+            .filter_map(|relay| by_name.get(relay.as_str()).copied())
+            .collect()
+    }
+
+    fn platform_signs(&mut self) {
+        if self.network.now < self.next_platform || !self.platform_up {
+            return;
+        }
+        self.next_platform = self.network.now.plus_millis(PLATFORM_INTERVAL_MS);
+        for relay in self.relays() {
+            self.tell_relay(relay);
+        }
+    }
+
+    /// A relay catches up with the store and hears a sign of life.
+    fn tell_relay(&mut self, relay: usize) {
+        if !self.network.nodes[relay].alive || self.network.is_cut_from_platform(relay) {
+            return;
+        }
+        let revision = self.revision;
+        let held = self.network.nodes[relay].plane.config().revision();
+        let changes: Vec<WireDocument> = self
+            .documents
+            .values()
+            .filter(|document| document.revision > held)
+            .cloned()
+            .collect();
+        self.network.on_node(relay, |plane, now| {
+            let outgoing = plane.platform_changes(now, revision, &changes);
+            plane.platform_heard(now, revision);
+            outgoing
+        });
+    }
+
+    fn steady(&mut self, report: &mut HollowReport) {
+        self.network.reset_accounts();
+        self.pass(self.size.seconds * 1_000);
+        let seconds = self.size.seconds as f64;
+        let relays = self.relays();
+        let indexed = || self.network.nodes.iter().enumerate();
+        let relay_nodes = indexed().filter(|(index, _)| relays.contains(index)).map(|(_, node)| node);
+        report.steady.insert("relay", role_load(relay_nodes, seconds));
+        let members = indexed().filter(|(index, _)| !relays.contains(index)).map(|(_, node)| node);
+        report.steady.insert("member", role_load(members, seconds));
+        report.platform_watches = relays.len();
+        report.platform_calls_per_second = relays.len() as f64 * 1_000.0 / PLATFORM_INTERVAL_MS as f64;
+    }
+
+    /// Who owns what, and what watching it costs, by the nodes' own table.
+    fn ownership(&mut self, report: &mut HollowReport) {
+        let table = self.network.nodes[0].plane.owner_table(self.network.now);
+        let mut owned: HashMap<String, usize> = HashMap::new();
+        let mut probes: HashMap<String, f64> = HashMap::new();
+        let mut at_instance = 0.0f64;
+        for group in 0..self.groups() {
+            let mut questions = [0.0; INSTANCES_PER_GROUP];
+            let mut monitors: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+            for instance in 0..INSTANCES_PER_GROUP {
+                let zone = (group + instance) % self.size.zones;
+                let region = zone * self.size.regions / self.size.zones;
+                let name = format!("group-{group}-{instance}");
+                let owner = table.owner(
+                    &name.as_str().into(),
+                    &format!("zone-{zone}").as_str().into(),
+                    &format!("region-{region}").as_str().into(),
+                );
+                if let Some(owner) = owner {
+                    *owned.entry(owner.0.clone()).or_default() += 1;
+                    monitors.entry(owner.0.clone()).or_default().push(instance);
+                }
+            }
+            // The first instance of a group leads it.
+            for (node, instances) in monitors {
+                for (target, asked) in questions.iter_mut().enumerate() {
+                    let near = target == 0 || instances.contains(&target);
+                    let rate = if near { NEAR_PROBES } else { DISTANT_PROBES };
+                    *asked += rate;
+                    *probes.entry(node.clone()).or_default() += rate;
+                }
+            }
+            at_instance = questions.iter().fold(at_instance, |highest, asked| highest.max(*asked));
+        }
+        let nodes = self.size.nodes as f64;
+        let total: f64 = probes.values().sum();
+        let highest = probes.values().fold(0.0f64, |highest, rate| highest.max(*rate));
+        report.instances_owned = (
+            owned.values().sum::<usize>() as f64 / nodes,
+            owned.values().copied().max().unwrap_or(0),
+        );
+        report.probes_at_instance_per_second = at_instance;
+        report.probes_by_node_per_second = (total / nodes, highest);
+        report.probe_bytes_per_second = (total / nodes * PROBE_BYTES, highest * PROBE_BYTES);
+    }
+
+    /// One group gets a new primary while every gateway waits for it at the
+    /// owner: the owner answers them one after another.
+    fn primary_change(&mut self, report: &mut HollowReport) {
+        let status = GroupStatus {
+            request_id: 0,
+            term: 2,
+            members: (0..INSTANCES_PER_GROUP)
+                .map(|instance| MemberStatus {
+                    instance: format!("group-0-{instance}"),
+                    primary: u8::from(instance == 1),
+                    position: WirePosition {
+                        term: 2,
+                        log_position: 1 << 40,
+                    },
+                    age_ms: 10,
+                })
+                .collect(),
+            history: Vec::new(),
+        };
+        let started = WallInstant::now();
+        let mut bytes = 0;
+        for gateway in 0..self.size.nodes as u64 {
+            let question = PeerMessage::AwaitPrimary(AwaitPrimary {
+                request_id: gateway,
+                group: "group-0".to_owned(),
+                above_term: 0,
+                wait_ms: 1_000,
+            });
+            let asked = encode(&question).unwrap_or_default();
+            let _ = decode(&asked);
+            let answer = PeerMessage::GroupStatus(GroupStatus {
+                request_id: gateway,
+                ..status.clone()
+            });
+            let frame = encode(&answer).unwrap_or_default();
+            bytes += frame.len() as u64;
+            let _ = decode(&frame);
+        }
+        let work_ms = started.elapsed().as_secs_f64() * 1_000.0;
+        report.primary_known_ms = SEARCH_INTERVAL_MS + FAR_LATENCY_MS + work_ms;
+        report.primary_known_owner_bytes = bytes;
+    }
+
+    /// Time until `done` holds, in steps of one tick; the limit if it never does.
+    fn time_until(&mut self, mut done: impl FnMut(&Network) -> bool) -> u64 {
+        let start = self.network.now;
+        while self.network.now.millis_since(start) < LIMIT_MS {
+            if done(&self.network) {
+                return self.network.now.millis_since(start);
+            }
+            self.network.tick();
+            self.platform_signs();
+            // Finer than a tick, so that times are not rounded up to it.
+            for _ in 0..TICK_MS {
+                let next = self.network.now.plus_millis(1);
+                self.network.run_until(next);
+                if done(&self.network) {
+                    return self.network.now.millis_since(start);
+                }
+            }
+        }
+        LIMIT_MS
+    }
+
+    fn change_once(&mut self) -> u64 {
+        self.revision += 1;
+        let key = "tenant/tenant-0".to_owned();
+        let body = format!("name = \"tenant-0\"\ntemplate = \"t\"\ngroup = \"group-0\"\n# {}\n", self.revision);
+        self.documents.insert(key.clone(), document(key, self.revision, body));
+        let hears = self.network.now.plus_millis(WATCH_LATENCY_MS);
+        self.network.run_until(hears);
+        for relay in self.relays() {
+            self.tell_relay(relay);
+        }
+        let revision = self.revision;
+        let took = self.time_until(|network| {
+            network
+                .nodes
+                .iter()
+                .filter(|node| node.alive)
+                .all(|node| node.plane.config().revision() >= revision)
+        });
+        took + WATCH_LATENCY_MS
+    }
+
+    fn changes(&mut self, report: &mut HollowReport) {
+        let kinds = ["config_delta", "applied", "config_pull"];
+        self.network.reset_accounts();
+        for _ in 0..CHANGES {
+            let took = self.change_once();
+            report.change_in_force_ms.push(took);
+            self.pass(1_000);
+        }
+        report.change_in_force_ms.sort_unstable();
+        let costs: Vec<f64> = self
+            .network
+            .nodes
+            .iter()
+            .map(|node| {
+                let sent: u64 = kinds.iter().filter_map(|kind| node.sent.get(kind)).map(|(_, bytes)| bytes).sum();
+                sent as f64 / CHANGES as f64
+            })
+            .collect();
+        // Whatever is sent is received: both ways is twice the mean.
+        report.change_bytes_mean = 2.0 * costs.iter().sum::<f64>() / costs.len() as f64;
+        report.change_bytes_highest = costs.iter().fold(0.0, |highest, cost| highest.max(*cost));
+    }
+
+    fn death_and_restart(&mut self, report: &mut HollowReport) {
+        let relays = self.relays();
+        let victim = (0..self.size.nodes).rev().find(|index| !relays.contains(index)).unwrap_or(0);
+        let name = self.network.nodes[victim].plane.membership().own().node.clone();
+        self.network.nodes[victim].alive = false;
+        report.death_known_ms = self.time_until(|network| {
+            network.nodes.iter().filter(|node| node.alive).all(|node| {
+                node.plane
+                    .membership()
+                    .record(&name)
+                    .is_none_or(|record| record.liveness == Liveness::Dead)
+            })
+        });
+        self.pass(2_000);
+        self.network.reset_accounts();
+        let quiet = self.spent(5_000);
+        self.network.reset_accounts();
+        self.network.nodes[victim] = hollow_node(&self.size, victim, 2);
+        report.restart_serving_ms = self.time_until(|network| network.nodes[victim].plane.may_serve(network.now).is_ok());
+        let rest = 5_000u64.saturating_sub(report.restart_serving_ms);
+        let busy = self.spent(rest);
+        report.restart_bytes = busy - quiet;
+    }
+
+    /// Bytes all nodes sent by the end of this time.
+    fn spent(&mut self, milliseconds: u64) -> f64 {
+        self.pass(milliseconds);
+        let sent = |node: &HollowNode| node.sent.values().map(|(_, bytes)| *bytes).sum::<u64>();
+        self.network.nodes.iter().map(sent).sum::<u64>() as f64
+    }
+
+    fn relays_lost(&mut self, report: &mut HollowReport) {
+        let lost: Vec<usize> = self
+            .relays()
+            .into_iter()
+            .filter(|relay| self.network.nodes[*relay].zone == "zone-0")
+            .collect();
+        for relay in &lost {
+            self.network.nodes[*relay].alive = false;
+        }
+        report.change_relays_lost_ms = self.change_once();
+        for relay in lost {
+            self.network.nodes[relay] = hollow_node(&self.size, relay, 3);
+        }
+        self.pass(SETTLE_MS);
+    }
+
+    fn serving(&self, chosen: impl Fn(&HollowNode) -> bool) -> (usize, usize) {
+        let chosen: Vec<&HollowNode> = self.network.nodes.iter().filter(|node| node.alive && chosen(node)).collect();
+        let now = self.network.now;
+        let serving = chosen.iter().filter(|node| node.plane.may_serve(now).is_ok()).count();
+        (serving, chosen.len())
+    }
+
+    fn zone_cut(&mut self, report: &mut HollowReport) {
+        let zone = "zone-0".to_owned();
+        self.network.cut_zone(&zone, true);
+        self.pass(ISOLATION_MS);
+        let (inside, all) = self.serving(|node| node.zone == zone);
+        report.cut_zone_stopped = (all - inside, all);
+        report.cut_zone_others_serving = self.serving(|node| node.zone != zone);
+        report.cut_zone_declared_dead = self
+            .network
+            .nodes
+            .iter()
+            .filter(|node| node.alive)
+            .map(|node| node.plane.membership().records().filter(|record| record.liveness == Liveness::Dead).count())
+            .max()
+            .unwrap_or(0);
+        self.network.cut_zone(&zone, false);
+        self.pass(SETTLE_MS);
+    }
+
+    fn region_cut(&mut self, report: &mut HollowReport) {
+        self.network.cut_regions(true);
+        self.pass(ISOLATION_MS);
+        for region in 0..self.size.regions {
+            let name = format!("region-{region}");
+            let serving = self.serving(|node| node.region == name);
+            report.cut_region_serving.insert(name, serving);
+        }
+        self.network.cut_regions(false);
+        self.pass(SETTLE_MS);
+    }
+
+    fn platform_outage(&mut self, report: &mut HollowReport) {
+        self.platform_up = false;
+        self.pass(ISOLATION_MS);
+        report.platform_outage_serving = self.serving(|_| true);
+        self.platform_up = true;
+    }
+}
+
+/// Resident memory of this process, in bytes; zero where it cannot be read.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = text.split(' ').nth(1).and_then(|field| field.parse().ok()).unwrap_or(0);
+    pages * PAGE_BYTES
+}
--- a/crates/millwind-lab/src/lib.rs
+++ b/crates/millwind-lab/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod history;
 
+pub mod hollow;
 pub mod http;
 pub mod instance;
 
--- a/crates/millwind-lab/src/main.rs
+++ b/crates/millwind-lab/src/main.rs
@@ -7,6 +7,7 @@
 use clap::{Args, Parser, Subcommand};
 use millwind_lab::deployment::DeploymentName;
 use millwind_lab::experiment::{self, Baseline, ExperimentName, ExperimentOptions};
+use millwind_lab::hollow::{self, HollowSize};
 use millwind_lab::instance::{Instance, InstanceSettings};
 use millwind_lab::platform::Platform;
 use millwind_node::{NodeSettings, daemon, logging};
@@ -44,6 +45,30 @@
     },
     /// Run an experiment; the last line is one JSON object.
     Experiment(ExperimentArguments),
+    /// Run the control plane of many nodes in one process.
+    Hollow {
+        /// Nodes in all.
+        #[arg(long, default_value_t = 910)]
+        nodes: usize,
+        /// Database instances in all.
+        #[arg(long, default_value_t = 1300)]
+        databases: usize,
+        /// Zones.
+        #[arg(long, default_value_t = 5)]
+        zones: usize,
+        /// Regions.
+        #[arg(long, default_value_t = 2)]
+        regions: usize,
+        /// Virtual seconds of steady running.
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// Seed of all choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print one JSON line only.
+        #[arg(long)]
+        json: bool,
+    },
     /// Start a deployment and leave it running.
     Cluster {
         /// Which user's deployment.
@@ -115,6 +140,25 @@
             Ok(settings) => daemon::run(settings).await,
             Err(error) => daemon::refuse(&error.to_string()),
         },
+        Command::Hollow {
+            nodes,
+            databases,
+            zones,
+            regions,
+            seconds,
+            seed,
+            json,
+        } => {
+            let size = HollowSize {
+                nodes,
+                databases,
+                zones,
+                regions,
+                seconds,
+                seed,
+            };
+            run_hollow(size, json)
+        }
         Command::Experiment(arguments) => run_experiment(&arguments).await,
         Command::Cluster { deployment, nodes_per_zone } => run_cluster(deployment, nodes_per_zone).await,
     }
@@ -145,6 +189,22 @@
     }
 }
 
+fn run_hollow(size: HollowSize, json: bool) -> ExitCode {
+    let report = hollow::run(size);
+    let text = if json {
+        serde_json::to_string(&report)
+    } else {
+        serde_json::to_string_pretty(&report)
+    };
+    match text {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error),
+    }
+}
+
 async fn run_experiment(arguments: &ExperimentArguments) -> ExitCode {
     let program = match std::env::current_exe() {
         Ok(program) => program,
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -20,8 +20,8 @@
 use crate::clock;
 use crate::pg::answer::Answer;
 use crate::pg::backend::{BackendConnection, BackendError};
-use crate::pg::status::{STATUS_QUERY, parse_status};
-use crate::pg::{STATUS_IDLE, put_query};
+use crate::pg::STATUS_IDLE;
+use crate::pg::status::{parse_status, put_status};
 
 /// SQLSTATE of a write on an instance that only replays.
 const READ_ONLY_TRANSACTION: &str = "25006";
@@ -184,7 +184,7 @@
         connection: &mut BackendConnection,
     ) -> Result<(InstanceStatus, Answer), BackendError> {
         let mut bytes = BytesMut::new();
-        put_query(&mut bytes, STATUS_QUERY).map_err(encode_error)?;
+        put_status(&mut bytes).map_err(encode_error)?;
         bytes.extend_from_slice(&self.request.batch);
         connection.send(&bytes).await?;
         let status = read_status(connection).await?;
@@ -275,7 +275,7 @@
         let mut slot = self.acquire().await?;
         let mut connection = self.connection(&mut slot).await?;
         let mut bytes = BytesMut::from(&self.request.batch[..]);
-        put_query(&mut bytes, STATUS_QUERY).map_err(|error| Failure::not_sent(ErrorKind::Unsupported, error))?;
+        put_status(&mut bytes).map_err(|error| Failure::not_sent(ErrorKind::Unsupported, error))?;
         let _expected = self.monitor.expect_commit();
         let exchange = async {
             connection.send(&bytes).await?;
--- a/crates/millwind-node/src/owner/ledger.rs
+++ b/crates/millwind-node/src/owner/ledger.rs
@@ -15,7 +15,7 @@
 use super::execute::{Answered, Execution, Failure, answered, is_refusal, read_status};
 use crate::pg::answer::{Answer, SqlError};
 use crate::pg::backend::{BackendConnection, BackendError};
-use crate::pg::status::STATUS_QUERY;
+use crate::pg::status::{parse_status, put_status};
 use crate::pg::{STATUS_IDLE, put_query};
 
 /// Table the operators create in each group's database.
@@ -28,6 +28,8 @@
 /// Longest answer the ledger keeps, in bytes.
 const MAXIMUM_LEDGER_ANSWER_BYTES: usize = 256 * 1024;
 const UNIQUE_VIOLATION: &str = "23505";
+/// The operators have not created the ledger table.
+const UNDEFINED_TABLE: &str = "42P01";
 const STATE_RUNNING: &str = "running";
 const STATE_DONE: &str = "done";
 const STATE_FENCED: &str = "fenced";
@@ -72,6 +74,13 @@
     connection.next_answer().await
 }
 
+async fn ask_status(connection: &mut BackendConnection) -> Result<Answer, BackendError> {
+    let mut bytes = BytesMut::new();
+    put_status(&mut bytes).map_err(|error| BackendError::Protocol(error.to_string()))?;
+    connection.send(&bytes).await?;
+    connection.next_answer().await
+}
+
 /// What the ledger holds under a key.
 enum Recorded {
     Done(Vec<u8>),
@@ -165,7 +174,7 @@
     let recorded = complete(&execution.request.request_key, &to_hex(&answer.messages));
     put_query(&mut bytes, &recorded).map_err(encode)?;
     put_query(&mut bytes, "COMMIT").map_err(encode)?;
-    put_query(&mut bytes, STATUS_QUERY).map_err(encode)?;
+    put_status(&mut bytes).map_err(encode)?;
     connection.send(&bytes).await?;
     let updated = connection.next_answer().await?;
     let committed = connection.next_answer().await?;
@@ -186,7 +195,7 @@
     let undo = async {
         ask(connection, "ROLLBACK").await?;
         let recorded = look_up(connection, &execution.request.request_key).await?;
-        let answer = ask(connection, STATUS_QUERY).await?;
+        let answer = ask_status(connection).await?;
         Ok((recorded, answer))
     };
     let (recorded, status) = execution
@@ -197,10 +206,14 @@
         return Err(Failure::undone(ErrorKind::NotPrimary, &error.message));
     }
     if error.sqlstate != UNIQUE_VIOLATION {
+        let kind = match error.sqlstate.as_str() {
+            UNDEFINED_TABLE => ErrorKind::InvalidSetting,
+            _ => ErrorKind::TransactionLost,
+        };
         let detail = format!("ledger: {} {}", error.sqlstate, error.message);
-        return Err(Failure::undone(ErrorKind::InvalidSetting, detail));
+        return Err(Failure::undone(kind, detail));
     }
-    let status = crate::pg::status::parse_status(&status).map_err(Failure::sent)?;
+    let status = parse_status(&status).map_err(Failure::sent)?;
     execution.confirm(&status).await?;
     match recorded {
         Recorded::Done(messages) => Ok(Answered {
@@ -228,7 +241,7 @@
         put_query(&mut bytes, &insert(key, STATE_DONE, &to_hex(&commit_answer()))).map_err(encode)?;
     }
     bytes.extend_from_slice(&execution.request.batch);
-    put_query(&mut bytes, STATUS_QUERY).map_err(encode)?;
+    put_status(&mut bytes).map_err(encode)?;
     let exchange = async {
         connection.send(&bytes).await?;
         let mut inserted = None;
@@ -275,7 +288,7 @@
             Some(_) => look_up(&mut connection, key).await?,
             None => Recorded::Fenced,
         };
-        let status = ask(&mut connection, STATUS_QUERY).await?;
+        let status = ask_status(&mut connection).await?;
         Ok((inserted.error, recorded, status))
     };
     let (error, recorded, status) = execution.guarded(term, exchange).await?;
@@ -283,7 +296,7 @@
     if error.is_some_and(|error| error.sqlstate != UNIQUE_VIOLATION) {
         return Ok(ResolveResult::Unsettled);
     }
-    let status = crate::pg::status::parse_status(&status).map_err(Failure::sent)?;
+    let status = parse_status(&status).map_err(Failure::sent)?;
     execution.confirm(&status).await?;
     Ok(match recorded {
         Recorded::Done(batch) => ResolveResult::Committed {
--- a/crates/millwind-node/src/owner/monitor.rs
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use log::{info, warn};
@@ -17,11 +17,14 @@
 
 use crate::clock;
 use crate::pg::backend::{BackendConnection, BackendTarget};
-use crate::pg::put_query;
-use crate::pg::status::{STATUS_QUERY, parse_status};
+use crate::pg::status::{parse_status, put_status};
 
-/// An instance is asked this often when nothing waits on it.
+/// The primary, and an instance this node owns, are asked this often.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Other instances are asked this often.
+const DISTANT_INTERVAL: Duration = Duration::from_millis(500);
+/// Between two tries to connect.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// While the group shows no primary it is asked this often.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(10);
 /// While commits are on their way, instances are asked this often.
@@ -81,6 +84,14 @@
             .await;
     }
 
+    /// Marks an instance as one this node owns.
+    pub fn set_owned(&self, instance: &InstanceName) {
+        let index = self.snapshot().instances().position(|name| name == instance);
+        if let Some(owned) = index.and_then(|index| self.commits.owned.get(index)) {
+            owned.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Marks instances as leaving.
     pub async fn set_leaving(&self, leaving: Vec<(InstanceName, bool)>) {
         let _ = self.actor.send(SetLeaving { leaving }).await;
@@ -118,6 +129,8 @@
 struct Commits {
     count: AtomicUsize,
     wakes: Vec<Notify>,
+    /// Instances this node owns, in the same order.
+    owned: Vec<AtomicBool>,
 }
 
 impl Commits {
@@ -148,13 +161,16 @@
 pub fn start(
     group: GroupName,
     rule: ConfirmationRule,
-    targets: Vec<(InstanceName, BackendTarget)>,
+    mut targets: Vec<(InstanceName, BackendTarget)>,
 ) -> MonitorHandle {
+    // The view lists instances by name; probes are numbered alike.
+    targets.sort_by(|left, right| left.0.cmp(&right.0));
     let view = GroupView::new(targets.iter().map(|(name, _)| name.clone()));
     let (published, receiver) = watch::channel(Arc::new(view.clone()));
     let commits = Arc::new(Commits {
         count: AtomicUsize::new(0),
         wakes: targets.iter().map(|_| Notify::new()).collect(),
+        owned: targets.iter().map(|_| AtomicBool::new(false)).collect(),
     });
     let actor = MonitorActor {
         group,
@@ -342,7 +358,7 @@
             if self.monitor.send(lost).await.is_err() {
                 return;
             }
-            tokio::time::sleep(PROBE_INTERVAL).await;
+            tokio::time::sleep(RECONNECT_PAUSE).await;
         }
     }
 
@@ -350,14 +366,28 @@
         if self.commits.are_expected() {
             return CONFIRM_INTERVAL;
         }
-        let searching = self.view.borrow().primary(clock::now()).is_none();
-        if searching { SEARCH_INTERVAL } else { PROBE_INTERVAL }
+        match self.view.borrow().primary(clock::now()) {
+            None => SEARCH_INTERVAL,
+            Some((primary, _)) if *primary == self.instance || self.is_owned() => PROBE_INTERVAL,
+            Some(_) => DISTANT_INTERVAL,
+        }
+    }
+
+    fn is_owned(&self) -> bool {
+        self.commits.owned[self.index].load(Ordering::Relaxed)
+    }
+
+    /// Whether a status came lately by another way, so that asking is needless.
+    fn heard_lately(&self, interval: Duration) -> bool {
+        let view = self.view.borrow();
+        let heard = view.status(&self.instance).map(|(heard, _)| *heard);
+        heard.is_some_and(|heard| u128::from(clock::now().millis_since(heard)) < interval.as_millis() / 2)
     }
 
     /// Asks until the connection is lost; returns why.
     async fn ask_until_lost(&self, mut connection: BackendConnection) -> String {
         let mut question = bytes::BytesMut::new();
-        if let Err(error) = put_query(&mut question, STATUS_QUERY) {
+        if let Err(error) = put_status(&mut question) {
             return error.to_string();
         }
         let mut in_flight = std::collections::VecDeque::new();
@@ -384,7 +414,14 @@
                     return "no answer to the status question".to_owned();
                 }
                 () = self.commits.wakes[self.index].notified(), if may_ask => true,
-                () = tokio::time::sleep_until(next_ask), if may_ask && (in_flight.is_empty() || self.commits.are_expected()) => true,
+                () = tokio::time::sleep_until(next_ask), if may_ask && (in_flight.is_empty() || self.commits.are_expected()) => {
+                    let interval = self.interval();
+                    let needless = !self.commits.are_expected() && self.heard_lately(interval);
+                    if needless {
+                        next_ask = tokio::time::Instant::now() + interval;
+                    }
+                    !needless
+                }
             };
             if !ask {
                 continue;
--- a/crates/millwind-node/src/owner/service.rs
+++ b/crates/millwind-node/src/owner/service.rs
@@ -211,6 +211,7 @@
         };
         let pool = pool::start(self.target(spec, entry), limits);
         runtime.pools.insert(instance.clone(), pool.clone());
+        runtime.monitor.set_owned(instance);
         Some(pool)
     }
 
--- a/crates/millwind-node/src/pg/backend.rs
+++ b/crates/millwind-node/src/pg/backend.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::answer::{Answer, MAXIMUM_ANSWER_BYTES};
+use super::status::put_status_preparation;
 use super::{established_context, put_frontend};
 
 const READ_CHUNK_BYTES: usize = 4 * 1024;
@@ -89,9 +90,24 @@
             cancel_key: None,
         };
         connection.start(target).await?;
+        connection.prepare_status().await?;
         Ok(connection)
     }
 
+    /// Prepares the status question, so that asking it costs few bytes.
+    async fn prepare_status(&mut self) -> Result<(), BackendError> {
+        let mut bytes = BytesMut::new();
+        put_status_preparation(&mut bytes).map_err(protocol)?;
+        self.send(&bytes).await?;
+        match self.next_answer().await?.error {
+            None => Ok(()),
+            Some(error) => Err(BackendError::Refused {
+                sqlstate: error.sqlstate,
+                message: error.message,
+            }),
+        }
+    }
+
     async fn start(&mut self, target: &BackendTarget) -> Result<(), BackendError> {
         let mut startup = Startup::new();
         startup.parameters.insert("user".into(), target.user.clone());
--- a/crates/millwind-node/src/pg/status.rs
+++ b/crates/millwind-node/src/pg/status.rs
@@ -3,9 +3,14 @@
 
 use millwind_core::group_view::{InstanceStatus, Role};
 use millwind_core::position::{LogPosition, Position, Term, TermStart};
+use bytes::BytesMut;
+use pgwire::error::PgWireError;
+use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::extendedquery::{Bind, Execute, Parse, Sync};
 use thiserror::Error;
 
 use super::answer::Answer;
+use super::put_frontend;
 
 /// The statement that asks an instance for its status.
 pub const STATUS_QUERY: &str = "SELECT pg_is_in_recovery(), \
@@ -15,6 +20,24 @@
 CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn() ELSE pg_current_wal_lsn() END \
 FROM pg_control_checkpoint()";
 
+/// Name of the prepared status question on every back-end connection.
+const STATEMENT_NAME: &str = "millwind_status";
+
+/// Appends the messages that prepare the status question.
+pub fn put_status_preparation(out: &mut BytesMut) -> Result<(), PgWireError> {
+    let parse = Parse::new(Some(STATEMENT_NAME.to_owned()), STATUS_QUERY.to_owned(), Vec::new());
+    put_frontend(out, &PgWireFrontendMessage::Parse(parse))?;
+    put_frontend(out, &PgWireFrontendMessage::Sync(Sync::new()))
+}
+
+/// Appends the messages that ask the prepared status question.
+pub fn put_status(out: &mut BytesMut) -> Result<(), PgWireError> {
+    let bind = Bind::new(None, Some(STATEMENT_NAME.to_owned()), Vec::new(), Vec::new(), Vec::new());
+    put_frontend(out, &PgWireFrontendMessage::Bind(bind))?;
+    put_frontend(out, &PgWireFrontendMessage::Execute(Execute::new(None, 0)))?;
+    put_frontend(out, &PgWireFrontendMessage::Sync(Sync::new()))
+}
+
 /// Why a status answer was not understood.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum StatusError {
