Fit the control budget at 910 nodes: news, probes, relays, avoidance

Cause: in a hollow run of 910 nodes a death was unknown to some after 60 s: a whole table counted as news and 910 records queued behind six places a message; probes cost 35.6 KB/s at the busiest owner; a zone without relays was blind until its members agreed on new ones; a gateway kept asking a dead owner. Ruled out: faster pings (the queue, not the detector, was slow). Change: tables are no news and the least-sent news goes first; probes of 5, 2 and 1 a second by interest, prepared, skipped when answers carry the status; relays by zone size, spared from owning; an unanswered digest goes to another zone; the next owner in order is asked at once; tables go out only after 15 s.

--- a/crates/millwind-core/src/control.rs
+++ b/crates/millwind-core/src/control.rs
@@ -23,20 +23,27 @@
 use crate::placement;
 
 /// Between two digests of a node to a relay of its zone, in milliseconds.
-pub const DIGEST_INTERVAL_MS: u64 = 2_000;
+pub const DIGEST_INTERVAL_MS: u64 = 2_500;
 /// Between two reports of a relay to the other zones, in milliseconds.
 pub const REPORT_INTERVAL_MS: u64 = 1_000;
 /// A digest without a report is forgotten after this long.
 const DIGEST_LIFETIME_MS: u64 = 10_000;
 /// Revisions whose arrival is remembered.
 const REMEMBERED_REVISIONS: usize = 256;
-/// A whole member table is sent to the same node at most this often.
-const TABLE_INTERVAL_MS: u64 = 20_000;
+/// A digest is unanswered after this long, and a relay of another zone is
+/// asked: the own zone's relays may be lost.
+const DIGEST_ANSWER_MS: u64 = 800;
+/// A member table that differs for this long is sent whole; until then news is
+/// still spreading.
+const TABLE_PATIENCE_MS: u64 = 15_000;
 /// Members of a zone unheard for this long are not candidates for ownership.
 pub const ZONE_LIFETIME_MS: u64 = 5_000;
 /// A newcomer asks its seeds again after this long without an answer.
 const JOIN_INTERVAL_MS: u64 = 500;
 
+/// Zones of this many nodes spare their relays from owning instances.
+const SPARING_ZONE_SIZE: usize = 12;
+
 /// Standing of one node with respect to a revision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Standing {
@@ -54,6 +61,14 @@
     heard: Instant,
 }
 
+/// A digest that waits for its report.
+#[derive(Debug, Clone, Copy)]
+struct SentDigest {
+    sent: Instant,
+    /// Sent to the own zone, and not yet tried elsewhere.
+    may_try_elsewhere: bool,
+}
+
 /// The control plane of one node.
 #[derive(Debug, Clone)]
 pub struct ControlPlane {
@@ -62,8 +77,9 @@
     gate: ServingGate,
     seeds: Vec<String>,
     confirmed: BTreeMap<String, Confirmed>,
-    tables_sent: BTreeMap<String, Instant>,
-    digests: BTreeMap<u64, Instant>,
+    /// Nodes whose member table differs, and since when.
+    differing: BTreeMap<String, Instant>,
+    digests: BTreeMap<u64, SentDigest>,
     digest_sequence: u64,
     /// When this node first had a revision or a later one.
     reached: VecDeque<(u64, Instant)>,
@@ -86,7 +102,7 @@
             config: ConfigState::default(),
             seeds,
             confirmed: BTreeMap::new(),
-            tables_sent: BTreeMap::new(),
+            differing: BTreeMap::new(),
             digests: BTreeMap::new(),
             digest_sequence: 0,
             reached: VecDeque::new(),
@@ -128,7 +144,7 @@
     pub fn depart(&mut self) -> Vec<Outgoing> {
         let goodbye = self.membership.goodbye();
         let mut out = Vec::new();
-        let zones: Vec<String> = self.membership.zones().into_keys().collect();
+        let zones: Vec<String> = self.membership.zones().keys().cloned().collect();
         for relay in zones.iter().flat_map(|zone| self.relays_without_self(zone)) {
             self.send(relay.as_str(), goodbye.clone(), &mut out);
         }
@@ -164,6 +180,7 @@
             self.next_digest = now.plus_millis(DIGEST_INTERVAL_MS);
             self.send_digest(now, &mut out);
         }
+        self.chase_digests(now, &mut out);
         if now >= self.next_report {
             self.next_report = now.plus_millis(REPORT_INTERVAL_MS);
             self.send_reports(now, &mut out);
@@ -208,9 +225,13 @@
         self.rotation += 1;
         let relay = &relays[self.rotation % relays.len()];
         self.digest_sequence += 1;
-        self.digests.insert(self.digest_sequence, now);
+        let digest = SentDigest {
+            sent: now,
+            may_try_elsewhere: zone == self.membership.own().zone,
+        };
+        self.digests.insert(self.digest_sequence, digest);
         self.digests
-            .retain(|_, sent| now.millis_since(*sent) < DIGEST_LIFETIME_MS);
+            .retain(|_, digest| now.millis_since(digest.sent) < DIGEST_LIFETIME_MS);
         let message = ControlMessage::ConfigDigest {
             sequence: self.digest_sequence,
             digest: self.config.digest(),
@@ -219,13 +240,34 @@
         self.send(relay.as_str(), message, out);
     }
 
+    /// Tries a relay of another zone for each digest that got no report.
+    fn chase_digests(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
+        let mut unanswered = 0;
+        for digest in self.digests.values_mut() {
+            if digest.may_try_elsewhere && now.millis_since(digest.sent) >= DIGEST_ANSWER_MS {
+                digest.may_try_elsewhere = false;
+                unanswered += 1;
+            }
+        }
+        if unanswered == 0 {
+            return;
+        }
+        let own = self.membership.own().zone.clone();
+        let others: Vec<String> = self.membership.zones().keys().filter(|zone| **zone != own).cloned().collect();
+        if !others.is_empty() {
+            self.rotation += 1;
+            let zone = others[self.rotation % others.len()].clone();
+            self.send_digest_to_zone(now, &zone, out);
+        }
+    }
+
     /// A relay asks the relays of the other zones.
     fn send_reports(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
         if !self.membership.is_relay() {
             return;
         }
         let own = self.membership.own().zone.clone();
-        let zones: Vec<String> = self.membership.zones().into_keys().collect();
+        let zones: Vec<String> = self.membership.zones().keys().cloned().collect();
         for zone in zones.into_iter().filter(|zone| *zone != own) {
             self.send_digest_to_zone(now, &zone, out);
         }
@@ -374,19 +416,23 @@
             self.send(from, self.delta(digest.revision), &mut out);
         }
         self.send(from, report, &mut out);
-        if members_hash != self.membership.hash() && self.may_send_table(now, from) {
+        if self.has_long_differed(now, from, members_hash) {
             self.send(from, self.membership.table(), &mut out);
         }
         out
     }
 
-    fn may_send_table(&mut self, now: Instant, to: &str) -> bool {
-        let last = self.tables_sent.get(to);
-        if last.is_some_and(|sent| now.millis_since(*sent) < TABLE_INTERVAL_MS) {
+    fn has_long_differed(&mut self, now: Instant, from: &str, members_hash: u64) -> bool {
+        if members_hash == self.membership.hash() {
+            self.differing.remove(from);
             return false;
         }
-        self.tables_sent.insert(to.to_owned(), now);
-        true
+        let since = *self.differing.entry(from.to_owned()).or_insert(now);
+        let long = now.millis_since(since) >= TABLE_PATIENCE_MS;
+        if long {
+            self.differing.remove(from);
+        }
+        long
     }
 
     fn report_received(
@@ -397,7 +443,7 @@
         platform_age_ms: u32,
         zones: &[ZoneReport],
     ) -> Vec<Outgoing> {
-        let Some(asked) = self.digests.remove(&sequence) else {
+        let Some(SentDigest { sent: asked, .. }) = self.digests.remove(&sequence) else {
             return Vec::new();
         };
         for report in zones {
@@ -537,8 +583,9 @@
         let own = &self.membership.own().zone;
         self.membership
             .zones()
-            .into_keys()
-            .filter(|zone| zone == own || self.zone_is_heard(now, zone))
+            .keys()
+            .filter(|zone| *zone == own || self.zone_is_heard(now, zone))
+            .cloned()
             .collect()
     }
 
@@ -547,10 +594,12 @@
         let own = self.membership.own();
         let reachable = self.reachable_zones(now);
         let alone = self.membership.live().count() == 1;
+        let spared = self.spared_relays();
         let candidates = self
             .membership
             .live()
             .filter(|record| record.leaving == 0 || alone && record.node == own.node)
+            .filter(|record| !spared.contains(&record.node))
             .filter(|record| reachable.contains(&record.zone))
             .map(|record| OwnerCandidate {
                 node: NodeName::from(record.node.as_str()),
@@ -561,6 +610,21 @@
         OwnerTable { candidates }
     }
 
+    /// Relays of zones that are large enough to do without them as owners: a
+    /// relay's messages and an owner's probes are not to meet on one node.
+    fn spared_relays(&self) -> BTreeSet<String> {
+        let zones = self.membership.zones();
+        zones
+            .keys()
+            .filter(|zone| {
+                let size = self.membership.live().filter(|record| record.zone == **zone).count();
+                size >= SPARING_ZONE_SIZE
+            })
+            .flat_map(|zone| self.membership.relays(zone))
+            .map(|relay| relay.0)
+            .collect()
+    }
+
     fn zone_is_heard(&self, now: Instant, zone: &str) -> bool {
         let Some(started) = self.started else {
             return true;
@@ -587,11 +651,27 @@
 impl OwnerTable {
     /// Owner of an instance in `zone` of `region`.
     pub fn owner(&self, instance: &InstanceName, zone: &ZoneName, region: &RegionName) -> Option<&NodeName> {
-        let candidates = self.candidates.iter().map(|candidate| placement::Candidate {
-            node: &candidate.node,
-            zone: &candidate.zone,
-            region: &candidate.region,
-        });
+        self.owner_except(instance, zone, region, &BTreeSet::new())
+    }
+
+    /// The same, leaving out nodes that could not be reached just now: the
+    /// next in order takes over before the others know.
+    pub fn owner_except(
+        &self,
+        instance: &InstanceName,
+        zone: &ZoneName,
+        region: &RegionName,
+        avoided: &BTreeSet<NodeName>,
+    ) -> Option<&NodeName> {
+        let candidates = self
+            .candidates
+            .iter()
+            .filter(|candidate| !avoided.contains(&candidate.node))
+            .map(|candidate| placement::Candidate {
+                node: &candidate.node,
+                zone: &candidate.zone,
+                region: &candidate.region,
+            });
         placement::owner(instance, zone, region, candidates)
     }
 }
--- a/crates/millwind-core/src/membership.rs
+++ b/crates/millwind-core/src/membership.rs
@@ -7,7 +7,7 @@
 //! every older word about it, so a paused or restarted node is never held to
 //! what was said before. Relays carry news between zones.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use millwind_wire::ControlMessage;
 use millwind_wire::control::{Liveness, MemberRecord};
@@ -20,8 +20,11 @@
 use crate::ids::NodeName;
 use crate::placement;
 
-/// Relays per zone, which watch the platform and carry news between zones.
-pub const RELAYS_PER_ZONE: usize = 3;
+/// Fewest relays per zone; relays watch the platform and carry news between
+/// zones.
+pub const MINIMUM_RELAYS: usize = 3;
+/// A zone has one relay for this many nodes, if that is more.
+pub const NODES_PER_RELAY: usize = 36;
 const UPDATES_PER_MESSAGE: usize = 6;
 const INDIRECT_PROBES: usize = 2;
 
@@ -83,6 +86,13 @@
     sent: Instant,
 }
 
+/// Whether what was heard is news to pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Spread {
+    Yes,
+    No,
+}
+
 #[derive(Debug, Clone)]
 struct News {
     record: MemberRecord,
@@ -97,7 +107,9 @@
     members: BTreeMap<String, Member>,
     probes: Vec<Probe>,
     relayed: Vec<Relayed>,
-    news: VecDeque<News>,
+    news: Vec<News>,
+    /// Zones with their regions.
+    zones: BTreeMap<String, String>,
     order: Vec<String>,
     next_ping: Instant,
     sequence: u64,
@@ -111,12 +123,13 @@
     pub fn new(own: MemberRecord, times: MembershipTimes, seed: u64) -> Self {
         let hash = record_hash(&own);
         Membership {
-            own,
             times,
             members: BTreeMap::new(),
             probes: Vec::new(),
             relayed: Vec::new(),
-            news: VecDeque::new(),
+            news: Vec::new(),
+            zones: BTreeMap::from([(own.zone.clone(), own.region.clone())]),
+            own,
             order: Vec::new(),
             next_ping: Instant::default(),
             sequence: 0,
@@ -166,7 +179,8 @@
             .filter(|record| record.zone == zone && record.leaving == 0)
             .map(|record| NodeName::from(record.node.as_str()))
             .collect();
-        placement::relays(zone, names.iter(), RELAYS_PER_ZONE)
+        let count = MINIMUM_RELAYS.max(names.len() / NODES_PER_RELAY);
+        placement::relays(zone, names.iter(), count)
             .into_iter()
             .cloned()
             .collect()
@@ -180,10 +194,8 @@
     }
 
     /// The zones known, with their regions.
-    pub fn zones(&self) -> BTreeMap<String, String> {
-        self.records()
-            .map(|record| (record.zone.clone(), record.region.clone()))
-            .collect()
+    pub fn zones(&self) -> &BTreeMap<String, String> {
+        &self.zones
     }
 
     /// Marks the node itself as leaving, and tells the others.
@@ -357,7 +369,7 @@
         if member.record.liveness == Liveness::Alive {
             let mut record = member.record.clone();
             record.liveness = Liveness::Suspect;
-            self.merge(now, record);
+            self.merge(now, record, Spread::Yes);
         }
     }
 
@@ -378,7 +390,10 @@
         }
         for mut record in dead {
             record.liveness = Liveness::Dead;
-            self.merge(now, record);
+            self.merge(now, record, Spread::Yes);
+        }
+        if forgotten.is_empty() {
+            return;
         }
         for node in forgotten {
             if let Some(member) = self.members.remove(&node) {
@@ -386,6 +401,10 @@
                 self.changed = true;
             }
         }
+        self.zones = self
+            .records()
+            .map(|record| (record.zone.clone(), record.region.clone()))
+            .collect();
     }
 
     /// Takes in a message from `from`.
@@ -409,11 +428,16 @@
                 self.ping_for(now, from, *sequence, target, &mut out);
             }
             ControlMessage::Join { record } => {
-                self.merge(now, record.clone());
+                self.merge(now, record.clone(), Spread::Yes);
                 let table = self.table();
                 self.send(from, table, &mut out);
             }
-            ControlMessage::Table { members } => self.merge_all(now, members),
+            ControlMessage::Table { members } => {
+                for record in members {
+                    // Known to the sender already: not news to spread.
+                    self.merge(now, record.clone(), Spread::No);
+                }
+            }
             _ => {}
         }
         out
@@ -450,7 +474,7 @@
 
     fn merge_all(&mut self, now: Instant, records: &[MemberRecord]) {
         for record in records {
-            self.merge(now, record.clone());
+            self.merge(now, record.clone(), Spread::Yes);
         }
     }
 
@@ -458,7 +482,7 @@
     ///
     /// Must hold because a paused or restarted node's old word never wins: a
     /// higher incarnation replaces all, an equal one only adds suspicion.
-    fn merge(&mut self, now: Instant, record: MemberRecord) {
+    fn merge(&mut self, now: Instant, record: MemberRecord, spread: Spread) {
         if record.node == self.own.node {
             if record.liveness != Liveness::Alive && record.incarnation >= self.own.incarnation {
                 self.raise_incarnation(record.incarnation);
@@ -478,7 +502,10 @@
         }
         self.hash ^= record_hash(&merged);
         self.changed = true;
-        self.spread(merged.clone());
+        if spread == Spread::Yes {
+            self.spread(merged.clone());
+        }
+        self.zones.insert(merged.zone.clone(), merged.region.clone());
         self.members.insert(
             merged.node.clone(),
             Member {
@@ -492,21 +519,18 @@
         let members = (self.members.len() + 2) as u32;
         let sends_left = 3 * (u32::BITS - members.leading_zeros()) as usize;
         self.news.retain(|news| news.record.node != record.node);
-        self.news.push_front(News { record, sends_left });
+        self.news.push(News { record, sends_left });
     }
 
+    /// The news that has been sent least often goes first.
     fn take_news(&mut self) -> Vec<MemberRecord> {
+        self.news.sort_by_key(|news| std::cmp::Reverse(news.sends_left));
         let mut taken = Vec::new();
-        for _ in 0..UPDATES_PER_MESSAGE.min(self.news.len()) {
-            let Some(mut news) = self.news.pop_front() else {
-                break;
-            };
-            taken.push(news.record.clone());
+        for news in self.news.iter_mut().take(UPDATES_PER_MESSAGE) {
             news.sends_left -= 1;
-            if news.sends_left > 0 {
-                self.news.push_back(news);
-            }
+            taken.push(news.record.clone());
         }
+        self.news.retain(|news| news.sends_left > 0);
         taken
     }
 }
--- a/crates/millwind-lab/src/hollow/network.rs
+++ b/crates/millwind-lab/src/hollow/network.rs
@@ -170,7 +170,13 @@
     pub(super) fn tick(&mut self) {
         for index in 0..self.nodes.len() {
             if self.nodes[index].alive {
-                self.on_node(index, |plane, now| plane.tick(now));
+                self.on_node(index, |plane, now| {
+                    let outgoing = plane.tick(now);
+                    // What the daemon's actor also does on every tick.
+                    std::hint::black_box(plane.reachable_zones(now));
+                    std::hint::black_box(plane.may_serve(now).is_ok());
+                    outgoing
+                });
             }
         }
     }
--- a/crates/millwind-lab/src/hollow/report.rs
+++ b/crates/millwind-lab/src/hollow/report.rs
@@ -60,7 +60,8 @@
     pub change_relays_lost_ms: u64,
     /// From the death of a node to the last live node's knowing, in milliseconds.
     pub death_known_ms: u64,
-    /// Bytes a node's restart costs all nodes together.
+    /// Bytes of member tables and configuration that a node's restart costs all
+    /// nodes together.
     pub restart_bytes: f64,
     /// Time until a restarted node may serve, in milliseconds.
     pub restart_serving_ms: u64,
--- a/crates/millwind-node/src/control.rs
+++ b/crates/millwind-node/src/control.rs
@@ -89,6 +89,20 @@
         owner
     }
 
+    /// The node that owns `instance` when these could not be reached.
+    pub fn owner_except(
+        &self,
+        instance: &InstanceName,
+        zone: &ZoneName,
+        region: &RegionName,
+        avoided: &BTreeSet<NodeName>,
+    ) -> Option<NodeName> {
+        if avoided.is_empty() {
+            return self.owner(instance, zone, region);
+        }
+        self.members.owners.owner_except(instance, zone, region, avoided).cloned()
+    }
+
     /// Peer address of a member.
     pub fn address(&self, node: &str) -> Option<SocketAddr> {
         self.members.addresses.get(node).copied()
--- a/crates/millwind-node/src/gateway/directory.rs
+++ b/crates/millwind-node/src/gateway/directory.rs
@@ -15,8 +15,9 @@
 use millwind_wire::{AwaitPrimary, ExecuteReply, GroupStatus, PeerMessage};
 use tokio::sync::watch;
 
-use super::Gateway;
+use super::{Gateway, Owner};
 use crate::clock;
+use crate::peer::CallError;
 
 /// Each question for a primary waits this long at an owner.
 const SEARCH_WAIT_MS: u32 = 1_000;
@@ -285,27 +286,27 @@
 }
 
 async fn ask_owner(gateway: &Arc<Gateway>, spec: &Arc<GroupSpec>, instance: &InstanceName) -> Option<GroupStatus> {
-    let view = gateway.control.view();
     let instance = spec.instances.iter().find(|entry| entry.name == *instance)?;
-    let owner = view.owner(&instance.name, &instance.zone, &instance.region)?;
     let request = AwaitPrimary {
         request_id: gateway.links.next_request_id(),
         group: spec.name.0.clone(),
         above_term: 0,
         wait_ms: SEARCH_WAIT_MS,
     };
-    if owner.as_str() == view.own_name() {
-        return Some(gateway.owner.await_primary(request).await);
-    }
-    let address = view.address(owner.as_str())?;
+    let (node, address) = match gateway.owner_of(instance)? {
+        Owner::This => return Some(gateway.owner.await_primary(request).await),
+        Owner::Peer { node, address } => (node, address),
+    };
     let limit = Duration::from_millis(u64::from(SEARCH_WAIT_MS) + 500);
     let id = request.request_id;
-    let reply = gateway
-        .links
-        .call(address, id, PeerMessage::AwaitPrimary(request), limit)
-        .await;
-    match reply {
+    let message = PeerMessage::AwaitPrimary(request);
+    match gateway.links.call(address, id, message, limit).await {
         Ok(PeerMessage::GroupStatus(status)) => Some(status),
+        Err(CallError::NotSent) => {
+            gateway.avoidance.avoid(&node);
+            tokio::time::sleep(SEARCH_PAUSE).await;
+            None
+        }
         _ => {
             tokio::time::sleep(SEARCH_PAUSE).await;
             None
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -1,6 +1,7 @@
 //! Runs a batch: chooses instances, sends it to their owners, and follows each
 //! failure with what may truthfully be done about it.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 };
 
 use super::request::Terms;
-use super::{Gateway, TenantRuntime, directory};
+use super::{Gateway, Owner, TenantRuntime, directory};
 use crate::clock;
 use crate::owner::LOCAL_LINK;
 use crate::peer::CallError;
@@ -36,7 +37,7 @@
     /// Instance it leads to.
     pub instance: InstanceName,
     /// Owner that holds it, by peer address; none when it is this node.
-    pub owner: Option<std::net::SocketAddr>,
+    pub owner: Option<SocketAddr>,
 }
 
 /// A batch that was answered.
@@ -78,6 +79,8 @@
 struct Failed {
     kind: ErrorKind,
     progress: Progress,
+    /// The owner itself could not be reached; the instance may be well.
+    is_unreached: bool,
     detail: String,
 }
 
@@ -121,27 +124,37 @@
         }
     }
 
-    fn owner_address(&self, instance: &InstanceName) -> Result<Option<std::net::SocketAddr>, Failed> {
-        let view = self.gateway.control.view();
-        let unknown = || Failed {
-            kind: ErrorKind::BackEndUnreachable,
-            progress: Progress::NotSent,
-            detail: "no node owns the instance".to_owned(),
-        };
+    fn owner_of(&self, instance: &InstanceName) -> Result<Owner, Failed> {
         let entry = self.spec.instances.iter().find(|entry| entry.name == *instance);
-        let entry = entry.ok_or_else(unknown)?;
-        let owner = view.owner(&entry.name, &entry.zone, &entry.region).ok_or_else(unknown)?;
-        if owner.as_str() == view.own_name() {
-            return Ok(None);
+        entry
+            .and_then(|entry| self.gateway.owner_of(entry))
+            .ok_or_else(|| Failed {
+                kind: ErrorKind::BackEndUnreachable,
+                progress: Progress::NotSent,
+                is_unreached: false,
+                detail: "no node owns the instance".to_owned(),
+            })
+    }
+
+    /// Gives a request to the present owner of its instance.
+    async fn send(&self, instance: &InstanceName, request: ExecuteRequest) -> Result<Outcome, Failed> {
+        match self.owner_of(instance)? {
+            Owner::This => self.send_to(instance, None, request).await,
+            Owner::Peer { node, address } => {
+                let sent = self.send_to(instance, Some(address), request).await;
+                if sent.as_ref().is_err_and(|failed| failed.is_unreached) {
+                    self.gateway.avoidance.avoid(&node);
+                }
+                sent
+            }
         }
-        view.address(owner.as_str()).map(Some).ok_or_else(unknown)
     }
 
-    /// Gives a request to the owner of its instance and waits for the reply.
-    async fn send(
+    /// Gives a request to this owner, and waits for the reply.
+    async fn send_to(
         &self,
         instance: &InstanceName,
-        owner: Option<std::net::SocketAddr>,
+        owner: Option<SocketAddr>,
         request: ExecuteRequest,
     ) -> Result<Outcome, Failed> {
         let limit = clock::until(self.terms.deadline) + REPLY_SLACK;
@@ -163,6 +176,7 @@
                 CallError::NotSent => Progress::NotSent,
                 CallError::Lost => Progress::Sent,
             },
+            is_unreached: error == CallError::NotSent,
             detail: format!("owner of {instance}: {error}"),
         })?;
         self.gateway.directory.learn(&self.spec, instance, &reply);
@@ -186,6 +200,7 @@
             let mut last = Failed {
                 kind: ErrorKind::ReplicaBehind,
                 progress: Progress::NotSent,
+                is_unreached: false,
                 detail: "no instance may serve the read".to_owned(),
             };
             let discarded = order.iter().any(|choice| choice.reason == millwind_core::routing::Reason::Discarded);
@@ -201,7 +216,7 @@
                 if last.kind == ErrorKind::SessionDiscarded || clock::now() >= self.terms.deadline {
                     return Err(Refusal::new(last.kind, last.detail));
                 }
-                self.note_failure(&choice.instance, last.kind);
+                self.note_failure(&choice.instance, &last);
             }
             if discarded && order.iter().all(|choice| !choice.reason.eligible()) {
                 return Err(Refusal::new(ErrorKind::SessionDiscarded, "a later term discarded it"));
@@ -248,12 +263,13 @@
         let mut request = self.request(&choice.instance, Intent::Read);
         request.token = wire(token);
         request.wait_ms = self.replica_wait_ms() as u32;
-        let owner = self.owner_address(&choice.instance)?;
-        self.send(&choice.instance, owner, request).await
+        self.send(&choice.instance, request).await
     }
 
-    fn note_failure(&self, instance: &InstanceName, kind: ErrorKind) {
-        match kind {
+    fn note_failure(&self, instance: &InstanceName, failed: &Failed) {
+        match failed.kind {
+            // The next owner in order is asked at once.
+            ErrorKind::BackEndUnreachable if failed.is_unreached => {}
             ErrorKind::BackEndUnreachable => self.gateway.directory.failed(&self.spec, instance),
             ErrorKind::NotPrimary | ErrorKind::NoPrimary => {
                 self.gateway.directory.not_primary(&self.spec, instance);
@@ -305,15 +321,11 @@
             if intent == Intent::Write {
                 request.request_key = self.terms.request_key.clone();
             }
-            let sent = match self.owner_address(&primary.instance) {
-                Ok(owner) => self.send(&primary.instance, owner, request).await,
-                Err(failed) => Err(failed),
-            };
-            let failed = match sent {
+            let failed = match self.send(&primary.instance, request).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(failed) => failed,
             };
-            self.note_failure(&primary.instance, failed.kind);
+            self.note_failure(&primary.instance, &failed);
             if failed.kind == ErrorKind::OutcomeUnknown {
                 self.gateway.directory.not_primary(&self.spec, &primary.instance);
             }
@@ -355,7 +367,7 @@
         if intent == Intent::Commit {
             request.request_key = self.terms.request_key.clone();
         }
-        let failed = match self.send(&pin.instance, pin.owner, request).await {
+        let failed = match self.send_to(&pin.instance, pin.owner, request).await {
             Ok(outcome) => return Ok(outcome),
             Err(failed) => failed,
         };
@@ -423,9 +435,9 @@
             request_key: self.terms.request_key.clone(),
             window_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
         };
-        match self.owner_address(instance).ok()? {
-            None => Some(self.gateway.owner.resolve(request).await.result),
-            Some(address) => {
+        match self.owner_of(instance).ok()? {
+            Owner::This => Some(self.gateway.owner.resolve(request).await.result),
+            Owner::Peer { address, .. } => {
                 let id = request.request_id;
                 let message = PeerMessage::Resolve(request);
                 match self.gateway.links.call(address, id, message, left + REPLY_SLACK).await {
@@ -446,7 +458,7 @@
 
 fn outcome(
     instance: &InstanceName,
-    owner: Option<std::net::SocketAddr>,
+    owner: Option<SocketAddr>,
     reply: ExecuteReply,
 ) -> Result<Outcome, Failed> {
     match reply.result {
@@ -474,6 +486,7 @@
                 2 => Progress::ProvenUndone,
                 _ => Progress::Sent,
             },
+            is_unreached: false,
             detail,
         }),
     }
--- a/crates/millwind-node/src/gateway/mod.rs
+++ b/crates/millwind-node/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: speaks to callers, decides where each request runs, and keeps
 //! each session consistent.
 
+mod avoidance;
 mod batch;
 mod caller_settings;
 mod directory;
@@ -12,12 +13,14 @@
 mod startup;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use millwind_core::ids::TenantName;
+use millwind_core::ids::{NodeName, TenantName};
 use millwind_core::retry::RetryBudget;
 use millwind_core::routing::Locality;
+use millwind_core::tenant::InstanceSpec;
 use tokio::sync::watch;
 
 use crate::NodeSettings;
@@ -51,12 +54,28 @@
     pub decisions: DecisionStream,
     /// What is known of the groups.
     pub(crate) directory: directory::Directory,
+    /// Nodes that could not be reached a moment ago.
+    pub(crate) avoidance: avoidance::Avoidance,
     draining: watch::Sender<bool>,
     tenants: Mutex<HashMap<TenantName, Arc<TenantRuntime>>>,
     sessions: AtomicUsize,
     accepting: AtomicBool,
 }
 
+/// Who owns an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Owner {
+    /// This node.
+    This,
+    /// Another node.
+    Peer {
+        /// Its name.
+        node: NodeName,
+        /// Its peer address.
+        address: SocketAddr,
+    },
+}
+
 /// What sessions of one tenant share on one node.
 #[derive(Debug)]
 pub(crate) struct TenantRuntime {
@@ -87,6 +106,7 @@
             metrics,
             decisions: DecisionStream::default(),
             directory: directory::Directory::default(),
+            avoidance: avoidance::Avoidance::default(),
             draining,
             tenants: Mutex::default(),
             sessions: AtomicUsize::new(0),
@@ -110,6 +130,18 @@
         self.sessions.load(Ordering::Relaxed)
     }
 
+    /// The node that owns an instance, past those that could not be reached.
+    pub(crate) fn owner_of(&self, instance: &InstanceSpec) -> Option<Owner> {
+        let view = self.control.view();
+        let avoided = self.avoidance.avoided();
+        let node = view.owner_except(&instance.name, &instance.zone, &instance.region, &avoided)?;
+        if node.as_str() == view.own_name() {
+            return Some(Owner::This);
+        }
+        let address = view.address(node.as_str())?;
+        Some(Owner::Peer { node, address })
+    }
+
     pub(crate) fn tenant_runtime(&self, tenant: &TenantName, budget_percent: u32) -> Arc<TenantRuntime> {
         let mut tenants = self.tenants.lock().unwrap_or_else(PoisonError::into_inner);
         let runtime = tenants.entry(tenant.clone()).or_insert_with(|| {
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -215,6 +215,7 @@
         let mut view = self.monitor.view.clone();
         let wait = Duration::from_millis(self.request.wait_ms.into()).min(clock::until(self.deadline));
         let give_up = tokio::time::Instant::now() + wait;
+        let mut _awaited = None;
         loop {
             let obstacle = match self.obstacle(&view.borrow_and_update()) {
                 None => return Ok(()),
@@ -223,6 +224,9 @@
             if obstacle != ErrorKind::ReplicaBehind {
                 return Err(Failure::not_sent(obstacle, "instance cannot serve the read"));
             }
+            if _awaited.is_none() {
+                _awaited = self.monitor.await_instance(&self.instance);
+            }
             let changed = tokio::time::timeout_at(give_up, view.changed()).await;
             if !matches!(changed, Ok(Ok(()))) {
                 return Err(Failure::not_sent(obstacle, "instance did not catch up in time"));
--- a/crates/millwind-node/src/owner/monitor.rs
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -19,10 +19,14 @@
 use crate::pg::backend::{BackendConnection, BackendTarget};
 use crate::pg::status::{parse_status, put_status};
 
-/// The primary, and an instance this node owns, are asked this often.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// The primary is asked this often when nothing waits on it.
+const PRIMARY_INTERVAL: Duration = Duration::from_millis(200);
+/// A replica this node owns is asked this often.
+const OWNED_INTERVAL: Duration = Duration::from_millis(500);
 /// Other instances are asked this often.
-const DISTANT_INTERVAL: Duration = Duration::from_millis(500);
+const DISTANT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// While a read waits for a replica, it is asked this often.
+const AWAITED_INTERVAL: Duration = Duration::from_millis(10);
 /// Between two tries to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// While the group shows no primary it is asked this often.
@@ -86,12 +90,27 @@
 
     /// Marks an instance as one this node owns.
     pub fn set_owned(&self, instance: &InstanceName) {
-        let index = self.snapshot().instances().position(|name| name == instance);
-        if let Some(owned) = index.and_then(|index| self.commits.owned.get(index)) {
-            owned.store(true, Ordering::Relaxed);
+        if let Some(index) = self.index(instance) {
+            self.commits.interests[index].owned.store(true, Ordering::Relaxed);
         }
     }
 
+    fn index(&self, instance: &InstanceName) -> Option<usize> {
+        self.snapshot().instances().position(|name| name == instance)
+    }
+
+    /// Announces a read that waits for an instance to catch up.
+    pub fn await_instance(&self, instance: &InstanceName) -> Option<AwaitedInstance> {
+        let index = self.index(instance)?;
+        let interest = &self.commits.interests[index];
+        interest.awaited.fetch_add(1, Ordering::Relaxed);
+        interest.wake.notify_one();
+        Some(AwaitedInstance {
+            commits: self.commits.clone(),
+            index,
+        })
+    }
+
     /// Marks instances as leaving.
     pub async fn set_leaving(&self, leaving: Vec<(InstanceName, bool)>) {
         let _ = self.actor.send(SetLeaving { leaving }).await;
@@ -128,15 +147,37 @@
 #[derive(Debug)]
 struct Commits {
     count: AtomicUsize,
-    wakes: Vec<Notify>,
-    /// Instances this node owns, in the same order.
-    owned: Vec<AtomicBool>,
+    interests: Vec<Interest>,
+}
+
+/// What this node wants of one instance.
+#[derive(Debug, Default)]
+struct Interest {
+    /// Asks the instance now.
+    wake: Notify,
+    /// This node owns the instance.
+    owned: AtomicBool,
+    /// Reads that wait for the instance to catch up.
+    awaited: AtomicUsize,
+}
+
+/// Held while a read waits for an instance to catch up.
+#[derive(Debug)]
+pub struct AwaitedInstance {
+    commits: Arc<Commits>,
+    index: usize,
+}
+
+impl Drop for AwaitedInstance {
+    fn drop(&mut self) {
+        self.commits.interests[self.index].awaited.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Commits {
     fn wake_all(&self) {
-        for wake in &self.wakes {
-            wake.notify_one();
+        for interest in &self.interests {
+            interest.wake.notify_one();
         }
     }
 
@@ -169,8 +210,7 @@
     let (published, receiver) = watch::channel(Arc::new(view.clone()));
     let commits = Arc::new(Commits {
         count: AtomicUsize::new(0),
-        wakes: targets.iter().map(|_| Notify::new()).collect(),
-        owned: targets.iter().map(|_| AtomicBool::new(false)).collect(),
+        interests: targets.iter().map(|_| Interest::default()).collect(),
     });
     let actor = MonitorActor {
         group,
@@ -366,17 +406,18 @@
         if self.commits.are_expected() {
             return CONFIRM_INTERVAL;
         }
+        let interest = &self.commits.interests[self.index];
+        if interest.awaited.load(Ordering::Relaxed) > 0 {
+            return AWAITED_INTERVAL;
+        }
         match self.view.borrow().primary(clock::now()) {
             None => SEARCH_INTERVAL,
-            Some((primary, _)) if *primary == self.instance || self.is_owned() => PROBE_INTERVAL,
+            Some((primary, _)) if *primary == self.instance => PRIMARY_INTERVAL,
+            Some(_) if interest.owned.load(Ordering::Relaxed) => OWNED_INTERVAL,
             Some(_) => DISTANT_INTERVAL,
         }
     }
 
-    fn is_owned(&self) -> bool {
-        self.commits.owned[self.index].load(Ordering::Relaxed)
-    }
-
     /// Whether a status came lately by another way, so that asking is needless.
     fn heard_lately(&self, interval: Duration) -> bool {
         let view = self.view.borrow();
@@ -413,7 +454,7 @@
                 () = tokio::time::sleep_until(give_up), if oldest.is_some() => {
                     return "no answer to the status question".to_owned();
                 }
-                () = self.commits.wakes[self.index].notified(), if may_ask => true,
+                () = self.commits.interests[self.index].wake.notified(), if may_ask => true,
                 () = tokio::time::sleep_until(next_ask), if may_ask && (in_flight.is_empty() || self.commits.are_expected()) => {
                     let interval = self.interval();
                     let needless = !self.commits.are_expected() && self.heard_lately(interval);
