--- a/crates/millwind-core/src/routing.rs
+++ b/crates/millwind-core/src/routing.rs
@@ -20,6 +20,8 @@
     pub primary: bool,
     /// Last position heard, with its time.
     pub position: Option<(Instant, Position)>,
+    /// Replay lag seen lately, in milliseconds: the expected catch-up time.
+    pub lag_ms: u64,
     /// Term starts heard with the position.
     pub history: Vec<TermStart>,
     /// Leaving instances get no new work.
@@ -122,8 +124,6 @@
     pub token: Option<Position>,
     /// How long the read may wait for a replica, in milliseconds.
     pub wait_ms: u64,
-    /// Replica lag seen lately, in milliseconds: the expected catch-up time.
-    pub expected_lag_ms: u64,
     /// Which instances may serve it.
     pub policy: ReadPolicy,
 }
@@ -179,7 +179,7 @@
     match coverage(position, &hint.history, token) {
         Coverage::Covered => Reason::Covers,
         Coverage::Discarded => Reason::Discarded,
-        Coverage::Behind if request.expected_lag_ms <= request.wait_ms => Reason::CatchesUp,
+        Coverage::Behind if hint.lag_ms <= request.wait_ms => Reason::CatchesUp,
         Coverage::Behind => Reason::TooFarBehind,
     }
 }
--- a/crates/millwind-core/tests/routing.rs
+++ b/crates/millwind-core/tests/routing.rs
@@ -20,6 +20,7 @@
         region: "r".into(),
         primary,
         position: position.map(|position| (NOW, position)),
+        lag_ms: 50,
         history: Vec::new(),
         leaving: false,
         banned_until: Instant::default(),
@@ -37,7 +38,6 @@
     ReadRequest {
         token,
         wait_ms: 300,
-        expected_lag_ms: 50,
         policy: ReadPolicy::Replica,
     }
 }
@@ -60,15 +60,29 @@
 
 #[test]
 fn too_long_a_lag_sends_the_read_to_the_primary() {
-    let hints = [
+    let mut hints = [
         hint("replica", "near", false, Some(Position::new(1, 5))),
         hint("primary", "far", true, Some(Position::new(1, 10))),
     ];
-    let mut asked = request(Some(Position::new(1, 10)));
-    asked.expected_lag_ms = 5_000;
+    hints[0].lag_ms = 5_000;
+    let asked = request(Some(Position::new(1, 10)));
     assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["primary", "replica"]);
 }
 
+/// Seen in the old-primary experiment: one instance that no longer replays made
+/// every replica of its group look slow, and reads went to the primary.
+#[test]
+fn one_slow_instance_does_not_slow_the_others() {
+    let mut hints = [
+        hint("stuck", "near", false, Some(Position::new(1, 5))),
+        hint("well", "far", false, Some(Position::new(1, 9))),
+        hint("primary", "near", true, Some(Position::new(1, 10))),
+    ];
+    hints[0].lag_ms = 60_000;
+    let asked = request(Some(Position::new(1, 10)));
+    assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["well", "primary", "stuck"]);
+}
+
 #[test]
 fn leaving_and_discarded_candidates_are_not_eligible() {
     let mut leaving = hint("leaving", "near", false, None);
--- a/crates/millwind-lab/src/experiment.rs
+++ b/crates/millwind-lab/src/experiment.rs
@@ -18,7 +18,7 @@
 use crate::history::{History, Violation};
 use crate::http;
 use crate::instance::LoggedTransaction;
-use crate::workload::{self, Target, WorkloadSettings};
+use crate::workload::{self, LiveCounts, Target, WorkloadSettings};
 
 pub use summary::{ClassLatency, GapSummary, Summary};
 
@@ -160,7 +160,10 @@
     let deployment = Deployment::of(options.deployment);
     let mut cluster = Cluster::start(deployment, options.cluster_options()).await?;
     let stop = Arc::new(AtomicBool::new(false));
-    let load = tokio::spawn(workload::run(options.workload(name), targets(&cluster), stop.clone()));
+    let live = Arc::new(LiveCounts::default());
+    let load = workload::run(options.workload(name), targets(&cluster), stop.clone(), live.clone());
+    let load = tokio::spawn(load);
+    let ticker = options.verbose.then(|| tokio::spawn(show(live)));
     let watcher = watcher::start(&cluster);
     let started = tokio::time::Instant::now();
     tokio::time::sleep(WARM_UP).await;
@@ -169,6 +172,9 @@
     tokio::time::sleep_until(end).await;
     stop.store(true, Ordering::Relaxed);
     let mut history = load.await.unwrap_or_default();
+    if let Some(ticker) = ticker {
+        ticker.abort();
+    }
     report.violations.append(&mut history.violations);
     report.violations.extend(watcher.finish().await);
     report.violations.extend(check_logs(&cluster, &history).await?);
@@ -178,6 +184,22 @@
     Ok((summary, history))
 }
 
+/// Prints the load's counts every second.
+async fn show(live: Arc<LiveCounts>) {
+    let started = tokio::time::Instant::now();
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        println!(
+            "t={:>3}s acknowledged={} reads={} refused={} unknown={}",
+            started.elapsed().as_secs(),
+            live.acknowledged.load(Ordering::Relaxed),
+            live.reads.load(Ordering::Relaxed),
+            live.refused.load(Ordering::Relaxed),
+            live.unknown.load(Ordering::Relaxed)
+        );
+    }
+}
+
 fn targets(cluster: &Cluster) -> Vec<Target> {
     (0..cluster.groups())
         .map(|index| Target {
--- a/crates/millwind-lab/src/lib.rs
+++ b/crates/millwind-lab/src/lib.rs
@@ -4,18 +4,16 @@
 
 pub mod client;
 pub mod cluster;
-
+pub mod demo;
 pub mod deployment;
 pub mod experiment;
-
 pub mod history;
-
 pub mod hollow;
 pub mod http;
 pub mod instance;
-
+pub mod overhead;
 pub mod platform;
 pub mod ports;
 pub mod relay;
-
+pub mod report;
 pub mod workload;
--- a/crates/millwind-lab/src/main.rs
+++ b/crates/millwind-lab/src/main.rs
@@ -1,15 +1,18 @@
 //! Command line of the lab.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
 use millwind_lab::deployment::DeploymentName;
-use millwind_lab::experiment::{self, Baseline, ExperimentName, ExperimentOptions};
+use millwind_lab::experiment::{self, Baseline, ExperimentName, ExperimentOptions, Summary};
+use millwind_lab::history::History;
 use millwind_lab::hollow::{self, HollowSize};
 use millwind_lab::instance::{Instance, InstanceSettings};
 use millwind_lab::platform::Platform;
+use millwind_lab::report::{self, RecordedRun};
+use millwind_lab::{demo, overhead};
 use millwind_node::{NodeSettings, daemon, logging};
 
 /// Scaffolding for millwind: stand-ins, load, experiments.
@@ -43,6 +46,29 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Show a deployment at work: load, failover, every answer checked.
+    Demo {
+        /// Which user's deployment.
+        #[arg(long, value_enum, default_value = "glasfail")]
+        deployment: DeploymentName,
+        /// Seed of all choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Measure what the proxy itself costs, without injected latencies.
+    Overhead {
+        /// Callers of the throughput measurement.
+        #[arg(long, default_value_t = 64)]
+        callers: usize,
+        /// Idle callers of the memory measurement.
+        #[arg(long, default_value_t = 2000)]
+        idle_callers: usize,
+    },
+    /// Make an HTML page of the runs recorded in a directory.
+    Report {
+        /// The directory.
+        directory: PathBuf,
+    },
     /// Run an experiment; the last line is one JSON object.
     Experiment(ExperimentArguments),
     /// Run the control plane of many nodes in one process.
@@ -112,6 +138,9 @@
     /// Print only the JSON line.
     #[arg(long)]
     json: bool,
+    /// Record the run in this directory, for `report`.
+    #[arg(long)]
+    record: Option<PathBuf>,
 }
 
 impl ExperimentArguments {
@@ -140,6 +169,15 @@
             Ok(settings) => daemon::run(settings).await,
             Err(error) => daemon::refuse(&error.to_string()),
         },
+        Command::Demo { deployment, seed } => run_demo(deployment, seed).await,
+        Command::Overhead { callers, idle_callers } => run_overhead(callers, idle_callers).await,
+        Command::Report { directory } => match report::make(&directory) {
+            Ok(path) => {
+                println!("{}", path.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => fail(&error),
+        },
         Command::Hollow {
             nodes,
             databases,
@@ -190,11 +228,11 @@
 }
 
 fn run_hollow(size: HollowSize, json: bool) -> ExitCode {
-    let report = hollow::run(size);
+    let measured = hollow::run(size);
     let text = if json {
-        serde_json::to_string(&report)
+        serde_json::to_string(&measured)
     } else {
-        serde_json::to_string_pretty(&report)
+        serde_json::to_string_pretty(&measured)
     };
     match text {
         Ok(text) => {
@@ -205,24 +243,78 @@
     }
 }
 
+fn print_json(value: &impl serde::Serialize) {
+    match serde_json::to_string(value) {
+        Ok(line) => println!("{line}"),
+        Err(error) => eprintln!("millwind-lab: {error}"),
+    }
+}
+
+fn exit_code(summary: &Summary) -> ExitCode {
+    if summary.is_clean() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+async fn run_demo(deployment: DeploymentName, seed: u64) -> ExitCode {
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(error) => return fail(&error),
+    };
+    let mut options = ExperimentOptions::new(program, deployment);
+    options.seed = seed;
+    options.verbose = true;
+    match demo::run(&options).await {
+        Ok(summary) => {
+            print_json(&summary);
+            exit_code(&summary)
+        }
+        Err(error) => fail(&error),
+    }
+}
+
+async fn run_overhead(callers: usize, idle_callers: usize) -> ExitCode {
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(error) => return fail(&error),
+    };
+    match overhead::run(program, callers, idle_callers).await {
+        Ok(report) => {
+            print_json(&report);
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error),
+    }
+}
+
 async fn run_experiment(arguments: &ExperimentArguments) -> ExitCode {
     let program = match std::env::current_exe() {
         Ok(program) => program,
         Err(error) => return fail(&error),
     };
-    let (summary, _) = match experiment::run(arguments.name, &arguments.options(program)).await {
+    let (summary, history) = match experiment::run(arguments.name, &arguments.options(program)).await {
         Ok(result) => result,
         Err(error) => return fail(&error),
     };
-    match serde_json::to_string(&summary) {
-        Ok(line) => println!("{line}"),
-        Err(error) => return fail(&error),
-    }
-    if summary.is_clean() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
+    if let Some(directory) = &arguments.record {
+        if let Err(error) = record(directory, &summary, &history) {
+            return fail(&error);
+        }
     }
+    print_json(&summary);
+    exit_code(&summary)
+}
+
+fn record(directory: &Path, summary: &Summary, history: &History) -> std::io::Result<()> {
+    std::fs::create_dir_all(directory)?;
+    let value = serde_json::to_value(summary).map_err(std::io::Error::other)?;
+    let run = RecordedRun::new(value, history);
+    let text = serde_json::to_string(&run).map_err(std::io::Error::other)?;
+    let baseline = summary.baseline.as_deref().unwrap_or("usual");
+    let name = format!("{}-{}-{}-{baseline}.json", summary.experiment, summary.deployment, summary.seed);
+    std::fs::write(directory.join(name), text)
 }
 
 async fn run_cluster(deployment: DeploymentName, nodes_per_zone: usize) -> ExitCode {
--- a/crates/millwind-lab/src/workload.rs
+++ b/crates/millwind-lab/src/workload.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use millwind_core::invariant::Invariant;
@@ -62,8 +62,26 @@
     pub group: String,
 }
 
+/// Counts of a running load, for showing.
+#[derive(Debug, Default)]
+pub struct LiveCounts {
+    /// Writes acknowledged.
+    pub acknowledged: AtomicU64,
+    /// Reads answered.
+    pub reads: AtomicU64,
+    /// Requests refused as not run, or undone.
+    pub refused: AtomicU64,
+    /// Writes of unknown outcome.
+    pub unknown: AtomicU64,
+}
+
 /// Runs callers until `stop` is set; returns what they saw.
-pub async fn run(settings: WorkloadSettings, targets: Vec<Target>, stop: Arc<AtomicBool>) -> History {
+pub async fn run(
+    settings: WorkloadSettings,
+    targets: Vec<Target>,
+    stop: Arc<AtomicBool>,
+    live: Arc<LiveCounts>,
+) -> History {
     let mut callers = Vec::new();
     for (tenant_index, target) in targets.into_iter().enumerate() {
         for index in 0..settings.sessions {
@@ -79,6 +97,7 @@
                 sequence: 0,
                 acknowledged: 0,
                 history: History::default(),
+                live: live.clone(),
             };
             callers.push(tokio::spawn(caller.run(stop.clone())));
         }
@@ -103,6 +122,7 @@
     sequence: u64,
     acknowledged: u64,
     history: History,
+    live: Arc<LiveCounts>,
 }
 
 /// An error as the caller understands it.
@@ -316,6 +336,12 @@
     }
 
     fn record_write(&mut self, requests: &[String], started: Instant, told: Told, kind: String) {
+        let count = match told {
+            Told::Acknowledged => &self.live.acknowledged,
+            Told::Unknown => &self.live.unknown,
+            Told::NotRun | Told::RolledBack => &self.live.refused,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
         for request in requests {
             self.history.writes.push(WriteRecord {
                 request: request.clone(),
@@ -357,6 +383,8 @@
                 (false, "no answer".to_owned())
             }
         };
+        let count = if answered { &self.live.reads } else { &self.live.refused };
+        count.fetch_add(1, Ordering::Relaxed);
         self.history.reads.push(ReadRecord {
             answered,
             kind,
--- a/crates/millwind-node/src/gateway/directory.rs
+++ b/crates/millwind-node/src/gateway/directory.rs
@@ -41,7 +41,6 @@
 struct Entry {
     spec: Arc<GroupSpec>,
     hints: Vec<InstanceHint>,
-    lag_ms: u64,
     primary: watch::Sender<Option<KnownPrimary>>,
 }
 
@@ -64,9 +63,9 @@
         work(entry)
     }
 
-    /// Hints of all instances and the lag to expect, in milliseconds.
-    pub fn hints(&self, spec: &Arc<GroupSpec>) -> (Vec<InstanceHint>, u64) {
-        self.with(spec, |entry| (entry.hints.clone(), entry.lag_ms))
+    /// Hints of all instances.
+    pub fn hints(&self, spec: &Arc<GroupSpec>) -> Vec<InstanceHint> {
+        self.with(spec, |entry| entry.hints.clone())
     }
 
     /// The primary, if known.
@@ -85,9 +84,9 @@
         }
         self.with(spec, |entry| {
             let position = Position::new(reply.held.term, reply.held.log_position);
-            if reply.primary == 0 && reply.lag_ms != u32::MAX {
-                let kept = entry.lag_ms * (LAG_SMOOTHING - 1);
-                entry.lag_ms = (kept + u64::from(reply.lag_ms)) / LAG_SMOOTHING;
+            if let Some(hint) = entry.hint(instance).filter(|_| reply.lag_ms != u32::MAX) {
+                let kept = hint.lag_ms * (LAG_SMOOTHING - 1);
+                hint.lag_ms = (kept + u64::from(reply.lag_ms)) / LAG_SMOOTHING;
             }
             let history = history(&reply.history);
             entry.observe(instance, position, history, reply.primary == 1);
@@ -97,12 +96,8 @@
     /// Takes in that a request to `instance` failed: it is left alone for a
     /// while, and no longer taken for the primary.
     pub fn failed(&self, spec: &Arc<GroupSpec>, instance: &InstanceName) {
-        self.with(spec, |entry| {
-            if let Some(hint) = entry.hint(instance) {
-                hint.banned_until = clock::now().plus_millis(BAN_MS);
-            }
-            entry.forget_primary(instance);
-        });
+        self.ban(spec, instance);
+        self.not_primary(spec, instance);
     }
 
     /// Takes in that `instance` does not lead.
@@ -110,6 +105,15 @@
         self.with(spec, |entry| entry.forget_primary(instance));
     }
 
+    /// Takes in that `instance` can serve no read just now.
+    pub fn ban(&self, spec: &Arc<GroupSpec>, instance: &InstanceName) {
+        self.with(spec, |entry| {
+            if let Some(hint) = entry.hint(instance) {
+                hint.banned_until = clock::now().plus_millis(BAN_MS);
+            }
+        });
+    }
+
     fn learn_status(&self, spec: &Arc<GroupSpec>, status: &GroupStatus) -> bool {
         let history = history(&status.history);
         self.with(spec, |entry| {
@@ -142,7 +146,6 @@
         let mut entry = Entry {
             spec: spec.clone(),
             hints: Vec::new(),
-            lag_ms: 0,
             primary,
         };
         entry.refresh(spec);
@@ -161,6 +164,7 @@
                     region: instance.region.clone(),
                     primary: held.is_some_and(|hint| hint.primary),
                     position: held.and_then(|hint| hint.position),
+                    lag_ms: held.map_or(0, |hint| hint.lag_ms),
                     history: held.map(|hint| hint.history.clone()).unwrap_or_default(),
                     leaving: instance.leaving,
                     banned_until: held.map_or(Instant::default(), |hint| hint.banned_until),
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -217,6 +217,10 @@
                     return Err(Refusal::new(last.kind, last.detail));
                 }
                 self.note_failure(&choice.instance, &last);
+                if last.kind == ErrorKind::NotPrimary {
+                    // An old primary: neither leads nor replays.
+                    self.gateway.directory.ban(&self.spec, &choice.instance);
+                }
             }
             if discarded && order.iter().all(|choice| !choice.reason.eligible()) {
                 return Err(Refusal::new(ErrorKind::SessionDiscarded, "a later term discarded it"));
@@ -235,7 +239,7 @@
     }
 
     fn read_order(&mut self, token: Option<Position>) -> Vec<Choice> {
-        let (mut hints, expected_lag_ms) = self.gateway.directory.hints(&self.spec);
+        let mut hints = self.gateway.directory.hints(&self.spec);
         let config = self.gateway.control.config();
         for hint in &mut hints {
             hint.leaving = config.is_leaving(&self.spec.name, &hint.instance);
@@ -243,7 +247,6 @@
         let request = ReadRequest {
             token,
             wait_ms: self.replica_wait_ms(),
-            expected_lag_ms,
             policy: self.tenant.read_policy,
         };
         let order = order_for_read(clock::now(), &self.gateway.locality, &hints, &request);
