Ask a replica again that was once found slow

Ruled out: bans (500 ms), staleness bound (3 s); the decision stream showed 'too_far_behind' for the well replica in every read. Change: a lag heard a while ago counts less by that while. Conclusion: hints must age.

--- a/crates/millwind-core/src/routing.rs
+++ b/crates/millwind-core/src/routing.rs
@@ -170,7 +170,7 @@
     if request.policy == ReadPolicy::PrimaryOnly {
         return Reason::TooFarBehind;
     }
-    let Some((_, position)) = hint.position else {
+    let Some((heard, position)) = hint.position else {
         return Reason::PositionUnknown;
     };
     let Some(token) = request.token else {
@@ -179,7 +179,11 @@
     match coverage(position, &hint.history, token) {
         Coverage::Covered => Reason::Covers,
         Coverage::Discarded => Reason::Discarded,
-        Coverage::Behind if hint.lag_ms <= request.wait_ms => Reason::CatchesUp,
+        // A lag heard a while ago has been worked off since; without this, a
+        // replica once found slow would never be asked again.
+        Coverage::Behind if hint.lag_ms.saturating_sub(now.millis_since(heard)) <= request.wait_ms => {
+            Reason::CatchesUp
+        }
         Coverage::Behind => Reason::TooFarBehind,
     }
 }
--- a/crates/millwind-core/tests/routing.rs
+++ b/crates/millwind-core/tests/routing.rs
@@ -83,6 +83,21 @@
     assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["well", "primary", "stuck"]);
 }
 
+/// Seen in the old-primary experiment: after a failover all replicas looked a
+/// second behind, none was asked again, and reads stayed on the primary.
+#[test]
+fn a_replica_once_found_slow_is_asked_again() {
+    let mut hints = [
+        hint("replica", "near", false, Some(Position::new(1, 5))),
+        hint("primary", "near", true, Some(Position::new(1, 10))),
+    ];
+    hints[0].lag_ms = 1_000;
+    let asked = request(Some(Position::new(1, 10)));
+    assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["primary", "replica"]);
+    let later = NOW.plus_millis(800);
+    assert_eq!(names(&order_for_read(later, &locality(), &hints, &asked)), ["replica", "primary"]);
+}
+
 #[test]
 fn leaving_and_discarded_candidates_are_not_eligible() {
     let mut leaving = hint("leaving", "near", false, None);
