--- a/crates/millwind-core/src/admission.rs
+++ b/crates/millwind-core/src/admission.rs
@@ -121,7 +121,12 @@
         let lowest = self
             .tenants
             .iter()
-            .flat_map(|(tenant, queue)| queue.waiting.iter().map(move |ticket| (ticket.value, tenant.clone())))
+            .flat_map(|(tenant, queue)| {
+                queue
+                    .waiting
+                    .iter()
+                    .map(move |ticket| (ticket.value, tenant.clone()))
+            })
             .min();
         let Some((lowest_value, tenant)) = lowest else {
             return false;
@@ -132,7 +137,11 @@
         let Some(queue) = self.tenants.get_mut(&tenant) else {
             return false;
         };
-        let Some(index) = queue.waiting.iter().rposition(|ticket| ticket.value == lowest_value) else {
+        let Some(index) = queue
+            .waiting
+            .iter()
+            .rposition(|ticket| ticket.value == lowest_value)
+        else {
             return false;
         };
         if let Some(ticket) = queue.waiting.remove(index) {
--- a/crates/millwind-core/src/classify.rs
+++ b/crates/millwind-core/src/classify.rs
@@ -3,7 +3,9 @@
 
 use std::ops::ControlFlow;
 
-use sqlparser::ast::{Expr, Ident, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor};
+use sqlparser::ast::{
+    Expr, Ident, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor,
+};
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
@@ -13,10 +15,40 @@
 
 /// Functions that are known to change nothing.
 const READ_ONLY_FUNCTIONS: &[&str] = &[
-    "abs", "array_agg", "avg", "ceil", "char_length", "coalesce", "concat", "count", "current_date",
-    "current_timestamp", "date_trunc", "floor", "greatest", "json_agg", "least", "length", "lower",
-    "ltrim", "max", "min", "now", "nullif", "pg_is_in_recovery", "round", "row_number", "rtrim",
-    "string_agg", "substr", "substring", "sum", "to_char", "trim", "upper", "version",
+    "abs",
+    "array_agg",
+    "avg",
+    "ceil",
+    "char_length",
+    "coalesce",
+    "concat",
+    "count",
+    "current_date",
+    "current_timestamp",
+    "date_trunc",
+    "floor",
+    "greatest",
+    "json_agg",
+    "least",
+    "length",
+    "lower",
+    "ltrim",
+    "max",
+    "min",
+    "now",
+    "nullif",
+    "pg_is_in_recovery",
+    "round",
+    "row_number",
+    "rtrim",
+    "string_agg",
+    "substr",
+    "substring",
+    "sum",
+    "to_char",
+    "trim",
+    "upper",
+    "version",
 ];
 
 /// What a statement does, as far as routing is concerned.
@@ -161,12 +193,14 @@
         | Statement::Discard { .. } => StatementKind::Unsupported,
         Statement::CreateTable(table) if table.temporary => StatementKind::Unsupported,
         Statement::StartTransaction { modes, .. } => StatementKind::Begin {
-            read_only: modes
-                .iter()
-                .any(|mode| *mode == TransactionMode::AccessMode(TransactionAccessMode::ReadOnly)),
+            read_only: modes.contains(&TransactionMode::AccessMode(TransactionAccessMode::ReadOnly)),
         },
         Statement::Commit { chain: false, .. } => StatementKind::Commit,
-        Statement::Rollback { chain: false, savepoint: None, .. } => StatementKind::Rollback,
+        Statement::Rollback {
+            chain: false,
+            savepoint: None,
+            ..
+        } => StatementKind::Rollback,
         Statement::Set(set) => set_kind(set),
         _ => StatementKind::Write,
     }
@@ -177,14 +211,22 @@
     match names.split_first() {
         Some((first, rest)) if first == "millwind" => StatementKind::ShowProxy { name: rest.join(".") },
         _ => match names.join(".").strip_prefix("millwind.") {
-            Some(name) => StatementKind::ShowProxy { name: name.to_owned() },
+            Some(name) => StatementKind::ShowProxy {
+                name: name.to_owned(),
+            },
             None => StatementKind::Read,
         },
     }
 }
 
 fn set_kind(set: &Set) -> StatementKind {
-    let Set::SingleAssignment { scope, variable, values, .. } = set else {
+    let Set::SingleAssignment {
+        scope,
+        variable,
+        values,
+        ..
+    } = set
+    else {
         return StatementKind::SetSession {
             name: set.to_string(),
         };
@@ -243,9 +285,7 @@
     match body {
         SetExpr::Select(select) => select.into.is_none(),
         SetExpr::Query(_) | SetExpr::Values(_) | SetExpr::Table(_) => true,
-        SetExpr::SetOperation { left, right, .. } => {
-            is_read_only_body(left) && is_read_only_body(right)
-        }
+        SetExpr::SetOperation { left, right, .. } => is_read_only_body(left) && is_read_only_body(right),
         _ => false,
     }
 }
--- a/crates/millwind-core/src/config_state.rs
+++ b/crates/millwind-core/src/config_state.rs
@@ -274,7 +274,8 @@
         errors: &mut Vec<DocumentError>,
     ) {
         for document in self.of_kind(DocumentKind::Tenant) {
-            let settings = parse_tenant(document).and_then(|tenant| tenant_settings(document, &tenant, templates));
+            let settings =
+                parse_tenant(document).and_then(|tenant| tenant_settings(document, &tenant, templates));
             match settings {
                 Ok(settings) => {
                     resolved.tenants.insert(settings.name.clone(), Arc::new(settings));
@@ -300,10 +301,12 @@
         changed.replace(&raised);
         let (_, before) = self.resolve(&ResolvedConfig::default());
         let (resolved, after) = changed.resolve(&ResolvedConfig::default());
-        if after.len() > before.len() {
-            if let Some(error) = after.into_iter().find(|error| before.iter().all(|old| old.to_string() != error.to_string())) {
-                return Err(error);
-            }
+        if after.len() > before.len()
+            && let Some(error) = after
+                .into_iter()
+                .find(|error| before.iter().all(|old| old.to_string() != error.to_string()))
+        {
+            return Err(error);
         }
         for tenant in resolved.tenants.values() {
             if !resolved.groups.contains_key(&tenant.group) {
@@ -370,11 +373,13 @@
     tenant: &Tenant,
     templates: &BTreeMap<String, Template>,
 ) -> Result<TenantSettings, DocumentError> {
-    let template = templates.get(&tenant.template).ok_or_else(|| DocumentError::Missing {
-        key: document.key.clone(),
-        field: "template",
-        name: tenant.template.clone(),
-    })?;
+    let template = templates
+        .get(&tenant.template)
+        .ok_or_else(|| DocumentError::Missing {
+            key: document.key.clone(),
+            field: "template",
+            name: tenant.template.clone(),
+        })?;
     template.settings_for(tenant).map_err(range_error(document))
 }
 
--- a/crates/millwind-core/src/confirmation.rs
+++ b/crates/millwind-core/src/confirmation.rs
@@ -96,7 +96,11 @@
     /// is already known, else it follows by [`Self::observe`].
     pub fn register(&mut self, id: u64, position: Position) -> Option<Verdict> {
         let finished = self.draw();
-        let commit = PendingCommit { id, position, finished };
+        let commit = PendingCommit {
+            id,
+            position,
+            finished,
+        };
         let verdict = self.verdict(&commit);
         if verdict.is_none() {
             self.pending.push(commit);
@@ -124,7 +128,11 @@
         term: Term,
         received: LogPosition,
     ) -> Vec<(u64, Verdict)> {
-        let shown = Shown { asked, term, received };
+        let shown = Shown {
+            asked,
+            term,
+            received,
+        };
         let entry = self.shown.entry(instance.clone()).or_insert(shown);
         if asked >= entry.asked {
             *entry = shown;
@@ -141,7 +149,11 @@
     }
 
     fn verdict(&self, commit: &PendingCommit) -> Option<Verdict> {
-        let agreeing = self.shown.values().filter(|shown| self.holds(shown, commit)).count();
+        let agreeing = self
+            .shown
+            .values()
+            .filter(|shown| self.holds(shown, commit))
+            .count();
         if agreeing * 2 > self.members {
             return Some(Verdict::Confirmed);
         }
--- a/crates/millwind-core/src/control.rs
+++ b/crates/millwind-core/src/control.rs
@@ -253,7 +253,13 @@
             return;
         }
         let own = self.membership.own().zone.clone();
-        let others: Vec<String> = self.membership.zones().keys().filter(|zone| **zone != own).cloned().collect();
+        let others: Vec<String> = self
+            .membership
+            .zones()
+            .keys()
+            .filter(|zone| **zone != own)
+            .cloned()
+            .collect();
         if !others.is_empty() {
             self.rotation += 1;
             let zone = others[self.rotation % others.len()].clone();
@@ -307,7 +313,12 @@
 
     /// Takes in changes that the platform's watch reported; they are complete
     /// from the revision in force on.
-    pub fn platform_changes(&mut self, now: Instant, revision: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+    pub fn platform_changes(
+        &mut self,
+        now: Instant,
+        revision: u64,
+        documents: &[WireDocument],
+    ) -> Vec<Outgoing> {
         let before = self.config.revision();
         let moved = self.config.apply(before, revision, documents).unwrap_or(false);
         self.after_apply(now, moved, before)
@@ -366,9 +377,11 @@
                 platform_age_ms,
                 zones,
             } => self.report_received(from, *sequence, digest, *platform_age_ms, zones),
-            ControlMessage::ConfigDelta { from: since, to, documents } => {
-                self.delta_received(now, from, *since, *to, documents)
-            }
+            ControlMessage::ConfigDelta {
+                from: since,
+                to,
+                documents,
+            } => self.delta_received(now, from, *since, *to, documents),
             ControlMessage::Applied { revision } => {
                 self.confirm(now, from, *revision);
                 Vec::new()
@@ -391,7 +404,10 @@
     }
 
     fn confirm(&mut self, now: Instant, node: &str, revision: u64) {
-        let entry = self.confirmed.entry(node.to_owned()).or_insert(Confirmed { revision, heard: now });
+        let entry = self
+            .confirmed
+            .entry(node.to_owned())
+            .or_insert(Confirmed { revision, heard: now });
         entry.revision = entry.revision.max(revision);
         entry.heard = now;
     }
@@ -477,7 +493,14 @@
         out
     }
 
-    fn delta_received(&mut self, now: Instant, from: &str, since: u64, to: u64, documents: &[WireDocument]) -> Vec<Outgoing> {
+    fn delta_received(
+        &mut self,
+        now: Instant,
+        from: &str,
+        since: u64,
+        to: u64,
+        documents: &[WireDocument],
+    ) -> Vec<Outgoing> {
         let before = self.config.revision();
         match self.config.apply(since, to, documents) {
             Ok(moved) => {
@@ -542,7 +565,9 @@
         self.membership
             .records()
             .map(|record| {
-                let confirmed = reports.get(&record.node).is_some_and(|report| report.revision >= revision);
+                let confirmed = reports
+                    .get(&record.node)
+                    .is_some_and(|report| report.revision >= revision);
                 let departed = record.liveness == Liveness::Dead && record.leaving == 1;
                 let standing = if confirmed {
                     Standing::InForce
@@ -617,7 +642,11 @@
         zones
             .keys()
             .filter(|zone| {
-                let size = self.membership.live().filter(|record| record.zone == **zone).count();
+                let size = self
+                    .membership
+                    .live()
+                    .filter(|record| record.zone == **zone)
+                    .count();
                 size >= SPARING_ZONE_SIZE
             })
             .flat_map(|zone| self.membership.relays(zone))
--- a/crates/millwind-core/src/error_kind.rs
+++ b/crates/millwind-core/src/error_kind.rs
@@ -153,18 +153,52 @@
             ErrorKind::NotServing => row("57P03", NotRun, Yes, 1_000, "node has no current configuration"),
             ErrorKind::Draining => row("57P01", NotRun, Yes, 10, "node is stopping; reconnect elsewhere"),
             ErrorKind::QueueFull => row("53300", NotRun, Yes, 200, "admission queue is full"),
-            ErrorKind::WindowTooShort => row("57014", NotRun, Yes, 200, "request cannot finish in its window"),
+            ErrorKind::WindowTooShort => {
+                row("57014", NotRun, Yes, 200, "request cannot finish in its window")
+            }
             ErrorKind::NoPrimary => row("57P03", NotRun, Yes, 500, "group has no primary"),
             ErrorKind::NotPrimary => row("25006", NotRun, Yes, 100, "instance is not the primary"),
-            ErrorKind::ReplicaBehind => row("57P03", NotRun, Yes, 200, "no instance has caught up with the session"),
-            ErrorKind::SessionDiscarded => row("55000", NotRun, No, 0, "the session's last write was discarded by a failover; start a new session"),
+            ErrorKind::ReplicaBehind => row(
+                "57P03",
+                NotRun,
+                Yes,
+                200,
+                "no instance has caught up with the session",
+            ),
+            ErrorKind::SessionDiscarded => row(
+                "55000",
+                NotRun,
+                No,
+                0,
+                "the session's last write was discarded by a failover; start a new session",
+            ),
             ErrorKind::BackEndUnreachable => row("08001", NotRun, Yes, 200, "back end unreachable"),
-            ErrorKind::TransactionLost => row("40001", RolledBack, Yes, 100, "transaction lost its connection and was rolled back"),
-            ErrorKind::OutcomeUnknown => row("08007", Unknown, WithRequestId, 500, "the write was sent and its outcome is unknown"),
-            ErrorKind::RequestFenced => row("40000", RolledBack, Yes, 0, "an earlier attempt with this request id was settled as not run; use a new id"),
+            ErrorKind::TransactionLost => row(
+                "40001",
+                RolledBack,
+                Yes,
+                100,
+                "transaction lost its connection and was rolled back",
+            ),
+            ErrorKind::OutcomeUnknown => row(
+                "08007",
+                Unknown,
+                WithRequestId,
+                500,
+                "the write was sent and its outcome is unknown",
+            ),
+            ErrorKind::RequestFenced => row(
+                "40000",
+                RolledBack,
+                Yes,
+                0,
+                "an earlier attempt with this request id was settled as not run; use a new id",
+            ),
             ErrorKind::Unsupported => row("0A000", NotRun, No, 0, "not supported in transaction pooling"),
             ErrorKind::InvalidSetting => row("22023", NotRun, No, 0, "setting out of range"),
-            ErrorKind::AnswerTooLarge => row("54000", RolledBack, No, 0, "answer is larger than the node holds"),
+            ErrorKind::AnswerTooLarge => {
+                row("54000", RolledBack, No, 0, "answer is larger than the node holds")
+            }
             ErrorKind::Cancelled => row("57014", NotRun, Yes, 0, "cancelled before it was sent"),
         }
     }
--- a/crates/millwind-core/src/membership.rs
+++ b/crates/millwind-core/src/membership.rs
@@ -445,7 +445,11 @@
 
     fn acknowledged(&mut self, sequence: u64, out: &mut Vec<Outgoing>) {
         self.probes.retain(|probe| probe.sequence != sequence);
-        let Some(index) = self.relayed.iter().position(|relayed| relayed.sequence == sequence) else {
+        let Some(index) = self
+            .relayed
+            .iter()
+            .position(|relayed| relayed.sequence == sequence)
+        else {
             return;
         };
         let relayed = self.relayed.swap_remove(index);
@@ -456,7 +460,14 @@
         self.send(&relayed.origin, reply, out);
     }
 
-    fn ping_for(&mut self, now: Instant, origin: &str, origin_sequence: u64, target: &str, out: &mut Vec<Outgoing>) {
+    fn ping_for(
+        &mut self,
+        now: Instant,
+        origin: &str,
+        origin_sequence: u64,
+        target: &str,
+        out: &mut Vec<Outgoing>,
+    ) {
         self.sequence += 1;
         let sequence = self.sequence;
         self.relayed.push(Relayed {
--- a/crates/millwind-core/src/placement.rs
+++ b/crates/millwind-core/src/placement.rs
@@ -57,9 +57,7 @@
 
 /// The `count` members that act as relays for a key, best first.
 pub fn relays<'a>(key: &str, members: impl Iterator<Item = &'a NodeName>, count: usize) -> Vec<&'a NodeName> {
-    let mut scored: Vec<_> = members
-        .map(|node| (score(node.as_str(), key), node))
-        .collect();
+    let mut scored: Vec<_> = members.map(|node| (score(node.as_str(), key), node)).collect();
     scored.sort_by(|left, right| right.cmp(left));
     scored.truncate(count);
     scored.into_iter().map(|(_, node)| node).collect()
--- a/crates/millwind-core/src/position.rs
+++ b/crates/millwind-core/src/position.rs
@@ -9,16 +9,12 @@
 use thiserror::Error;
 
 /// A group's term: it rises by an election and never falls.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Term(pub u64);
 
 /// A byte position in the log of one term (an LSN).
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LogPosition(pub u64);
 
@@ -52,9 +48,7 @@
 }
 
 /// A place in a group's history: a term and a log position within it.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Position {
     /// Term in which the position was read.
     pub term: Term,
--- a/crates/millwind-core/src/routing.rs
+++ b/crates/millwind-core/src/routing.rs
@@ -143,7 +143,7 @@
             ((reason.rank(), distance(locality, hint)), hint, reason)
         })
         .collect();
-    ranked.sort_by(|left, right| left.0.cmp(&right.0));
+    ranked.sort_by_key(|left| left.0);
     ranked
         .into_iter()
         .map(|(_, hint, reason)| Choice {
--- a/crates/millwind-core/src/tenant.rs
+++ b/crates/millwind-core/src/tenant.rs
@@ -295,11 +295,14 @@
 
     fn check_values(&self, tenant: &Tenant) -> Result<(), TenantError> {
         for (parameter, value) in &tenant.parameters {
-            let spec = self.parameters.get(parameter).ok_or_else(|| TenantError::NotOpened {
-                tenant: tenant.name.clone(),
-                template: self.name.clone(),
-                parameter: *parameter,
-            })?;
+            let spec = self
+                .parameters
+                .get(parameter)
+                .ok_or_else(|| TenantError::NotOpened {
+                    tenant: tenant.name.clone(),
+                    template: self.name.clone(),
+                    parameter: *parameter,
+                })?;
             if *value < spec.minimum || *value > spec.maximum {
                 return Err(TenantError::OutOfRange {
                     tenant: tenant.name.clone(),
@@ -333,7 +336,11 @@
         if self.instances.iter().any(|instance| instance.slots == 0) {
             return fail("slots", "1 or more");
         }
-        if self.instances.iter().any(|instance| instance.connections < MINIMUM_CONNECTIONS) {
+        if self
+            .instances
+            .iter()
+            .any(|instance| instance.connections < MINIMUM_CONNECTIONS)
+        {
             return fail("connections", "8 or more");
         }
         Ok(())
@@ -352,7 +359,11 @@
             return self.classes.iter().find(|class| class.name == name);
         }
         self.classes.iter().find(|class| {
-            let wanted = if read { &class.read_tables } else { &class.write_tables };
+            let wanted = if read {
+                &class.read_tables
+            } else {
+                &class.write_tables
+            };
             wanted.iter().any(|table| tables.contains(table))
         })
     }
--- a/crates/millwind-core/tests/classify.rs
+++ b/crates/millwind-core/tests/classify.rs
@@ -40,7 +40,10 @@
 #[test]
 fn transaction_control_is_recognised() {
     assert_eq!(kinds("BEGIN"), [StatementKind::Begin { read_only: false }]);
-    assert_eq!(kinds("START TRANSACTION READ ONLY"), [StatementKind::Begin { read_only: true }]);
+    assert_eq!(
+        kinds("START TRANSACTION READ ONLY"),
+        [StatementKind::Begin { read_only: true }]
+    );
     assert_eq!(kinds("COMMIT"), [StatementKind::Commit]);
     assert_eq!(kinds("END"), [StatementKind::Commit]);
     assert_eq!(kinds("ROLLBACK"), [StatementKind::Rollback]);
@@ -51,16 +54,30 @@
 fn settings_of_the_proxy_are_told_from_others() {
     let name = "class".to_owned();
     let value = "setpoint".to_owned();
-    assert_eq!(kinds("SET millwind.class = 'setpoint'"), [StatementKind::SetProxy { name, value }]);
-    assert!(matches!(kinds("SET work_mem = '1MB'")[..], [StatementKind::SetSession { .. }]));
+    assert_eq!(
+        kinds("SET millwind.class = 'setpoint'"),
+        [StatementKind::SetProxy { name, value }]
+    );
+    assert!(matches!(
+        kinds("SET work_mem = '1MB'")[..],
+        [StatementKind::SetSession { .. }]
+    ));
     assert_eq!(kinds("SET LOCAL work_mem = '1MB'"), [StatementKind::Write]);
     let name = "session".to_owned();
-    assert_eq!(kinds("SHOW millwind.session"), [StatementKind::ShowProxy { name }]);
+    assert_eq!(
+        kinds("SHOW millwind.session"),
+        [StatementKind::ShowProxy { name }]
+    );
 }
 
 #[test]
 fn what_needs_a_session_is_not_carried() {
-    for text in ["LISTEN a", "PREPARE a AS SELECT 1", "CREATE TEMP TABLE a (b INT)", "COPY a FROM STDIN"] {
+    for text in [
+        "LISTEN a",
+        "PREPARE a AS SELECT 1",
+        "CREATE TEMP TABLE a (b INT)",
+        "COPY a FROM STDIN",
+    ] {
         assert_eq!(kinds(text), [StatementKind::Unsupported], "{text}");
     }
 }
--- a/crates/millwind-core/tests/routing.rs
+++ b/crates/millwind-core/tests/routing.rs
@@ -66,7 +66,10 @@
     ];
     hints[0].lag_ms = 5_000;
     let asked = request(Some(Position::new(1, 10)));
-    assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["primary", "replica"]);
+    assert_eq!(
+        names(&order_for_read(NOW, &locality(), &hints, &asked)),
+        ["primary", "replica"]
+    );
 }
 
 /// Seen in the old-primary experiment: one instance that no longer replays made
@@ -80,7 +83,10 @@
     ];
     hints[0].lag_ms = 60_000;
     let asked = request(Some(Position::new(1, 10)));
-    assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["well", "primary", "stuck"]);
+    assert_eq!(
+        names(&order_for_read(NOW, &locality(), &hints, &asked)),
+        ["well", "primary", "stuck"]
+    );
 }
 
 /// Seen in the old-primary experiment: after a failover all replicas looked a
@@ -93,9 +99,15 @@
     ];
     hints[0].lag_ms = 1_000;
     let asked = request(Some(Position::new(1, 10)));
-    assert_eq!(names(&order_for_read(NOW, &locality(), &hints, &asked)), ["primary", "replica"]);
+    assert_eq!(
+        names(&order_for_read(NOW, &locality(), &hints, &asked)),
+        ["primary", "replica"]
+    );
     let later = NOW.plus_millis(800);
-    assert_eq!(names(&order_for_read(later, &locality(), &hints, &asked)), ["replica", "primary"]);
+    assert_eq!(
+        names(&order_for_read(later, &locality(), &hints, &asked)),
+        ["replica", "primary"]
+    );
 }
 
 #[test]
@@ -107,7 +119,12 @@
         term: Term(2),
         start: LogPosition(5),
     }];
-    let order = order_for_read(NOW, &locality(), &[leaving, discarded], &request(Some(Position::new(1, 10))));
+    let order = order_for_read(
+        NOW,
+        &locality(),
+        &[leaving, discarded],
+        &request(Some(Position::new(1, 10))),
+    );
     assert!(order.iter().all(|choice| !choice.reason.eligible()));
 }
 
@@ -130,7 +147,11 @@
     assert_eq!(view.primary(NOW).map(|(name, _)| name.as_str()), Some("a"));
     view.observe(NOW, &b, status(Role::Primary, 2, 10));
     assert_eq!(view.primary(NOW).map(|(name, _)| name.as_str()), Some("b"));
-    assert_eq!(view.primary(NOW.plus_millis(10_000)), None, "nothing was heard lately");
+    assert_eq!(
+        view.primary(NOW.plus_millis(10_000)),
+        None,
+        "nothing was heard lately"
+    );
 }
 
 #[test]
@@ -145,8 +166,14 @@
     assert_eq!(view.staleness_ms(late, Position::new(1, 5), &[]), None);
 }
 
-fn owner_of<'a>(instance: &str, zone: &str, nodes: &'a [(NodeName, ZoneName, RegionName)]) -> Option<&'a str> {
-    let candidates = nodes.iter().map(|(node, zone, region)| Candidate { node, zone, region });
+fn owner_of<'a>(
+    instance: &str,
+    zone: &str,
+    nodes: &'a [(NodeName, ZoneName, RegionName)],
+) -> Option<&'a str> {
+    let candidates = nodes
+        .iter()
+        .map(|(node, zone, region)| Candidate { node, zone, region });
     owner(&instance.into(), &zone.into(), &"r".into(), candidates).map(NodeName::as_str)
 }
 
@@ -204,11 +231,20 @@
 fn a_full_queue_makes_room_for_more_value() {
     let mut queue = queue(1, 1);
     let mut displaced = Vec::new();
-    assert_eq!(queue.admit(NOW, ticket(1, "a", 1, 1_000), &mut displaced), Admission::Granted);
-    assert_eq!(queue.admit(NOW, ticket(2, "a", 1, 1_000), &mut displaced), Admission::Queued);
+    assert_eq!(
+        queue.admit(NOW, ticket(1, "a", 1, 1_000), &mut displaced),
+        Admission::Granted
+    );
+    assert_eq!(
+        queue.admit(NOW, ticket(2, "a", 1, 1_000), &mut displaced),
+        Admission::Queued
+    );
     let refused = queue.admit(NOW, ticket(3, "a", 1, 1_000), &mut displaced);
     assert_eq!(refused, Admission::Refused(ErrorKind::QueueFull));
-    assert_eq!(queue.admit(NOW, ticket(4, "a", 2, 1_000), &mut displaced), Admission::Queued);
+    assert_eq!(
+        queue.admit(NOW, ticket(4, "a", 2, 1_000), &mut displaced),
+        Admission::Queued
+    );
     assert_eq!(displaced, [2]);
 }
 
@@ -260,9 +296,17 @@
 
 #[derive(Debug, Clone)]
 enum Step {
-    Admit { tenant: u8, value: u32, deadline_ms: u64 },
-    Release { held_us: u64 },
-    Cancel { id: u64 },
+    Admit {
+        tenant: u8,
+        value: u32,
+        deadline_ms: u64,
+    },
+    Release {
+        held_us: u64,
+    },
+    Cancel {
+        id: u64,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
--- a/crates/millwind-core/tests/session.rs
+++ b/crates/millwind-core/tests/session.rs
@@ -17,38 +17,65 @@
 
 #[test]
 fn a_replica_of_the_same_term_covers_by_its_position() {
-    assert_eq!(coverage(Position::new(1, 10), &[], Position::new(1, 10)), Coverage::Covered);
-    assert_eq!(coverage(Position::new(1, 9), &[], Position::new(1, 10)), Coverage::Behind);
+    assert_eq!(
+        coverage(Position::new(1, 10), &[], Position::new(1, 10)),
+        Coverage::Covered
+    );
+    assert_eq!(
+        coverage(Position::new(1, 9), &[], Position::new(1, 10)),
+        Coverage::Behind
+    );
 }
 
 #[test]
 fn an_old_term_never_covers_a_new_one() {
-    assert_eq!(coverage(Position::new(1, 999), &[], Position::new(2, 1)), Coverage::Behind);
+    assert_eq!(
+        coverage(Position::new(1, 999), &[], Position::new(2, 1)),
+        Coverage::Behind
+    );
 }
 
 #[test]
 fn a_position_in_a_discarded_tail_is_told() {
     let history = [start(2, 90)];
-    assert_eq!(coverage(Position::new(2, 120), &history, Position::new(1, 100)), Coverage::Discarded);
-    assert_eq!(coverage(Position::new(2, 120), &history, Position::new(1, 90)), Coverage::Covered);
+    assert_eq!(
+        coverage(Position::new(2, 120), &history, Position::new(1, 100)),
+        Coverage::Discarded
+    );
+    assert_eq!(
+        coverage(Position::new(2, 120), &history, Position::new(1, 90)),
+        Coverage::Covered
+    );
 }
 
 #[test]
 fn a_later_term_without_its_branch_point_covers_nothing() {
-    assert_eq!(coverage(Position::new(3, 500), &[], Position::new(1, 1)), Coverage::Behind);
+    assert_eq!(
+        coverage(Position::new(3, 500), &[], Position::new(1, 1)),
+        Coverage::Behind
+    );
 }
 
 #[test]
 fn the_lowest_branch_point_decides() {
     let history = [start(2, 100), start(3, 50)];
-    assert_eq!(coverage(Position::new(3, 500), &history, Position::new(1, 60)), Coverage::Discarded);
+    assert_eq!(
+        coverage(Position::new(3, 500), &history, Position::new(1, 60)),
+        Coverage::Discarded
+    );
 }
 
 #[test]
 fn tokens_name_what_is_wrong() {
     assert_eq!("mw1:g:1".parse::<SessionToken>(), Err(TokenError::Shape));
-    assert_eq!("mw1:g:x:1".parse::<SessionToken>(), Err(TokenError::Field("term")));
-    assert_eq!("mw1:g:1:zz".parse::<SessionToken>(), Err(TokenError::Field("position")));
+    assert_eq!(
+        "mw1:g:x:1".parse::<SessionToken>(),
+        Err(TokenError::Field("term"))
+    );
+    assert_eq!(
+        "mw1:g:1:zz".parse::<SessionToken>(),
+        Err(TokenError::Field("position"))
+    );
     let long = "x".repeat(MAXIMUM_TOKEN_BYTES + 1);
     assert_eq!(long.parse::<SessionToken>(), Err(TokenError::TooLong));
 }
@@ -68,7 +95,11 @@
     let asked = tracker.draw();
     let short = tracker.observe(&instance("b"), asked, Term(1), LogPosition(99));
     assert!(short.is_empty());
-    assert!(tracker.observe(&instance("a"), asked, Term(1), LogPosition(100)).is_empty());
+    assert!(
+        tracker
+            .observe(&instance("a"), asked, Term(1), LogPosition(100))
+            .is_empty()
+    );
     let decided = tracker.observe(&instance("b"), asked, Term(1), LogPosition(100));
     assert_eq!(decided, vec![(7, Verdict::Confirmed)]);
 }
@@ -79,7 +110,10 @@
     let asked = tracker.draw();
     tracker.observe(&instance("b"), asked, Term(1), LogPosition(100));
     tracker.observe(&instance("c"), asked, Term(1), LogPosition(120));
-    assert_eq!(tracker.register(7, Position::new(1, 100)), Some(Verdict::Confirmed));
+    assert_eq!(
+        tracker.register(7, Position::new(1, 100)),
+        Some(Verdict::Confirmed)
+    );
 }
 
 #[test]
@@ -99,7 +133,11 @@
     tracker.observe(&instance("b"), early, Term(1), LogPosition(0));
     assert_eq!(tracker.register(7, Position::new(1, 100)), None);
     let late = tracker.draw();
-    assert!(tracker.observe(&instance("a"), late, Term(1), LogPosition(0)).is_empty());
+    assert!(
+        tracker
+            .observe(&instance("a"), late, Term(1), LogPosition(0))
+            .is_empty()
+    );
     let decided = tracker.observe(&instance("b"), late, Term(1), LogPosition(0));
     assert_eq!(decided, vec![(7, Verdict::Confirmed)]);
 }
@@ -110,7 +148,10 @@
     tracker.observe(&instance("b"), Sequence(9), Term(1), LogPosition(100));
     tracker.observe(&instance("b"), Sequence(3), Term(1), LogPosition(50));
     tracker.observe(&instance("c"), Sequence(9), Term(1), LogPosition(100));
-    assert_eq!(tracker.register(1, Position::new(1, 100)), Some(Verdict::Confirmed));
+    assert_eq!(
+        tracker.register(1, Position::new(1, 100)),
+        Some(Verdict::Confirmed)
+    );
 }
 
 #[test]
--- a/crates/millwind-ctl/src/apply.rs
+++ b/crates/millwind-ctl/src/apply.rs
@@ -22,7 +22,8 @@
 
 fn read(path: &Path) -> Result<DocumentFile, ClientError> {
     let shown = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| ClientError::File(shown.clone(), error.to_string()))?;
+    let text =
+        std::fs::read_to_string(path).map_err(|error| ClientError::File(shown.clone(), error.to_string()))?;
     let table: toml::Table = text
         .parse()
         .map_err(|error: toml::de::Error| ClientError::File(shown.clone(), error.to_string()))?;
@@ -38,7 +39,12 @@
 }
 
 fn stated_revision(text: &str) -> Option<u64> {
-    text.lines().next()?.strip_prefix(REVISION_LINE)?.trim().parse().ok()
+    text.lines()
+        .next()?
+        .strip_prefix(REVISION_LINE)?
+        .trim()
+        .parse()
+        .ok()
 }
 
 /// Stores a file and waits for it to be in force.
@@ -72,7 +78,13 @@
     format!("ctl-{:016x}", rand::random::<u64>())
 }
 
-async fn store(admin: &Admin, kind: &str, name: &str, body: &ChangeBody, wait: u64) -> Result<ExitCode, ClientError> {
+async fn store(
+    admin: &Admin,
+    kind: &str,
+    name: &str,
+    body: &ChangeBody,
+    wait: u64,
+) -> Result<ExitCode, ClientError> {
     println!("change_id={}", body.change_id);
     let stored: StoredBody = admin.put(&format!("/documents/{kind}/{name}"), body).await?;
     println!("stored revision={}", stored.revision);
@@ -102,7 +114,10 @@
 
 fn describe(report: &StandingsReport) -> String {
     let live = report.in_force + report.pending.len();
-    format!("in force {} of {live} nodes, {} stopped", report.in_force, report.stopped)
+    format!(
+        "in force {} of {live} nodes, {} stopped",
+        report.in_force, report.stopped
+    )
 }
 
 /// Prints how far a revision has come into force.
--- a/crates/millwind-ctl/src/client.rs
+++ b/crates/millwind-ctl/src/client.rs
@@ -49,7 +49,12 @@
         ClientError::Transport(self.address, error.to_string())
     }
 
-    async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Response<Incoming>, ClientError> {
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Response<Incoming>, ClientError> {
         let client: Client<HttpConnector, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
         let request = Request::builder()
             .method(method)
@@ -57,7 +62,10 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| self.transport(error))?;
-        let response = client.request(request).await.map_err(|error| self.transport(error))?;
+        let response = client
+            .request(request)
+            .await
+            .map_err(|error| self.transport(error))?;
         if response.status().is_success() {
             return Ok(response);
         }
@@ -85,7 +93,11 @@
     }
 
     /// Sends JSON and reads JSON.
-    pub async fn put<T: Serialize, R: DeserializeOwned>(&self, path: &str, body: &T) -> Result<R, ClientError> {
+    pub async fn put<T: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &T,
+    ) -> Result<R, ClientError> {
         let bytes = serde_json::to_vec(body).map_err(|error| self.transport(error))?;
         let response = self.call(Method::PUT, path, bytes).await?;
         let answer = self.body(response).await?;
--- a/crates/millwind-ctl/src/main.rs
+++ b/crates/millwind-ctl/src/main.rs
@@ -141,7 +141,11 @@
 async fn run(admin: &Admin, arguments: &Arguments) -> Result<ExitCode, ClientError> {
     let output = arguments.output;
     match &arguments.command {
-        Command::Status => print(output, &admin.get::<StatusReport>("/status").await?, tables::status),
+        Command::Status => print(
+            output,
+            &admin.get::<StatusReport>("/status").await?,
+            tables::status,
+        ),
         Command::Nodes => print_list::<NodeRow>(admin, output, "/nodes", tables::nodes).await?,
         Command::Groups => print_list::<InstanceRow>(admin, output, "/groups", tables::groups).await?,
         Command::Pools => print_list::<PoolRow>(admin, output, "/pools", tables::pools).await?,
@@ -167,16 +171,26 @@
 ) -> Result<ExitCode, ClientError> {
     match action {
         DocumentAction::List => {
-            print_list::<DocumentRow>(admin, output, &format!("/documents/{kind}"), tables::documents).await?;
+            print_list::<DocumentRow>(admin, output, &format!("/documents/{kind}"), tables::documents)
+                .await?;
         }
         DocumentAction::Get { name } => {
             let document: DocumentRow = admin.get(&format!("/documents/{kind}/{name}")).await?;
             match output {
                 Output::Json => print_json(&document),
-                Output::Table => println!("{}{}\n{}", apply::REVISION_LINE, document.revision, document.body.trim_end()),
+                Output::Table => println!(
+                    "{}{}\n{}",
+                    apply::REVISION_LINE,
+                    document.revision,
+                    document.body.trim_end()
+                ),
             }
         }
-        DocumentAction::Apply { file, change_id, wait } => {
+        DocumentAction::Apply {
+            file,
+            change_id,
+            wait,
+        } => {
             return apply::apply(admin, kind, file, change_id.clone(), *wait).await;
         }
         DocumentAction::Diff { file } => apply::diff(admin, kind, file).await?,
@@ -189,21 +203,21 @@
     admin: &Admin,
     output: Output,
     path: &str,
-    table: fn(&Vec<T>) -> Table,
+    table: fn(&[T]) -> Table,
 ) -> Result<(), ClientError> {
     let rows: Vec<T> = admin.get(path).await?;
-    print(output, &rows, table);
+    print(output, rows.as_slice(), table);
     Ok(())
 }
 
-fn print<T: Serialize>(output: Output, value: &T, table: fn(&T) -> Table) {
+fn print<T: Serialize + ?Sized>(output: Output, value: &T, table: fn(&T) -> Table) {
     match output {
         Output::Json => print_json(value),
         Output::Table => print!("{}", table(value)),
     }
 }
 
-fn print_json<T: Serialize>(value: &T) {
+fn print_json<T: Serialize + ?Sized>(value: &T) {
     match serde_json::to_string_pretty(value) {
         Ok(text) => println!("{text}"),
         Err(error) => eprintln!("millwindctl: {error}"),
--- a/crates/millwind-ctl/src/tables.rs
+++ b/crates/millwind-ctl/src/tables.rs
@@ -46,13 +46,19 @@
         vec!["zone".to_owned(), format!("{} ({})", status.zone, status.region)],
         vec!["state".to_owned(), status.state.clone()],
         vec!["revision".to_owned(), status.revision.to_string()],
-        vec!["platform heard".to_owned(), format!("{} ms ago", status.platform_age_ms)],
+        vec![
+            "platform heard".to_owned(),
+            format!("{} ms ago", status.platform_age_ms),
+        ],
         vec!["relay".to_owned(), yes(status.relay)],
         vec!["sessions".to_owned(), status.sessions.to_string()],
         vec!["owner load".to_owned(), status.owner_load.to_string()],
     ];
     for zone in &status.zones {
-        let text = format!("heard {} ms ago, platform {} ms before", zone.age_ms, zone.platform_age_ms);
+        let text = format!(
+            "heard {} ms ago, platform {} ms before",
+            zone.age_ms, zone.platform_age_ms
+        );
         rows.push(vec![format!("zone {}", zone.zone), text]);
     }
     Table {
@@ -62,7 +68,7 @@
 }
 
 /// Members.
-pub fn nodes(rows: &Vec<NodeRow>) -> Table {
+pub fn nodes(rows: &[NodeRow]) -> Table {
     Table {
         header: vec!["node", "zone", "region", "address", "liveness", "leaving"],
         rows: rows
@@ -82,9 +88,11 @@
 }
 
 /// Instances.
-pub fn groups(rows: &Vec<InstanceRow>) -> Table {
+pub fn groups(rows: &[InstanceRow]) -> Table {
     Table {
-        header: vec!["group", "instance", "zone", "owner", "role", "position", "lag_ms", "leaving"],
+        header: vec![
+            "group", "instance", "zone", "owner", "role", "position", "lag_ms", "leaving",
+        ],
         rows: rows
             .iter()
             .map(|row| {
@@ -104,7 +112,7 @@
 }
 
 /// Pools.
-pub fn pools(rows: &Vec<PoolRow>) -> Table {
+pub fn pools(rows: &[PoolRow]) -> Table {
     Table {
         header: vec!["instance", "slots", "connections", "running", "queued"],
         rows: rows
@@ -123,9 +131,17 @@
 }
 
 /// Tenants.
-pub fn tenants(rows: &Vec<TenantRow>) -> Table {
+pub fn tenants(rows: &[TenantRow]) -> Table {
     Table {
-        header: vec!["tenant", "group", "staleness_ms", "replica_wait_ms", "hold_ms", "weight", "read_policy"],
+        header: vec![
+            "tenant",
+            "group",
+            "staleness_ms",
+            "replica_wait_ms",
+            "hold_ms",
+            "weight",
+            "read_policy",
+        ],
         rows: rows
             .iter()
             .map(|row| {
@@ -144,7 +160,7 @@
 }
 
 /// Documents.
-pub fn documents(rows: &Vec<DocumentRow>) -> Table {
+pub fn documents(rows: &[DocumentRow]) -> Table {
     Table {
         header: vec!["document", "revision"],
         rows: rows
--- a/crates/millwind-lab/src/cluster.rs
+++ b/crates/millwind-lab/src/cluster.rs
@@ -130,7 +130,11 @@
 
     /// Exit code, if the process has ended.
     pub fn exit_code(&mut self) -> Option<i32> {
-        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+        self.child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.code().unwrap_or(-1))
     }
 
     /// Process id.
@@ -203,13 +207,23 @@
 impl Cluster {
     /// Starts everything and applies the configuration.
     pub async fn start(deployment: Deployment, options: ClusterOptions) -> Result<Cluster, ClusterError> {
-        let directory = std::env::temp_dir().join(format!("millwind-lab-{}-{:x}", std::process::id(), rand::random::<u32>()));
+        let directory = std::env::temp_dir().join(format!(
+            "millwind-lab-{}-{:x}",
+            std::process::id(),
+            rand::random::<u32>()
+        ));
         std::fs::create_dir_all(&directory)?;
         let platform_address = free_address()?;
         let platform_control = free_address()?;
         let platform = Process::spawn(
             &options.program,
-            &["platform", "--listen", &platform_address.to_string(), "--control", &platform_control.to_string()],
+            &[
+                "platform",
+                "--listen",
+                &platform_address.to_string(),
+                "--control",
+                &platform_control.to_string(),
+            ],
             &directory.join("platform.log"),
         )?;
         let mut cluster = Cluster {
@@ -252,7 +266,9 @@
         } else {
             self.deployment.latency(zone, target_zone)
         };
-        self.relays.open(LinkKey::new(zone, target_zone), target, latency).await
+        self.relays
+            .open(LinkKey::new(zone, target_zone), target, latency)
+            .await
     }
 
     async fn start_instances(&mut self) -> Result<(), ClusterError> {
@@ -308,7 +324,12 @@
         format!("{}-{}", self.deployment.group(group), ["a", "b", "c"][index])
     }
 
-    fn spawn_instance(&mut self, group: String, zone: String, settings: InstanceSettings) -> Result<(), ClusterError> {
+    fn spawn_instance(
+        &mut self,
+        group: String,
+        zone: String,
+        settings: InstanceSettings,
+    ) -> Result<(), ClusterError> {
         let process = self.instance_process(&settings)?;
         self.instances.push(InstanceHandle {
             group,
@@ -322,7 +343,11 @@
     fn instance_process(&self, settings: &InstanceSettings) -> Result<Process, ClusterError> {
         let text = serde_json::to_string(settings).map_err(std::io::Error::other)?;
         let log = self.directory.join(format!("{}.log", settings.name));
-        Ok(Process::spawn(&self.options.program, &["instance", "--settings", &text], &log)?)
+        Ok(Process::spawn(
+            &self.options.program,
+            &["instance", "--settings", &text],
+            &log,
+        )?)
     }
 
     /// Starts a killed instance anew; it takes everything from the others.
@@ -344,8 +369,13 @@
                 plans.push((name, zone, free_address()?, free_address()?, free_address()?));
             }
         }
-        self.list_machines(&plans.iter().map(|plan| (plan.0.clone(), plan.3)).collect::<Vec<_>>())
-            .await?;
+        self.list_machines(
+            &plans
+                .iter()
+                .map(|plan| (plan.0.clone(), plan.3))
+                .collect::<Vec<_>>(),
+        )
+        .await?;
         let seeds: Vec<SocketAddr> = plans.iter().map(|plan| plan.3).collect();
         for (name, zone, client, peer, admin) in &plans {
             let mut dial = std::collections::BTreeMap::new();
@@ -364,7 +394,10 @@
                 client_address: *client,
                 peer_address: *peer,
                 admin_address: *admin,
-                platform: vec![self.route(zone.name, PLATFORM_PLACE, self.platform_address).await?],
+                platform: vec![
+                    self.route(zone.name, PLATFORM_PLACE, self.platform_address)
+                        .await?,
+                ],
                 platform_prefix: "/millwind/".to_owned(),
                 seeds: seeds.clone(),
                 dial,
@@ -376,7 +409,9 @@
                 *client
             } else {
                 let key = LinkKey::new(CLIENT_PLACE, name);
-                self.relays.open(key, *client, self.deployment.client_latency).await?
+                self.relays
+                    .open(key, *client, self.deployment.client_latency)
+                    .await?
             };
             let process = self.node_process(&settings)?;
             self.nodes.push(NodeHandle {
@@ -394,7 +429,11 @@
         std::fs::write(&path, text)?;
         let log = self.directory.join(format!("{}.log", settings.name));
         let config = path.to_string_lossy();
-        Ok(Process::spawn(&self.options.program, &["node", "--config", &config], &log)?)
+        Ok(Process::spawn(
+            &self.options.program,
+            &["node", "--config", &config],
+            &log,
+        )?)
     }
 
     /// Starts a stopped or killed node anew.
@@ -462,8 +501,12 @@
             revision = self.store(0, &format!("group/{}", spec.name), &text).await?;
         }
         let template = self.template_text();
-        self.store(0, &format!("template/{}", self.deployment.template_name), &template)
-            .await?;
+        self.store(
+            0,
+            &format!("template/{}", self.deployment.template_name),
+            &template,
+        )
+        .await?;
         for index in 0..self.groups() {
             let tenant = self.tenant(index);
             let text = toml::to_string(&tenant).map_err(std::io::Error::other)?;
@@ -582,13 +625,17 @@
     }
 
     /// Waits for a group to have a leader of a term above `term`.
-    pub async fn await_leader(&self, group: &str, term: u64) -> Result<(usize, InstanceReport), ClusterError> {
+    pub async fn await_leader(
+        &self,
+        group: &str,
+        term: u64,
+    ) -> Result<(usize, InstanceReport), ClusterError> {
         let give_up = tokio::time::Instant::now() + START_LIMIT;
         while tokio::time::Instant::now() < give_up {
-            if let Some((index, report)) = self.leader(group).await {
-                if report.term > term {
-                    return Ok((index, report));
-                }
+            if let Some((index, report)) = self.leader(group).await
+                && report.term > term
+            {
+                return Ok((index, report));
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
--- a/crates/millwind-lab/src/demo.rs
+++ b/crates/millwind-lab/src/demo.rs
@@ -6,7 +6,10 @@
 
 /// Runs the demonstration; returns its summary.
 pub async fn run(options: &ExperimentOptions) -> Result<Summary, ClusterError> {
-    println!("starting the {} deployment: stand-ins, platform, nodes", options.deployment.as_str());
+    println!(
+        "starting the {} deployment: stand-ins, platform, nodes",
+        options.deployment.as_str()
+    );
     println!("after a while the primary of every group is killed and restarted");
     let (summary, _) = experiment::run(ExperimentName::Failover, options).await?;
     print_table(&summary);
@@ -19,15 +22,27 @@
     let broken: usize = summary.violations.values().sum();
     let rows = [
         ("requests sent", summary.offered.to_string()),
-        ("completed in their window", summary.completed_in_window.to_string()),
+        (
+            "completed in their window",
+            summary.completed_in_window.to_string(),
+        ),
         ("refused, not run", summary.refused_not_run.to_string()),
         ("undone", summary.rolled_back.to_string()),
         ("outcome unknown", summary.unknown.to_string()),
-        ("reads served by replicas", summary.replica_read_share.map_or("-".to_owned(), percent)),
+        (
+            "reads served by replicas",
+            summary.replica_read_share.map_or("-".to_owned(), percent),
+        ),
         ("failover gap, median", gap(summary.failover_gap_ms.median)),
         ("failover gap, highest", gap(summary.failover_gap_ms.max)),
-        ("of it added by millwind, median", gap(summary.added_failover_gap_ms.median)),
-        ("of it added by millwind, highest", gap(summary.added_failover_gap_ms.max)),
+        (
+            "of it added by millwind, median",
+            gap(summary.added_failover_gap_ms.median),
+        ),
+        (
+            "of it added by millwind, highest",
+            gap(summary.added_failover_gap_ms.max),
+        ),
         ("properties broken", broken.to_string()),
     ];
     println!();
@@ -35,7 +50,14 @@
         println!("{name:<34} {value:>10}");
     }
     for (property, count) in &summary.violations {
-        println!("  {property:<32} {}", if *count == 0 { "held".to_owned() } else { format!("BROKEN {count} times") });
+        println!(
+            "  {property:<32} {}",
+            if *count == 0 {
+                "held".to_owned()
+            } else {
+                format!("BROKEN {count} times")
+            }
+        );
     }
     for example in &summary.examples {
         println!("  {example}");
--- a/crates/millwind-lab/src/deployment.rs
+++ b/crates/millwind-lab/src/deployment.rs
@@ -73,7 +73,12 @@
 
     /// One-way latency between two zones.
     pub fn latency(&self, left: &str, right: &str) -> Duration {
-        let region = |name: &str| self.zones.iter().find(|zone| zone.name == name).map(|zone| zone.region);
+        let region = |name: &str| {
+            self.zones
+                .iter()
+                .find(|zone| zone.name == name)
+                .map(|zone| zone.region)
+        };
         if left == right {
             Duration::ZERO
         } else if region(left) == region(right) {
@@ -99,9 +104,18 @@
         name: DeploymentName::Glasfail,
         service: "climate-core",
         zones: [
-            Zone { name: "naas-hall", region: "leinster" },
-            Zone { name: "mallow-hall", region: "munster" },
-            Zone { name: "athenry-hall", region: "connacht" },
+            Zone {
+                name: "naas-hall",
+                region: "leinster",
+            },
+            Zone {
+                name: "mallow-hall",
+                region: "munster",
+            },
+            Zone {
+                name: "athenry-hall",
+                region: "connacht",
+            },
         ],
         zone_latency: Duration::from_micros(1_500),
         region_latency: Duration::from_millis(20),
@@ -120,9 +134,18 @@
         name: DeploymentName::Dixie,
         service: "network-ledger",
         zones: [
-            Zone { name: "mobile-hall", region: "gulf-coast" },
-            Zone { name: "charlotte-hall", region: "piedmont" },
-            Zone { name: "chattanooga-hall", region: "tennessee-valley" },
+            Zone {
+                name: "mobile-hall",
+                region: "gulf-coast",
+            },
+            Zone {
+                name: "charlotte-hall",
+                region: "piedmont",
+            },
+            Zone {
+                name: "chattanooga-hall",
+                region: "tennessee-valley",
+            },
         ],
         zone_latency: Duration::from_micros(500),
         region_latency: Duration::from_millis(8),
--- a/crates/millwind-lab/src/experiment.rs
+++ b/crates/millwind-lab/src/experiment.rs
@@ -156,12 +156,20 @@
 }
 
 /// Runs one experiment; returns its summary and history.
-pub async fn run(name: ExperimentName, options: &ExperimentOptions) -> Result<(Summary, History), ClusterError> {
+pub async fn run(
+    name: ExperimentName,
+    options: &ExperimentOptions,
+) -> Result<(Summary, History), ClusterError> {
     let deployment = Deployment::of(options.deployment);
     let mut cluster = Cluster::start(deployment, options.cluster_options()).await?;
     let stop = Arc::new(AtomicBool::new(false));
     let live = Arc::new(LiveCounts::default());
-    let load = workload::run(options.workload(name), targets(&cluster), stop.clone(), live.clone());
+    let load = workload::run(
+        options.workload(name),
+        targets(&cluster),
+        stop.clone(),
+        live.clone(),
+    );
     let load = tokio::spawn(load);
     let ticker = options.verbose.then(|| tokio::spawn(show(live)));
     let watcher = watcher::start(&cluster);
@@ -180,7 +188,15 @@
     report.violations.extend(check_logs(&cluster, &history).await?);
     let share = summary::replica_share(&cluster).await;
     let seconds = started.elapsed().as_secs_f64();
-    let summary = Summary::new(name, options, &cluster.deployment, &history, &report, share, seconds);
+    let summary = Summary::new(
+        name,
+        options,
+        &cluster.deployment,
+        &history,
+        &report,
+        share,
+        seconds,
+    );
     Ok((summary, history))
 }
 
@@ -229,9 +245,16 @@
     while tokio::time::Instant::now() < give_up {
         if let Some((leader, report)) = cluster.leader(group).await {
             let mut holding = 0;
-            for instance in cluster.instances.iter().filter(|instance| instance.group == group) {
-                let other = http::get::<crate::instance::InstanceReport>(instance.settings.control, "/report").await;
-                holding += usize::from(other.is_ok_and(|other| other.end == report.end && other.term == report.term));
+            for instance in cluster
+                .instances
+                .iter()
+                .filter(|instance| instance.group == group)
+            {
+                let other =
+                    http::get::<crate::instance::InstanceReport>(instance.settings.control, "/report").await;
+                holding += usize::from(
+                    other.is_ok_and(|other| other.end == report.end && other.term == report.term),
+                );
             }
             if holding >= 2 {
                 return Ok(leader);
--- a/crates/millwind-lab/src/experiment/faults.rs
+++ b/crates/millwind-lab/src/experiment/faults.rs
@@ -57,7 +57,11 @@
     Ok(())
 }
 
-async fn kill_primary(cluster: &mut Cluster, group: usize, report: &mut FaultReport) -> Result<(), ClusterError> {
+async fn kill_primary(
+    cluster: &mut Cluster,
+    group: usize,
+    report: &mut FaultReport,
+) -> Result<(), ClusterError> {
     let group = cluster.deployment.group(group);
     let (index, old) = cluster.await_leader(&group, 0).await?;
     cluster.instances[index].process.kill();
@@ -75,9 +79,10 @@
     report.failovers.push((group, new.opened_at_ms));
     sleep(Duration::from_secs(3)).await;
     let still: InstanceReport = http::get(control, "/report").await?;
-    report
-        .notes
-        .push(format!("old primary still believed it led: {}, end {}", still.leads, still.end));
+    report.notes.push(format!(
+        "old primary still believed it led: {}, end {}",
+        still.leads, still.end
+    ));
     set_cut(control, false).await
 }
 
@@ -87,7 +92,12 @@
 
 async fn set_lag(cluster: &Cluster, lag_ms: u64) -> Result<(), ClusterError> {
     for instance in &cluster.instances {
-        http::post(instance.settings.control, "/faults", &serde_json::json!({ "lag_ms": lag_ms })).await?;
+        http::post(
+            instance.settings.control,
+            "/faults",
+            &serde_json::json!({ "lag_ms": lag_ms }),
+        )
+        .await?;
     }
     Ok(())
 }
@@ -151,7 +161,11 @@
     Ok(())
 }
 
-async fn platform_outage(cluster: &mut Cluster, length: Duration, report: &mut FaultReport) -> Result<(), ClusterError> {
+async fn platform_outage(
+    cluster: &mut Cluster,
+    length: Duration,
+    report: &mut FaultReport,
+) -> Result<(), ClusterError> {
     let outage = PlatformFaults {
         outage: true,
         ..PlatformFaults::default()
@@ -213,7 +227,9 @@
     let again = put(cluster, 1, "lost-answer", None, 33).await?;
     if revision != again {
         let detail = format!("asked again, the change was stored twice: {revision} and {again}");
-        report.violations.push(Violation::new(Invariant::ConfigurationInForce, detail));
+        report
+            .violations
+            .push(Violation::new(Invariant::ConfigurationInForce, detail));
     }
     cluster.await_in_force(0, revision).await
 }
@@ -233,7 +249,9 @@
             .count();
         if stored != 1 {
             let detail = format!("{stored} of two racing changes were stored: {first:?} {second:?}");
-            report.violations.push(Violation::new(Invariant::ConfigurationInForce, detail));
+            report
+                .violations
+                .push(Violation::new(Invariant::ConfigurationInForce, detail));
         }
         if let Some(revision) = first.ok().or(second.ok()) {
             cluster.await_in_force(0, revision).await?;
@@ -253,37 +271,68 @@
         slowest = slowest.max(took);
         if took > IN_FORCE_LIMIT {
             let detail = format!("revision {revision} took {took:?}");
-            report.violations.push(Violation::new(Invariant::ConfigurationInForce, detail));
+            report
+                .violations
+                .push(Violation::new(Invariant::ConfigurationInForce, detail));
         }
         for index in 0..cluster.nodes.len() {
             let status = cluster.status(index).await?;
             if status.revision < revision {
-                let detail = format!("{} has {} although {revision} was said in force", status.node, status.revision);
-                report.violations.push(Violation::new(Invariant::ConfigurationInForce, detail));
+                let detail = format!(
+                    "{} has {} although {revision} was said in force",
+                    status.node, status.revision
+                );
+                report
+                    .violations
+                    .push(Violation::new(Invariant::ConfigurationInForce, detail));
             }
         }
     }
-    report.notes.push(format!("slowest change in force after {} ms", slowest.as_millis()));
+    report.notes.push(format!(
+        "slowest change in force after {} ms",
+        slowest.as_millis()
+    ));
     Ok(())
 }
 
-async fn cut_zone(cluster: &mut Cluster, length: Duration, report: &mut FaultReport) -> Result<(), ClusterError> {
+async fn cut_zone(
+    cluster: &mut Cluster,
+    length: Duration,
+    report: &mut FaultReport,
+) -> Result<(), ClusterError> {
     let zone = cluster.deployment.zones[0].name;
     cluster.set_zone_cut(zone, true);
-    let inside = cluster.nodes.iter().position(|node| node.settings.zone == zone).unwrap_or(0);
-    let outside = cluster.nodes.iter().position(|node| node.settings.zone != zone).unwrap_or(0);
+    let inside = cluster
+        .nodes
+        .iter()
+        .position(|node| node.settings.zone == zone)
+        .unwrap_or(0);
+    let outside = cluster
+        .nodes
+        .iter()
+        .position(|node| node.settings.zone != zone)
+        .unwrap_or(0);
     let started = Instant::now();
     let revision = put(cluster, outside, "zone-cut", None, 55).await?;
     cluster.await_in_force(outside, revision).await?;
-    report
-        .notes
-        .push(format!("change said in force after {} ms", started.elapsed().as_millis()));
+    report.notes.push(format!(
+        "change said in force after {} ms",
+        started.elapsed().as_millis()
+    ));
     // Said in force while a zone is cut off: the zone must not be serving.
     let status = cluster.status(inside).await?;
-    report.notes.push(format!("cut-off {}: {} at {}", status.node, status.state, status.revision));
+    report.notes.push(format!(
+        "cut-off {}: {} at {}",
+        status.node, status.state, status.revision
+    ));
     if status.state == "serving" && status.revision < revision {
-        let detail = format!("{} serves revision {} although {revision} is in force", status.node, status.revision);
-        report.violations.push(Violation::new(Invariant::ConfigurationInForce, detail));
+        let detail = format!(
+            "{} serves revision {} although {revision} is in force",
+            status.node, status.revision
+        );
+        report
+            .violations
+            .push(Violation::new(Invariant::ConfigurationInForce, detail));
     }
     sleep(length.saturating_sub(started.elapsed())).await;
     cluster.set_zone_cut(zone, false);
@@ -293,10 +342,15 @@
 async fn await_serving(cluster: &Cluster, node: usize, report: &mut FaultReport) -> Result<(), ClusterError> {
     let started = Instant::now();
     while started.elapsed() < IN_FORCE_LIMIT {
-        if cluster.status(node).await.is_ok_and(|status| status.state == "serving") {
-            report
-                .notes
-                .push(format!("serving again {} ms after healing", started.elapsed().as_millis()));
+        if cluster
+            .status(node)
+            .await
+            .is_ok_and(|status| status.state == "serving")
+        {
+            report.notes.push(format!(
+                "serving again {} ms after healing",
+                started.elapsed().as_millis()
+            ));
             return Ok(());
         }
         sleep(Duration::from_millis(50)).await;
@@ -314,12 +368,16 @@
             }
             sleep(Duration::from_millis(20)).await;
         };
-        report
-            .notes
-            .push(format!("{} stopped in {} ms", cluster.nodes[index].settings.name, started.elapsed().as_millis()));
+        report.notes.push(format!(
+            "{} stopped in {} ms",
+            cluster.nodes[index].settings.name,
+            started.elapsed().as_millis()
+        ));
         if code != 0 {
             let detail = format!("planned stop ended with exit code {code}");
-            report.violations.push(Violation::new(Invariant::PlannedStopCutsNothing, detail));
+            report
+                .violations
+                .push(Violation::new(Invariant::PlannedStopCutsNothing, detail));
         }
         cluster.restart_node(index)?;
         await_serving(cluster, index, report).await?;
@@ -334,7 +392,9 @@
     let leaving = cluster
         .instances
         .iter()
-        .position(|instance| instance.group == group && instance.settings.name != cluster.instances[leader].settings.name)
+        .position(|instance| {
+            instance.group == group && instance.settings.name != cluster.instances[leader].settings.name
+        })
         .unwrap_or(0);
     let name = cluster.instances[leaving].settings.name.clone();
     let control = cluster.instances[leaving].settings.control;
@@ -344,15 +404,23 @@
     sleep(Duration::from_secs(3)).await;
     let after: InstanceReport = http::get(control, "/report").await?;
     let new_work = after.statements - before.statements;
-    report.notes.push(format!("{name} leaving: {new_work} statements after {LEAVING_LIMIT:?}"));
+    report.notes.push(format!(
+        "{name} leaving: {new_work} statements after {LEAVING_LIMIT:?}"
+    ));
     if new_work > 0 {
         let detail = format!("{name} got {new_work} statements after {LEAVING_LIMIT:?}");
-        report.violations.push(Violation::new(Invariant::LeavingGetsNoWork, detail));
+        report
+            .violations
+            .push(Violation::new(Invariant::LeavingGetsNoWork, detail));
     }
     cluster.list_machine(&name, "", false).await
 }
 
-async fn chaos(cluster: &mut Cluster, options: &ExperimentOptions, report: &mut FaultReport) -> Result<(), ClusterError> {
+async fn chaos(
+    cluster: &mut Cluster,
+    options: &ExperimentOptions,
+    report: &mut FaultReport,
+) -> Result<(), ClusterError> {
     let mut random = ChaCha8Rng::seed_from_u64(options.seed);
     let end = Instant::now() + Duration::from_secs(options.seconds).saturating_sub(WARM_UP * 3);
     while Instant::now() < end {
@@ -374,7 +442,9 @@
                 cluster.restart_node(node)?;
             }
             3 => {
-                report.notes.push(format!("chaos: pause node {node} and kill primary of group {group}"));
+                report.notes.push(format!(
+                    "chaos: pause node {node} and kill primary of group {group}"
+                ));
                 cluster.nodes[node].process.signal("STOP")?;
                 let killed = kill_primary(cluster, group, report).await;
                 cluster.nodes[node].process.signal("CONT")?;
--- a/crates/millwind-lab/src/experiment/summary.rs
+++ b/crates/millwind-lab/src/experiment/summary.rs
@@ -132,7 +132,11 @@
             .iter()
             .filter(|read| read.answered && read.micros <= READ_WINDOW_MS * 1_000)
             .count();
-        let write_value = if deployment.name == DeploymentName::Glasfail { 2 } else { 1 };
+        let write_value = if deployment.name == DeploymentName::Glasfail {
+            2
+        } else {
+            1
+        };
         let told = |wanted| history.writes.iter().filter(|write| write.told == wanted).count();
         Summary {
             experiment: value_name(&name),
@@ -199,7 +203,10 @@
 }
 
 fn latencies(history: &History) -> BTreeMap<&'static str, ClassLatency> {
-    let writes = history.writes.iter().filter(|write| write.told == Told::Acknowledged);
+    let writes = history
+        .writes
+        .iter()
+        .filter(|write| write.told == Told::Acknowledged);
     let reads = history.reads.iter().filter(|read| read.answered);
     BTreeMap::from([
         ("write", ClassLatency::of(writes.map(|write| write.micros))),
@@ -225,9 +232,16 @@
         let Ok(text) = http::get_text(node.settings.admin_address, "/metrics").await else {
             continue;
         };
-        for line in text.lines().filter(|line| line.starts_with("millwind_requests_total{")) {
+        for line in text
+            .lines()
+            .filter(|line| line.starts_with("millwind_requests_total{"))
+        {
             let counted = line.contains("kind=\"read\"") && line.contains("result=\"answered\"");
-            let value: f64 = line.rsplit(' ').next().and_then(|text| text.parse().ok()).unwrap_or(0.0);
+            let value: f64 = line
+                .rsplit(' ')
+                .next()
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0.0);
             if counted {
                 all += value;
                 if line.contains("role=\"replica\"") {
--- a/crates/millwind-lab/src/experiment/watcher.rs
+++ b/crates/millwind-lab/src/experiment/watcher.rs
@@ -53,7 +53,9 @@
     let mut highest = 0;
     let mut violations = Vec::new();
     while !stop.load(Ordering::Relaxed) {
-        if let Ok(Ok(status)) = tokio::time::timeout(INTERVAL * 5, http::get::<StatusReport>(address, "/status")).await {
+        if let Ok(Ok(status)) =
+            tokio::time::timeout(INTERVAL * 5, http::get::<StatusReport>(address, "/status")).await
+        {
             // A node without a configuration serves nobody.
             if status.revision > 0 && status.revision < highest && status.state == "serving" {
                 let detail = format!("{name} fell from revision {highest} to {}", status.revision);
--- a/crates/millwind-lab/src/history.rs
+++ b/crates/millwind-lab/src/history.rs
@@ -101,8 +101,10 @@
 
     /// Violations by property name.
     pub fn by_property(violations: &[Violation]) -> BTreeMap<&'static str, usize> {
-        let mut counts: BTreeMap<&'static str, usize> =
-            Invariant::ALL.iter().map(|invariant| (invariant.name(), 0)).collect();
+        let mut counts: BTreeMap<&'static str, usize> = Invariant::ALL
+            .iter()
+            .map(|invariant| (invariant.name(), 0))
+            .collect();
         for violation in violations {
             *counts.entry(violation.invariant.name()).or_default() += 1;
         }
@@ -113,7 +115,10 @@
 fn check_write(write: &WriteRecord, count: usize) -> Option<Violation> {
     let request = &write.request;
     if count > 1 {
-        return Some(Violation::new(Invariant::AtMostOnce, format!("{request} ran {count} times")));
+        return Some(Violation::new(
+            Invariant::AtMostOnce,
+            format!("{request} ran {count} times"),
+        ));
     }
     match write.told {
         Told::Acknowledged if count == 0 => Some(Violation::new(
@@ -122,7 +127,10 @@
         )),
         Told::NotRun | Told::RolledBack if count == 1 => Some(Violation::new(
             Invariant::NotRunIsTrue,
-            format!("{request} was refused as {} and is in the primary's log", write.kind),
+            format!(
+                "{request} was refused as {} and is in the primary's log",
+                write.kind
+            ),
         )),
         _ => None,
     }
@@ -149,12 +157,18 @@
 
 /// Requests of one transaction share everything before the last dot.
 fn transaction_of(request: &str) -> &str {
-    request.rsplit_once('.').map_or(request, |(transaction, _)| transaction)
+    request
+        .rsplit_once('.')
+        .map_or(request, |(transaction, _)| transaction)
 }
 
 fn count_requests(log: &[LoggedTransaction]) -> HashMap<&str, usize> {
     let mut counts = HashMap::new();
-    for request in log.iter().flat_map(|entry| &entry.statements).filter_map(marked_request) {
+    for request in log
+        .iter()
+        .flat_map(|entry| &entry.statements)
+        .filter_map(marked_request)
+    {
         *counts.entry(request).or_default() += 1;
     }
     counts
--- a/crates/millwind-lab/src/hollow/network.rs
+++ b/crates/millwind-lab/src/hollow/network.rs
@@ -101,7 +101,11 @@
     }
 
     /// Runs `work` on a node, on its account, and sends what it says.
-    pub(super) fn on_node(&mut self, index: usize, work: impl FnOnce(&mut ControlPlane, Instant) -> Vec<Outgoing>) {
+    pub(super) fn on_node(
+        &mut self,
+        index: usize,
+        work: impl FnOnce(&mut ControlPlane, Instant) -> Vec<Outgoing>,
+    ) {
         let now = self.now;
         let started = WallInstant::now();
         let outgoing = work(&mut self.nodes[index].plane, now);
@@ -131,7 +135,8 @@
         self.sequence += 1;
         self.next_delivery += 1;
         let due = Instant(self.now.0 + latency);
-        self.deliveries.insert(self.next_delivery, Delivery { from, to, frame });
+        self.deliveries
+            .insert(self.next_delivery, Delivery { from, to, frame });
         self.queue.push(Reverse((due, self.sequence, self.next_delivery)));
     }
 
--- a/crates/millwind-lab/src/hollow/scene.rs
+++ b/crates/millwind-lab/src/hollow/scene.rs
@@ -7,7 +7,9 @@
 use millwind_core::control::ControlPlane;
 use millwind_core::membership::MembershipTimes;
 use millwind_wire::control::{Liveness, MemberRecord, WireDocument};
-use millwind_wire::{AwaitPrimary, ControlMessage, GroupStatus, MemberStatus, PeerMessage, WirePosition, decode, encode};
+use millwind_wire::{
+    AwaitPrimary, ControlMessage, GroupStatus, MemberStatus, PeerMessage, WirePosition, decode, encode,
+};
 
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::messages::data::DataRow;
@@ -125,7 +127,9 @@
 
 impl Scene {
     fn new(size: HollowSize) -> Self {
-        let nodes = (0..size.nodes).map(|index| hollow_node(&size, index, 1)).collect();
+        let nodes = (0..size.nodes)
+            .map(|index| hollow_node(&size, index, 1))
+            .collect();
         let mut scene = Scene {
             size,
             network: Network::new(nodes, START),
@@ -148,23 +152,28 @@
             self.revision += 1;
             let key = format!("group/group-{group}");
             let body = group_body(&self.size, group);
-            self.documents.insert(key.clone(), document(key, self.revision, body));
+            self.documents
+                .insert(key.clone(), document(key, self.revision, body));
             self.revision += 1;
             let key = format!("tenant/tenant-{group}");
             let body = format!("name = \"tenant-{group}\"\ntemplate = \"t\"\ngroup = \"group-{group}\"\n");
-            self.documents.insert(key.clone(), document(key, self.revision, body));
+            self.documents
+                .insert(key.clone(), document(key, self.revision, body));
         }
     }
 
     /// All nodes know each other and have the configuration, as after a night.
     fn introduce(&mut self) {
-        let members: Vec<MemberRecord> = (0..self.size.nodes).map(|index| member(&self.size, index, 1)).collect();
+        let members: Vec<MemberRecord> = (0..self.size.nodes)
+            .map(|index| member(&self.size, index, 1))
+            .collect();
         let table = ControlMessage::Table { members };
         let documents: Vec<WireDocument> = self.documents.values().cloned().collect();
         let revision = self.revision;
         for index in 0..self.size.nodes {
             let from = member(&self.size, 0, 1).node;
-            self.network.on_node(index, |plane, now| plane.receive(now, &from, &table));
+            self.network
+                .on_node(index, |plane, now| plane.receive(now, &from, &table));
             self.network.on_node(index, |plane, now| {
                 plane.platform_snapshot(now, now, revision, &documents);
                 Vec::new()
@@ -192,7 +201,12 @@
             .map(|(index, node)| (node.plane.membership().own().node.as_str(), index))
             .collect();
         (0..self.size.zones)
-            .filter_map(|zone| self.network.nodes.iter().find(|node| node.alive && node.zone == format!("zone-{zone}")))
+            .filter_map(|zone| {
+                self.network
+                    .nodes
+                    .iter()
+                    .find(|node| node.alive && node.zone == format!("zone-{zone}"))
+            })
             .flat_map(|node| node.plane.membership().relays(&node.zone))
             .filter_map(|relay| by_name.get(relay.as_str()).copied())
             .collect()
@@ -234,9 +248,13 @@
         let seconds = self.size.seconds as f64;
         let relays = self.relays();
         let indexed = || self.network.nodes.iter().enumerate();
-        let relay_nodes = indexed().filter(|(index, _)| relays.contains(index)).map(|(_, node)| node);
+        let relay_nodes = indexed()
+            .filter(|(index, _)| relays.contains(index))
+            .map(|(_, node)| node);
         report.steady.insert("relay", role_load(relay_nodes, seconds));
-        let members = indexed().filter(|(index, _)| !relays.contains(index)).map(|(_, node)| node);
+        let members = indexed()
+            .filter(|(index, _)| !relays.contains(index))
+            .map(|(_, node)| node);
         report.steady.insert("member", role_load(members, seconds));
         report.platform_watches = relays.len();
         report.platform_calls_per_second = relays.len() as f64 * 1_000.0 / PLATFORM_INTERVAL_MS as f64;
@@ -277,7 +295,9 @@
                     *probes.entry(node.clone()).or_default() += rate;
                 }
             }
-            at_instance = questions.iter().fold(at_instance, |highest, asked| highest.max(*asked));
+            at_instance = questions
+                .iter()
+                .fold(at_instance, |highest, asked| highest.max(*asked));
         }
         let nodes = self.size.nodes as f64;
         let total: f64 = probes.values().sum();
@@ -359,8 +379,12 @@
     fn change_once(&mut self) -> u64 {
         self.revision += 1;
         let key = "tenant/tenant-0".to_owned();
-        let body = format!("name = \"tenant-0\"\ntemplate = \"t\"\ngroup = \"group-0\"\n# {}\n", self.revision);
-        self.documents.insert(key.clone(), document(key, self.revision, body));
+        let body = format!(
+            "name = \"tenant-0\"\ntemplate = \"t\"\ngroup = \"group-0\"\n# {}\n",
+            self.revision
+        );
+        self.documents
+            .insert(key.clone(), document(key, self.revision, body));
         let hears = self.network.now.plus_millis(WATCH_LATENCY_MS);
         self.network.run_until(hears);
         for relay in self.relays() {
@@ -391,7 +415,11 @@
             .nodes
             .iter()
             .map(|node| {
-                let sent: u64 = kinds.iter().filter_map(|kind| node.sent.get(kind)).map(|(_, bytes)| bytes).sum();
+                let sent: u64 = kinds
+                    .iter()
+                    .filter_map(|kind| node.sent.get(kind))
+                    .map(|(_, bytes)| bytes)
+                    .sum();
                 sent as f64 / CHANGES as f64
             })
             .collect();
@@ -402,7 +430,10 @@
 
     fn death_and_restart(&mut self, report: &mut HollowReport) {
         let relays = self.relays();
-        let victim = (0..self.size.nodes).rev().find(|index| !relays.contains(index)).unwrap_or(0);
+        let victim = (0..self.size.nodes)
+            .rev()
+            .find(|index| !relays.contains(index))
+            .unwrap_or(0);
         let name = self.network.nodes[victim].plane.membership().own().node.clone();
         self.network.nodes[victim].alive = false;
         report.death_known_ms = self.time_until(|network| {
@@ -416,7 +447,8 @@
         self.pass(2_000);
         self.network.reset_accounts();
         self.network.nodes[victim] = hollow_node(&self.size, victim, 2);
-        report.restart_serving_ms = self.time_until(|network| network.nodes[victim].plane.may_serve(network.now).is_ok());
+        report.restart_serving_ms =
+            self.time_until(|network| network.nodes[victim].plane.may_serve(network.now).is_ok());
         self.pass(5_000);
         report.restart_bytes = self.sent_of(&["join", "table", "config_pull", "config_delta"]);
     }
@@ -447,9 +479,17 @@
     }
 
     fn serving(&self, chosen: impl Fn(&HollowNode) -> bool) -> (usize, usize) {
-        let chosen: Vec<&HollowNode> = self.network.nodes.iter().filter(|node| node.alive && chosen(node)).collect();
+        let chosen: Vec<&HollowNode> = self
+            .network
+            .nodes
+            .iter()
+            .filter(|node| node.alive && chosen(node))
+            .collect();
         let now = self.network.now;
-        let serving = chosen.iter().filter(|node| node.plane.may_serve(now).is_ok()).count();
+        let serving = chosen
+            .iter()
+            .filter(|node| node.plane.may_serve(now).is_ok())
+            .count();
         (serving, chosen.len())
     }
 
@@ -472,7 +512,13 @@
             let records = node.plane.membership().records();
             records.filter(|record| record.liveness == Liveness::Dead).count()
         };
-        self.network.nodes.iter().filter(|node| node.alive).map(dead).max().unwrap_or(0)
+        self.network
+            .nodes
+            .iter()
+            .filter(|node| node.alive)
+            .map(dead)
+            .max()
+            .unwrap_or(0)
     }
 
     fn region_cut(&mut self, report: &mut HollowReport) {
@@ -523,6 +569,10 @@
 fn resident_bytes() -> u64 {
     const PAGE_BYTES: u64 = 4_096;
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: u64 = text.split(' ').nth(1).and_then(|field| field.parse().ok()).unwrap_or(0);
+    let pages: u64 = text
+        .split(' ')
+        .nth(1)
+        .and_then(|field| field.parse().ok())
+        .unwrap_or(0);
     pages * PAGE_BYTES
 }
--- a/crates/millwind-lab/src/http.rs
+++ b/crates/millwind-lab/src/http.rs
@@ -46,7 +46,12 @@
     let exchange = async {
         let response = client.request(request).await.map_err(transport)?;
         let status = response.status();
-        let bytes = response.into_body().collect().await.map_err(transport)?.to_bytes();
+        let bytes = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(transport)?
+            .to_bytes();
         if status.is_success() {
             return Ok(bytes);
         }
@@ -80,7 +85,11 @@
 }
 
 /// Sends JSON and reads JSON.
-pub async fn put<T: Serialize, R: DeserializeOwned>(address: SocketAddr, path: &str, body: &T) -> Result<R, HttpError> {
+pub async fn put<T: Serialize, R: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    body: &T,
+) -> Result<R, HttpError> {
     let bytes = serde_json::to_vec(body).map_err(transport)?;
     let answer = call(Method::PUT, address, path, bytes).await?;
     serde_json::from_slice(&answer).map_err(transport)
--- a/crates/millwind-lab/src/instance/database.rs
+++ b/crates/millwind-lab/src/instance/database.rs
@@ -14,10 +14,12 @@
 
 /// Opens a connection to the instance's database of this generation.
 pub fn open(instance: &Instance, generation: u64) -> rusqlite::Result<Connection> {
-    let flags = OpenFlags::SQLITE_OPEN_READ_WRITE | OpenFlags::SQLITE_OPEN_CREATE | OpenFlags::SQLITE_OPEN_URI;
+    let flags =
+        OpenFlags::SQLITE_OPEN_READ_WRITE | OpenFlags::SQLITE_OPEN_CREATE | OpenFlags::SQLITE_OPEN_URI;
     let name = &instance.settings.name;
     let port = instance.settings.listen.port();
-    let connection = Connection::open_with_flags(format!("file:/{name}-{port}-{generation}?vfs=memdb"), flags)?;
+    let connection =
+        Connection::open_with_flags(format!("file:/{name}-{port}-{generation}?vfs=memdb"), flags)?;
     connection.busy_timeout(BUSY_TIMEOUT)?;
     Ok(connection)
 }
@@ -40,7 +42,10 @@
         };
         let value = match parameter {
             None => Value::Null,
-            Some(text) => text.parse().map(Value::Integer).unwrap_or_else(|_| Value::Text(text.clone())),
+            Some(text) => text
+                .parse()
+                .map(Value::Integer)
+                .unwrap_or_else(|_| Value::Text(text.clone())),
         };
         prepared.raw_bind_parameter(place, value)?;
     }
@@ -64,9 +69,14 @@
         let now = Instant::now();
         let (generation, due, wait) = {
             let core = instance.state.lock();
-            let next = core.received.get(core.applied).map(|received| *received + core.lag);
+            let next = core
+                .received
+                .get(core.applied)
+                .map(|received| *received + core.lag);
             let due = next.is_some_and(|due| due <= now);
-            let wait = next.map_or(LONGEST_SLEEP, |due| due.saturating_duration_since(now).min(LONGEST_SLEEP));
+            let wait = next.map_or(LONGEST_SLEEP, |due| {
+                due.saturating_duration_since(now).min(LONGEST_SLEEP)
+            });
             (core.generation, due, wait)
         };
         if !due {
@@ -90,7 +100,11 @@
         return;
     }
     if let Err(error) = apply(connection, &core.log[core.applied]) {
-        log::error!("event=replay_failed instance={} error={:?}", instance.settings.name, error.to_string());
+        log::error!(
+            "event=replay_failed instance={} error={:?}",
+            instance.settings.name,
+            error.to_string()
+        );
         let _ = connection.execute_batch("ROLLBACK");
         return;
     }
@@ -102,7 +116,9 @@
 /// Replays everything received, before a new primary opens.
 pub fn replay_all(instance: &Instance) {
     let generation = instance.state.lock().generation;
-    let Ok(connection) = open(instance, generation) else { return };
+    let Ok(connection) = open(instance, generation) else {
+        return;
+    };
     loop {
         {
             let core = instance.state.lock();
--- a/crates/millwind-lab/src/instance/election.rs
+++ b/crates/millwind-lab/src/instance/election.rs
@@ -22,7 +22,10 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         let stands = {
             let core = instance.state.lock();
-            core.role == Role::Follower && core.full_member && !core.cut && core.heard_leader.elapsed() > patience
+            core.role == Role::Follower
+                && core.full_member
+                && !core.cut
+                && core.heard_leader.elapsed() > patience
         };
         if stands {
             stand(&instance).await;
@@ -43,10 +46,19 @@
             end: core.end(),
         }
     };
-    let votes = instance.settings.peers.iter().map(|peer| ask_vote(peer, request.clone()));
+    let votes = instance
+        .settings
+        .peers
+        .iter()
+        .map(|peer| ask_vote(peer, request.clone()));
     let replies = join_all(votes).await;
     let mut core = instance.state.lock();
-    let highest = replies.iter().flatten().map(|reply| reply.term).max().unwrap_or(0);
+    let highest = replies
+        .iter()
+        .flatten()
+        .map(|reply| reply.term)
+        .max()
+        .unwrap_or(0);
     if highest > core.term {
         core.follow(highest);
         return;
@@ -62,7 +74,11 @@
             term: request.term,
             start,
         });
-        log::info!("event=election_won instance={} term={}", instance.settings.name, request.term);
+        log::info!(
+            "event=election_won instance={} term={}",
+            instance.settings.name,
+            request.term
+        );
     }
     drop(core);
     instance.state.notify();
--- a/crates/millwind-lab/src/instance/log_state.rs
+++ b/crates/millwind-lab/src/instance/log_state.rs
@@ -123,7 +123,10 @@
 
     /// Appends a committed transaction; returns the log position after it.
     pub fn append(&mut self, statements: Vec<Statement>) -> u64 {
-        let size: u64 = statements.iter().map(|statement| statement.sql.len() as u64).sum();
+        let size: u64 = statements
+            .iter()
+            .map(|statement| statement.sql.len() as u64)
+            .sum();
         let end = self.end() + size + RECORD_OVERHEAD_BYTES;
         self.log.push(Entry {
             term: self.term,
@@ -179,7 +182,11 @@
             vec![Start { term: 1, start: 0 }]
         };
         let core = Core {
-            role: if settings.initial_primary { Role::Leader } else { Role::Follower },
+            role: if settings.initial_primary {
+                Role::Leader
+            } else {
+                Role::Follower
+            },
             term: u64::from(!settings.rejoin),
             voted_term: u64::from(!settings.rejoin),
             log: Vec::new(),
@@ -225,7 +232,7 @@
 
 /// Instances that make a majority, out of the peers and the instance itself.
 pub fn majority(peers: usize) -> usize {
-    (peers + 1) / 2 + 1
+    peers.div_ceil(2) + 1
 }
 
 /// Waits until a majority holds the first `length` entries, or goes on alone
@@ -236,7 +243,11 @@
     loop {
         {
             let mut core = state.lock();
-            let holding = 1 + core.matched.values().filter(|matched| **matched >= length).count();
+            let holding = 1 + core
+                .matched
+                .values()
+                .filter(|matched| **matched >= length)
+                .count();
             if holding >= majority(peers) {
                 core.alone = false;
                 return;
@@ -245,7 +256,10 @@
                 return;
             }
         }
-        if !matches!(tokio::time::timeout_at(give_up, changed.changed()).await, Ok(Ok(()))) {
+        if !matches!(
+            tokio::time::timeout_at(give_up, changed.changed()).await,
+            Ok(Ok(()))
+        ) {
             state.lock().alone = true;
             return;
         }
--- a/crates/millwind-lab/src/instance/replication.rs
+++ b/crates/millwind-lab/src/instance/replication.rs
@@ -73,7 +73,10 @@
 type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
 async fn connect(peer: &Peer) -> Option<Link> {
-    let stream = timeout(REPLY_TIMEOUT, TcpStream::connect(peer.address)).await.ok()?.ok()?;
+    let stream = timeout(REPLY_TIMEOUT, TcpStream::connect(peer.address))
+        .await
+        .ok()?
+        .ok()?;
     stream.set_nodelay(true).ok()?;
     Some(Framed::new(stream, LengthDelimitedCodec::new()))
 }
@@ -162,7 +165,8 @@
     }
     core.matched.insert(peer.name.clone(), next + count);
     core.adopted.insert(peer.name.clone());
-    let opens = core.role == Role::Opening && 1 + core.adopted.len() >= majority(instance.settings.peers.len());
+    let opens =
+        core.role == Role::Opening && 1 + core.adopted.len() >= majority(instance.settings.peers.len());
     drop(core);
     if opens {
         open(instance, sent_term);
@@ -179,7 +183,10 @@
         core.role = Role::Leader;
         core.alone = false;
         core.opened_at_ms = millwind_node::clock::unix_millis();
-        log::info!("event=primary_opened instance={} term={term}", instance.settings.name);
+        log::info!(
+            "event=primary_opened instance={} term={term}",
+            instance.settings.name
+        );
     }
 }
 
@@ -191,9 +198,15 @@
             let _ = stream.set_nodelay(true);
             let mut link = Framed::new(stream, LengthDelimitedCodec::new());
             while let Some(Ok(frame)) = link.next().await {
-                let Ok(message) = serde_json::from_slice::<Message>(&frame) else { return };
-                let Some(reply) = answer(&instance, message) else { return };
-                let Ok(bytes) = serde_json::to_vec(&Message::Reply(reply)) else { return };
+                let Ok(message) = serde_json::from_slice::<Message>(&frame) else {
+                    return;
+                };
+                let Some(reply) = answer(&instance, message) else {
+                    return;
+                };
+                let Ok(bytes) = serde_json::to_vec(&Message::Reply(reply)) else {
+                    return;
+                };
                 if link.send(Bytes::from(bytes)).await.is_err() {
                     return;
                 }
@@ -245,7 +258,11 @@
     }
     for (offset, entry) in append.entries.iter().enumerate() {
         let index = append.previous + offset;
-        if core.log.get(index).is_some_and(|held| held.term == entry.term && held.end == entry.end) {
+        if core
+            .log
+            .get(index)
+            .is_some_and(|held| held.term == entry.term && held.end == entry.end)
+        {
             continue;
         }
         core.truncate(index);
--- a/crates/millwind-lab/src/instance/session.rs
+++ b/crates/millwind-lab/src/instance/session.rs
@@ -10,9 +10,13 @@
 use millwind_node::pg::status::STATUS_QUERY;
 use pgwire::messages::data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription};
 use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
-use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, SslResponse, TransactionStatus};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, SslResponse, TransactionStatus,
+};
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
-use pgwire::messages::{DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage,
+};
 use rusqlite::types::ValueRef;
 use rusqlite::{Connection, ErrorCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -210,11 +214,18 @@
         }
         tokio::time::sleep(Duration::from_millis(self.instance.settings.connect_ms)).await;
         self.put(PgWireBackendMessage::Authentication(Authentication::Ok));
-        for (name, value) in [("server_version", "15.0"), ("client_encoding", "UTF8"), ("standard_conforming_strings", "on")] {
+        for (name, value) in [
+            ("server_version", "15.0"),
+            ("client_encoding", "UTF8"),
+            ("standard_conforming_strings", "on"),
+        ] {
             let parameter = ParameterStatus::new(name.to_owned(), value.to_owned());
             self.put(PgWireBackendMessage::ParameterStatus(parameter));
         }
-        self.put(PgWireBackendMessage::BackendKeyData(BackendKeyData::new(1, SecretKey::I32(1))));
+        self.put(PgWireBackendMessage::BackendKeyData(BackendKeyData::new(
+            1,
+            SecretKey::I32(1),
+        )));
         self.put_ready();
         self.flush().await?;
         Ok(true)
@@ -279,10 +290,11 @@
                 }
             }
         }
-        if implicit && self.transaction.is_some() {
-            if let Err(error) = self.commit().await {
-                self.fail(&error);
-            }
+        if implicit
+            && self.transaction.is_some()
+            && let Err(error) = self.commit().await
+        {
+            self.fail(&error);
         }
     }
 
@@ -304,7 +316,9 @@
                     .parameters
                     .iter()
                     .enumerate()
-                    .map(|(index, value)| parameter_text(value.as_ref(), format_of(formats, index), &statement, index))
+                    .map(|(index, value)| {
+                        parameter_text(value.as_ref(), format_of(formats, index), &statement, index)
+                    })
                     .collect();
                 let portal = Portal {
                     sql: statement.sql,
@@ -354,16 +368,24 @@
             let statement = self.statement(name)?;
             let count = self.parameter_count(&statement.sql)?;
             let types = (0..count).map(|index| type_oid(&statement, index)).collect();
-            self.put(PgWireBackendMessage::ParameterDescription(ParameterDescription::new(types)));
+            self.put(PgWireBackendMessage::ParameterDescription(
+                ParameterDescription::new(types),
+            ));
             statement.sql
         } else {
-            self.portals.get(name).map(|portal| portal.sql.clone()).unwrap_or_default()
+            self.portals
+                .get(name)
+                .map(|portal| portal.sql.clone())
+                .unwrap_or_default()
         };
         let columns = self.columns(&sql)?;
         if columns.is_empty() {
             self.put(PgWireBackendMessage::NoData(NoData::new()));
         } else {
-            self.put(PgWireBackendMessage::RowDescription(row_description(&columns, &[])));
+            self.put(PgWireBackendMessage::RowDescription(row_description(
+                &columns,
+                &[],
+            )));
         }
         Ok(())
     }
@@ -385,7 +407,10 @@
 
     fn put_result(&mut self, result: &ResultSet, formats: &[i16], describe: bool) {
         if describe && !result.columns.is_empty() {
-            self.put(PgWireBackendMessage::RowDescription(row_description(&result.columns, formats)));
+            self.put(PgWireBackendMessage::RowDescription(row_description(
+                &result.columns,
+                formats,
+            )));
         }
         for row in &result.rows {
             let row = data_row(row, &result.columns, formats);
@@ -413,7 +438,11 @@
             "SET" => return Ok(tagged("SET")),
             _ => {}
         }
-        if self.transaction.as_ref().is_some_and(|transaction| transaction.failed) {
+        if self
+            .transaction
+            .as_ref()
+            .is_some_and(|transaction| transaction.failed)
+        {
             return Err(SqlError::new("25P02", "current transaction is aborted"));
         }
         self.instance.statements.fetch_add(1, Ordering::Relaxed);
@@ -432,9 +461,13 @@
 
     fn status(&self) -> Result<ResultSet, SqlError> {
         let core = self.instance.state.lock();
-        let row = status::row(&core).ok_or_else(|| SqlError::new("57P03", "instance has not joined its group"))?;
+        let row =
+            status::row(&core).ok_or_else(|| SqlError::new("57P03", "instance has not joined its group"))?;
         Ok(ResultSet {
-            columns: status::COLUMNS.iter().map(|name| ((*name).to_owned(), TEXT_OID)).collect(),
+            columns: status::COLUMNS
+                .iter()
+                .map(|name| ((*name).to_owned(), TEXT_OID))
+                .collect(),
             rows: vec![row],
             tag: "SELECT 1".to_owned(),
         })
@@ -444,7 +477,11 @@
     /// transaction's earlier statements, and undone at once. The database is
     /// thus never locked between two messages of a client.
     fn query_in_transaction(&self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
-        let Some(transaction) = self.transaction.as_ref().filter(|transaction| transaction.lock.is_some()) else {
+        let Some(transaction) = self
+            .transaction
+            .as_ref()
+            .filter(|transaction| transaction.lock.is_some())
+        else {
             return self.query(sql, parameters);
         };
         self.connection.execute_batch("BEGIN IMMEDIATE")?;
@@ -495,10 +532,17 @@
         }
     }
 
-    async fn write_in_transaction(&mut self, sql: &str, parameters: &[Option<String>]) -> Result<ResultSet, SqlError> {
+    async fn write_in_transaction(
+        &mut self,
+        sql: &str,
+        parameters: &[Option<String>],
+    ) -> Result<ResultSet, SqlError> {
         self.instance.writes.fetch_add(1, Ordering::Relaxed);
         self.check_leads()?;
-        let locked = self.transaction.as_ref().is_some_and(|transaction| transaction.lock.is_some());
+        let locked = self
+            .transaction
+            .as_ref()
+            .is_some_and(|transaction| transaction.lock.is_some());
         if !locked {
             let lock = tokio::time::timeout(LOCK_TIMEOUT, self.instance.write_lock.clone().lock_owned())
                 .await
@@ -527,7 +571,10 @@
         if self.instance.state.lock().role == Role::Leader {
             return Ok(());
         }
-        Err(SqlError::new("25006", "cannot execute a write in a read-only transaction"))
+        Err(SqlError::new(
+            "25006",
+            "cannot execute a write in a read-only transaction",
+        ))
     }
 
     fn begin(&mut self) {
@@ -543,7 +590,10 @@
     }
 
     async fn commit(&mut self) -> Result<ResultSet, SqlError> {
-        let failed = self.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        let failed = self
+            .transaction
+            .as_ref()
+            .is_some_and(|transaction| transaction.failed);
         if failed {
             self.roll_back();
             return Ok(tagged("ROLLBACK"));
@@ -557,7 +607,10 @@
         let length = {
             let mut core = self.instance.state.lock();
             if core.role != Role::Leader || core.generation != self.generation {
-                return Err(SqlError::new("25006", "instance stopped leading before the commit"));
+                return Err(SqlError::new(
+                    "25006",
+                    "instance stopped leading before the commit",
+                ));
             }
             self.connection.execute_batch("BEGIN IMMEDIATE")?;
             if let Err(error) = self.run_all(&transaction.statements) {
@@ -613,7 +666,10 @@
 fn first_word(sql: &str) -> String {
     let mut rest = sql.trim_start();
     while let Some(comment) = rest.strip_prefix("/*") {
-        rest = comment.split_once("*/").map_or("", |(_, after)| after).trim_start();
+        rest = comment
+            .split_once("*/")
+            .map_or("", |(_, after)| after)
+            .trim_start();
     }
     rest.split(|character: char| !character.is_ascii_alphabetic())
         .next()
@@ -634,7 +690,11 @@
         .columns()
         .map(|column| {
             let declared = column.decl_type().unwrap_or_default().to_uppercase();
-            let oid = if declared.contains("INT") { INT8_OID } else { TEXT_OID };
+            let oid = if declared.contains("INT") {
+                INT8_OID
+            } else {
+                TEXT_OID
+            };
             (column.name().to_owned(), oid)
         })
         .collect()
@@ -662,7 +722,12 @@
     }
 }
 
-fn parameter_text(value: Option<&Bytes>, format: i16, statement: &PreparedStatement, index: usize) -> Option<String> {
+fn parameter_text(
+    value: Option<&Bytes>,
+    format: i16,
+    statement: &PreparedStatement,
+    index: usize,
+) -> Option<String> {
     let bytes = value?;
     if format == BINARY_FORMAT && type_oid(statement, index) != TEXT_OID {
         let number = match bytes.len() {
--- a/crates/millwind-lab/src/main.rs
+++ b/crates/millwind-lab/src/main.rs
@@ -170,7 +170,10 @@
             Err(error) => daemon::refuse(&error.to_string()),
         },
         Command::Demo { deployment, seed } => run_demo(deployment, seed).await,
-        Command::Overhead { callers, idle_callers } => run_overhead(callers, idle_callers).await,
+        Command::Overhead {
+            callers,
+            idle_callers,
+        } => run_overhead(callers, idle_callers).await,
         Command::Report { directory } => match report::make(&directory) {
             Ok(path) => {
                 println!("{}", path.display());
@@ -198,7 +201,10 @@
             run_hollow(size, json)
         }
         Command::Experiment(arguments) => run_experiment(&arguments).await,
-        Command::Cluster { deployment, nodes_per_zone } => run_cluster(deployment, nodes_per_zone).await,
+        Command::Cluster {
+            deployment,
+            nodes_per_zone,
+        } => run_cluster(deployment, nodes_per_zone).await,
     }
 }
 
@@ -298,10 +304,10 @@
         Ok(result) => result,
         Err(error) => return fail(&error),
     };
-    if let Some(directory) = &arguments.record {
-        if let Err(error) = record(directory, &summary, &history) {
-            return fail(&error);
-        }
+    if let Some(directory) = &arguments.record
+        && let Err(error) = record(directory, &summary, &history)
+    {
+        return fail(&error);
     }
     print_json(&summary);
     exit_code(&summary)
@@ -313,7 +319,10 @@
     let run = RecordedRun::new(value, history);
     let text = serde_json::to_string(&run).map_err(std::io::Error::other)?;
     let baseline = summary.baseline.as_deref().unwrap_or("usual");
-    let name = format!("{}-{}-{}-{baseline}.json", summary.experiment, summary.deployment, summary.seed);
+    let name = format!(
+        "{}-{}-{}-{baseline}.json",
+        summary.experiment, summary.deployment, summary.seed
+    );
     std::fs::write(directory.join(name), text)
 }
 
@@ -337,9 +346,16 @@
         );
     }
     for instance in &cluster.instances {
-        println!("instance={} address={}", instance.settings.name, instance.settings.listen);
+        println!(
+            "instance={} address={}",
+            instance.settings.name, instance.settings.listen
+        );
     }
-    println!("platform={} logs={}", cluster.platform_address, cluster.directory().display());
+    println!(
+        "platform={} logs={}",
+        cluster.platform_address,
+        cluster.directory().display()
+    );
     let _ = tokio::signal::ctrl_c().await;
     ExitCode::SUCCESS
 }
--- a/crates/millwind-lab/src/overhead.rs
+++ b/crates/millwind-lab/src/overhead.rs
@@ -53,7 +53,11 @@
 }
 
 /// Measures with this program's stand-ins and nodes.
-pub async fn run(program: PathBuf, callers: usize, idle_callers: usize) -> Result<OverheadReport, ClusterError> {
+pub async fn run(
+    program: PathBuf,
+    callers: usize,
+    idle_callers: usize,
+) -> Result<OverheadReport, ClusterError> {
     let mut options = ClusterOptions::new(program);
     options.flat = true;
     options.service_us = 0;
@@ -75,7 +79,10 @@
         .iter()
         .find(|instance| instance.settings.name != primary.settings.name)
         .map_or(primary, |found| found);
-    let replica_node = cluster.nodes.iter().find(|node| node.settings.zone == replica.zone);
+    let replica_node = cluster
+        .nodes
+        .iter()
+        .find(|node| node.settings.zone == replica.zone);
     let replica_address = replica_node.map_or(near, |node| node.client_address);
 
     let direct = direct_client(replica.settings.listen).await?;
@@ -123,7 +130,11 @@
 
 /// A session that reads on an instance its node does not own: the primary-only
 /// way through a node of another zone.
-async fn forwarding_client(cluster: &Cluster, tenant: &str, near: SocketAddr) -> Result<Client, ClusterError> {
+async fn forwarding_client(
+    cluster: &Cluster,
+    tenant: &str,
+    near: SocketAddr,
+) -> Result<Client, ClusterError> {
     let other = cluster.nodes.iter().find(|node| node.client_address != near);
     let address = other.map_or(near, |node| node.client_address);
     let (client, _) = connect(address, tenant, None).await?;
@@ -181,9 +192,13 @@
         .nodes
         .iter()
         .map(|node| {
-            let text = std::fs::read_to_string(format!("/proc/{}/stat", node.process.id())).unwrap_or_default();
+            let text =
+                std::fs::read_to_string(format!("/proc/{}/stat", node.process.id())).unwrap_or_default();
             let after_name = text.rsplit_once(") ").map_or("", |(_, rest)| rest);
-            let fields: Vec<f64> = after_name.split(' ').filter_map(|field| field.parse().ok().or(Some(0.0))).collect();
+            let fields: Vec<f64> = after_name
+                .split(' ')
+                .filter_map(|field| field.parse().ok().or(Some(0.0)))
+                .collect();
             let time = |index: usize| fields.get(index).copied().unwrap_or(0.0);
             (time(USER_FIELD) + time(USER_FIELD + 1)) / TICKS_PER_SECOND
         })
@@ -212,6 +227,10 @@
 fn resident_bytes(process: u32) -> u64 {
     const PAGE_BYTES: u64 = 4_096;
     let text = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
-    let pages: u64 = text.split(' ').nth(1).and_then(|field| field.parse().ok()).unwrap_or(0);
+    let pages: u64 = text
+        .split(' ')
+        .nth(1)
+        .and_then(|field| field.parse().ok())
+        .unwrap_or(0);
     pages * PAGE_BYTES
 }
--- a/crates/millwind-lab/src/platform.rs
+++ b/crates/millwind-lab/src/platform.rs
@@ -10,10 +10,10 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use millwind_platform::messages::{
-    Compare, CompareOperand, CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Event, EventType,
-    KeyValue, PutRequest, PutResponse, RangeRequest, RangeResponse, RequestOp, RequestOpKind, ResponseHeader,
-    ResponseOp, ResponseOpKind, TxnRequest, TxnResponse, WatchCreateRequest, WatchRequest, WatchRequestKind,
-    WatchResponse,
+    Compare, CompareOperand, CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Event,
+    EventType, KeyValue, PutRequest, PutResponse, RangeRequest, RangeResponse, RequestOp, RequestOpKind,
+    ResponseHeader, ResponseOp, ResponseOpKind, TxnRequest, TxnResponse, WatchCreateRequest, WatchRequest,
+    WatchRequestKind, WatchResponse,
 };
 use millwind_platform::service::{KeyValueServer, KeyValueService, WatchServer, WatchStream};
 use serde::{Deserialize, Serialize};
@@ -243,7 +243,9 @@
             (Some(CompareOperand::CreateRevision(wanted)), Ok(CompareTarget::Create)) => {
                 number(|kv| kv.create_revision).cmp(wanted)
             }
-            (Some(CompareOperand::Version(wanted)), Ok(CompareTarget::Version)) => number(|kv| kv.version).cmp(wanted),
+            (Some(CompareOperand::Version(wanted)), Ok(CompareTarget::Version)) => {
+                number(|kv| kv.version).cmp(wanted)
+            }
             _ => return false,
         };
         match CompareResult::try_from(compare.result) {
@@ -330,7 +332,11 @@
         let (response, revision) = {
             let mut content = self.content();
             let succeeded = request.compare.iter().all(|compare| content.holds(compare));
-            let operations = if succeeded { request.success } else { request.failure };
+            let operations = if succeeded {
+                request.success
+            } else {
+                request.failure
+            };
             let writes = operations
                 .iter()
                 .any(|operation| !matches!(operation.request, Some(RequestOpKind::Range(_))));
@@ -359,7 +365,10 @@
 
     async fn watch(&self, mut requests: Streaming<WatchRequest>) -> Result<WatchStream, Status> {
         self.suffer().await?;
-        let first = requests.next().await.ok_or_else(|| Status::invalid_argument("no request"))??;
+        let first = requests
+            .next()
+            .await
+            .ok_or_else(|| Status::invalid_argument("no request"))??;
         let Some(WatchRequestKind::Create(create)) = first.request else {
             return Err(Status::invalid_argument("first request must create a watch"));
         };
--- a/crates/millwind-lab/src/relay.rs
+++ b/crates/millwind-lab/src/relay.rs
@@ -26,7 +26,11 @@
 impl LinkKey {
     /// The pair, in either order.
     pub fn new(left: &str, right: &str) -> Self {
-        let (from, to) = if left <= right { (left, right) } else { (right, left) };
+        let (from, to) = if left <= right {
+            (left, right)
+        } else {
+            (right, left)
+        };
         LinkKey {
             from: from.to_owned(),
             to: to.to_owned(),
@@ -55,7 +59,12 @@
 
     /// Opens a relay to `target` with this one-way latency; returns where to
     /// dial it.
-    pub async fn open(&self, key: LinkKey, target: SocketAddr, latency: Duration) -> std::io::Result<SocketAddr> {
+    pub async fn open(
+        &self,
+        key: LinkKey,
+        target: SocketAddr,
+        latency: Duration,
+    ) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let cut = self.switch(&key);
@@ -73,7 +82,9 @@
     if cut.wait_for(|cut| !cut).await.is_err() {
         return;
     }
-    let Ok(outbound) = TcpStream::connect(target).await else { return };
+    let Ok(outbound) = TcpStream::connect(target).await else {
+        return;
+    };
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
     let (inbound_read, inbound_write) = inbound.into_split();
@@ -86,12 +97,22 @@
     }
 }
 
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, latency: Duration, mut cut: watch::Receiver<bool>) {
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    latency: Duration,
+    mut cut: watch::Receiver<bool>,
+) {
     let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
     let reader = async move {
         let mut chunk = vec![0; CHUNK_BYTES];
         while let Ok(length) = from.read(&mut chunk).await {
-            if length == 0 || sender.send((Instant::now() + latency, chunk[..length].to_vec())).await.is_err() {
+            if length == 0
+                || sender
+                    .send((Instant::now() + latency, chunk[..length].to_vec()))
+                    .await
+                    .is_err()
+            {
                 return;
             }
         }
--- a/crates/millwind-lab/src/report.rs
+++ b/crates/millwind-lab/src/report.rs
@@ -10,7 +10,9 @@
 use crate::history::{History, Told};
 
 const BUCKET_MS: u64 = 250;
-const QUANTILES: [f64; 12] = [0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.98, 0.99, 0.995, 0.998, 0.999, 1.0];
+const QUANTILES: [f64; 12] = [
+    0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.98, 0.99, 0.995, 0.998, 0.999, 1.0,
+];
 const PLOT_SIZE: (u32, u32) = (760, 260);
 
 /// Why a report was not made.
@@ -54,10 +56,19 @@
 impl RecordedRun {
     /// Records a run.
     pub fn new(summary: serde_json::Value, history: &History) -> Self {
-        let writes = history.writes.iter().map(|write| (write.answered_at_ms, write.told == Told::Acknowledged, true));
-        let reads = history.reads.iter().map(|read| (read.answered_at_ms, read.answered, false));
+        let writes = history
+            .writes
+            .iter()
+            .map(|write| (write.answered_at_ms, write.told == Told::Acknowledged, true));
+        let reads = history
+            .reads
+            .iter()
+            .map(|read| (read.answered_at_ms, read.answered, false));
         let events: Vec<(u64, bool, bool)> = writes.chain(reads).collect();
-        let acknowledged = history.writes.iter().filter(|write| write.told == Told::Acknowledged);
+        let acknowledged = history
+            .writes
+            .iter()
+            .filter(|write| write.told == Told::Acknowledged);
         let answered = history.reads.iter().filter(|read| read.answered);
         RecordedRun {
             summary,
@@ -111,10 +122,13 @@
         .filter(|path| path.extension().is_some_and(|extension| extension == "json"))
         .collect();
     names.sort();
-    let mut page = String::from("<!doctype html><meta charset=\"utf-8\"><title>millwind experiments</title>\n<body style=\"font-family:sans-serif;max-width:60em;margin:auto\">\n<h1>millwind experiments</h1>\n");
+    let mut page = String::from(
+        "<!doctype html><meta charset=\"utf-8\"><title>millwind experiments</title>\n<body style=\"font-family:sans-serif;max-width:60em;margin:auto\">\n<h1>millwind experiments</h1>\n",
+    );
     for name in names {
         let text = std::fs::read_to_string(&name).map_err(file_error(&name))?;
-        let run: RecordedRun = serde_json::from_str(&text).map_err(|error| ReportError::Content(name.clone(), error))?;
+        let run: RecordedRun =
+            serde_json::from_str(&text).map_err(|error| ReportError::Content(name.clone(), error))?;
         page.push_str(&section(&run)?);
     }
     let path = directory.join("index.html");
@@ -124,7 +138,11 @@
 
 fn section(run: &RecordedRun) -> Result<String, ReportError> {
     let field = |name: &str| run.summary[name].to_string().trim_matches('"').to_owned();
-    let mut text = format!("<h2>{} on {}</h2>\n<table>\n", field("experiment"), field("deployment"));
+    let mut text = format!(
+        "<h2>{} on {}</h2>\n<table>\n",
+        field("experiment"),
+        field("deployment")
+    );
     let fields = [
         "offered",
         "completed_in_window",
@@ -150,9 +168,12 @@
     ReportError::Plot(error.to_string())
 }
 
+/// One of a bucket's counts.
+type BucketValue = fn(&Bucket) -> u32;
+
 fn timeline_plot(timeline: &[Bucket]) -> Result<String, ReportError> {
     let per_second = 1_000.0 / BUCKET_MS as f64;
-    let series: [(RGBColor, fn(&Bucket) -> u32); 3] = [
+    let series: [(RGBColor, BucketValue); 3] = [
         (BLUE, |bucket| bucket.acknowledged),
         (GREEN, |bucket| bucket.reads),
         (RED, |bucket| bucket.failed),
@@ -177,10 +198,16 @@
 fn curve_plot(writes: &[u64], reads: &[u64]) -> Result<String, ReportError> {
     let points = |curve: &[u64]| -> Vec<(f64, f64)> {
         let places = QUANTILES.iter().enumerate().map(|(index, _)| index as f64);
-        places.zip(curve.iter().map(|micros| *micros as f64 / 1_000.0)).collect()
+        places
+            .zip(curve.iter().map(|micros| *micros as f64 / 1_000.0))
+            .collect()
     };
     let highest = writes.iter().chain(reads).max().copied().unwrap_or(1) as f64 / 1_000.0;
-    draw((QUANTILES.len() - 1) as f64, highest, &[(BLUE, points(writes)), (GREEN, points(reads))])
+    draw(
+        (QUANTILES.len() - 1) as f64,
+        highest,
+        &[(BLUE, points(writes)), (GREEN, points(reads))],
+    )
 }
 
 fn draw(end: f64, highest: f64, lines: &[(RGBColor, Vec<(f64, f64)>)]) -> Result<String, ReportError> {
--- a/crates/millwind-lab/src/workload.rs
+++ b/crates/millwind-lab/src/workload.rs
@@ -153,7 +153,8 @@
         // An error of the back end itself: the statement was undone.
         _ => Told::RolledBack,
     };
-    let kind = field("kind").unwrap_or_else(|| format!("sql_{}: {}", database.code().code(), database.message()));
+    let kind =
+        field("kind").unwrap_or_else(|| format!("sql_{}: {}", database.code().code(), database.message()));
     let broken = database.severity() == "FATAL";
     Understood { told, kind, broken }
 }
@@ -253,7 +254,9 @@
 
     async fn limited(&self, sql: String) -> Option<Result<Vec<SimpleQueryMessage>, tokio_postgres::Error>> {
         let (client, _) = self.connection.as_ref()?;
-        tokio::time::timeout(ANSWER_LIMIT, client.simple_query(&sql)).await.ok()
+        tokio::time::timeout(ANSWER_LIMIT, client.simple_query(&sql))
+            .await
+            .ok()
     }
 
     async fn write_extended(&mut self) {
@@ -263,11 +266,15 @@
         let marked = format!("{request}.0");
         let sequence = self.sequence as i64;
         let started = Instant::now();
-        let Some((client, _)) = &self.connection else { return };
+        let Some((client, _)) = &self.connection else {
+            return;
+        };
         let run = async {
             let types = [Type::TEXT, Type::TEXT, Type::INT8];
             let statement = client.prepare_typed(&sql, &types).await?;
-            client.execute(&statement, &[&marked, &self.name, &sequence]).await
+            client
+                .execute(&statement, &[&marked, &self.name, &sequence])
+                .await
         };
         let result = tokio::time::timeout(ANSWER_LIMIT, run).await.ok();
         self.note_write(&[marked], started, result);
@@ -283,11 +290,19 @@
             )
         });
         let started = Instant::now();
-        let Some((client, _)) = &self.connection else { return };
+        let Some((client, _)) = &self.connection else {
+            return;
+        };
         let run = async {
-            client.simple_query("BEGIN").await.map_err(|error| (error, false))?;
+            client
+                .simple_query("BEGIN")
+                .await
+                .map_err(|error| (error, false))?;
             for statement in &statements {
-                client.simple_query(statement).await.map_err(|error| (error, false))?;
+                client
+                    .simple_query(statement)
+                    .await
+                    .map_err(|error| (error, false))?;
             }
             client.simple_query("COMMIT").await.map_err(|error| (error, true))
         };
@@ -315,7 +330,12 @@
         }
     }
 
-    fn note_write<T>(&mut self, requests: &[String], started: Instant, result: Option<Result<T, tokio_postgres::Error>>) {
+    fn note_write<T>(
+        &mut self,
+        requests: &[String],
+        started: Instant,
+        result: Option<Result<T, tokio_postgres::Error>>,
+    ) {
         match result {
             Some(Ok(_)) => {
                 self.acknowledged = self.sequence;
@@ -383,7 +403,11 @@
                 (false, "no answer".to_owned())
             }
         };
-        let count = if answered { &self.live.reads } else { &self.live.refused };
+        let count = if answered {
+            &self.live.reads
+        } else {
+            &self.live.refused
+        };
         count.fetch_add(1, Ordering::Relaxed);
         self.history.reads.push(ReadRecord {
             answered,
@@ -410,13 +434,17 @@
         let own = rows.len() == 1 && rows[0].get(0) == Some(nonce);
         if !own {
             let detail = format!("{} asked {nonce} and got {} rows", self.name, rows.len());
-            self.history.violations.push(Violation::new(Invariant::WholeOwnAnswer, detail));
+            self.history
+                .violations
+                .push(Violation::new(Invariant::WholeOwnAnswer, detail));
             return;
         }
         let seen: u64 = rows[0].get(1).and_then(|text| text.parse().ok()).unwrap_or(0);
         if seen < self.acknowledged {
             let detail = format!("{} wrote {} and read {seen}", self.name, self.acknowledged);
-            self.history.violations.push(Violation::new(Invariant::ReadYourWrites, detail));
+            self.history
+                .violations
+                .push(Violation::new(Invariant::ReadYourWrites, detail));
         }
     }
 }
--- a/crates/millwind-model/src/checker.rs
+++ b/crates/millwind-model/src/checker.rs
@@ -51,9 +51,15 @@
     let states = Cell::new(0);
     let successors = |state: &M::State| {
         states.set(states.get() + 1);
-        model.steps(state).into_iter().map(|(_, next)| next).collect::<Vec<_>>()
+        model
+            .steps(state)
+            .into_iter()
+            .map(|(_, next)| next)
+            .collect::<Vec<_>>()
     };
-    let path = bfs(&model.initial(), successors, |state| model.violation(state).is_some());
+    let path = bfs(&model.initial(), successors, |state| {
+        model.violation(state).is_some()
+    });
     Outcome {
         states: states.get(),
         counterexample: path.and_then(|path| explain(model, &path)),
@@ -66,7 +72,10 @@
         .windows(2)
         .filter_map(|pair| {
             let steps = model.steps(&pair[0]);
-            steps.into_iter().find(|(_, next)| *next == pair[1]).map(|(label, _)| label)
+            steps
+                .into_iter()
+                .find(|(_, next)| *next == pair[1])
+                .map(|(label, _)| label)
         })
         .collect();
     Some(Counterexample {
--- a/crates/millwind-model/src/configuration.rs
+++ b/crates/millwind-model/src/configuration.rs
@@ -126,7 +126,10 @@
             let recognised = own.filter(|_| self.keeps(Rule::ChangeId));
             let outcome = match recognised {
                 Some(index) => Operator::Stored(index as u64 + 1),
-                None if newest(state) != 1 && self.keeps(Rule::CompareAndSwap) && (self.keeps(Rule::ChangeId) || !asks_again) => {
+                None if newest(state) != 1
+                    && self.keeps(Rule::CompareAndSwap)
+                    && (self.keeps(Rule::ChangeId) || !asks_again) =>
+                {
                     Operator::Refused
                 }
                 None => {
@@ -175,10 +178,17 @@
         let mut next = state.clone();
         next.nodes[index].sign = None;
         if node.revision >= vouched || !self.keeps(Rule::ContactVouches) {
-            let from = if self.keeps(Rule::ContactFromAsking) { asked } else { state.unit };
+            let from = if self.keeps(Rule::ContactFromAsking) {
+                asked
+            } else {
+                state.unit
+            };
             next.nodes[index].contact_unit = node.contact_unit.max(Some(from));
         }
-        steps.push((format!("node {index} gets the sign of life asked for at {asked}"), next));
+        steps.push((
+            format!("node {index} gets the sign of life asked for at {asked}"),
+            next,
+        ));
     }
 
     /// The revision in force after a delta, by the core's state.
@@ -205,7 +215,10 @@
             if all {
                 let mut next = state.clone();
                 next.operators[operator] = Operator::InForce(revision);
-                steps.push((format!("operator {operator} is told that {revision} is in force"), next));
+                steps.push((
+                    format!("operator {operator} is told that {revision} is in force"),
+                    next,
+                ));
             }
         }
     }
@@ -274,7 +287,10 @@
         let broken = |detail: String| Some((Invariant::ConfigurationInForce, detail));
         for (index, node) in state.nodes.iter().enumerate() {
             if node.revision < node.highest {
-                return broken(format!("node {index} fell from {} to {}", node.highest, node.revision));
+                return broken(format!(
+                    "node {index} fell from {} to {}",
+                    node.highest, node.revision
+                ));
             }
         }
         for author in 1..=OPERATORS {
@@ -286,10 +302,15 @@
             return broken("two changes made from the same revision were both stored".to_owned());
         }
         for operator in state.operators {
-            let Operator::InForce(revision) = operator else { continue };
+            let Operator::InForce(revision) = operator else {
+                continue;
+            };
             for index in 0..NODES {
                 if state.nodes[index].revision < revision && self.serves(state, index) {
-                    return broken(format!("node {index} serves {} while {revision} is said in force", state.nodes[index].revision));
+                    return broken(format!(
+                        "node {index} serves {} while {revision} is said in force",
+                        state.nodes[index].revision
+                    ));
                 }
             }
         }
--- a/crates/millwind-model/src/links.rs
+++ b/crates/millwind-model/src/links.rs
@@ -107,7 +107,10 @@
                     Some(pin)
                 }
                 Some(asked) => {
-                    let found = next.transactions.iter().find(|(held, _)| self.same_pin(*held, asked));
+                    let found = next
+                        .transactions
+                        .iter()
+                        .find(|(held, _)| self.same_pin(*held, asked));
                     next.mixed |= found.is_some_and(|(_, owner)| *owner != request.caller);
                     found.map(|(held, _)| *held)
                 }
@@ -117,7 +120,10 @@
                 caller: request.caller,
                 pin,
             });
-            steps.push((format!("owner runs request {} with pin {pin:?}", request.id), next));
+            steps.push((
+                format!("owner runs request {} with pin {pin:?}", request.id),
+                next,
+            ));
         }
     }
 
@@ -126,7 +132,10 @@
             let mut next = state.clone();
             let reply = next.replies.remove(slot);
             let receiver = if self.keeps(Rule::ReplyById) {
-                state.callers.iter().position(|caller| caller.waiting == Some(reply.id))
+                state
+                    .callers
+                    .iter()
+                    .position(|caller| caller.waiting == Some(reply.id))
             } else {
                 state.callers.iter().position(|caller| caller.waiting.is_some())
             };
--- a/crates/millwind-model/src/main.rs
+++ b/crates/millwind-model/src/main.rs
@@ -39,11 +39,17 @@
         large,
     } = Arguments::parse().command;
     let clean = if every_rule {
-        Rule::value_variants().iter().all(|rule| check_all(Some(*rule), large))
+        Rule::value_variants()
+            .iter()
+            .all(|rule| check_all(Some(*rule), large))
     } else {
         check_all(broken, large)
     };
-    if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if clean {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
 
 /// Checks all models; true when the result is the expected one.
@@ -51,7 +57,10 @@
     let bounds = match (large, broken) {
         (true, _) => Bounds::LARGE,
         // These rules guard a second write, or a token raised by a read.
-        (false, Some(Rule::NoRepeatAfterSent)) => Bounds { writes: 2, ..Bounds::SMALL },
+        (false, Some(Rule::NoRepeatAfterSent)) => Bounds {
+            writes: 2,
+            ..Bounds::SMALL
+        },
         (false, Some(Rule::BranchPoint)) => Bounds {
             writes: 2,
             reads: 1,
@@ -69,7 +78,9 @@
         },
         broken,
     );
-    let found = [writes, configuration, links].iter().any(|outcome| outcome.counterexample.is_some());
+    let found = [writes, configuration, links]
+        .iter()
+        .any(|outcome| outcome.counterexample.is_some());
     if let Some(rule) = broken {
         let verdict = if found { "broken_as_expected" } else { "NOT_FOUND" };
         println!("rule={rule:?} result={verdict}");
@@ -79,8 +90,16 @@
 
 fn report<M: Model>(model: &M, broken: Option<Rule>) -> Outcome {
     let outcome = check(model);
-    let names: Vec<&str> = model.invariants().iter().map(|invariant| invariant.name()).collect();
-    let result = if outcome.counterexample.is_some() { "violated" } else { "holds" };
+    let names: Vec<&str> = model
+        .invariants()
+        .iter()
+        .map(|invariant| invariant.name())
+        .collect();
+    let result = if outcome.counterexample.is_some() {
+        "violated"
+    } else {
+        "holds"
+    };
     println!(
         "model={} properties={} states={} {} broken={broken:?} result={result}",
         model.name(),
--- a/crates/millwind-model/src/writes.rs
+++ b/crates/millwind-model/src/writes.rs
@@ -9,10 +9,10 @@
 use std::collections::BTreeMap;
 
 use millwind_core::confirmation::{ConfirmationRule, ConfirmationTracker, Sequence, Verdict};
+use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::InstanceName;
 use millwind_core::invariant::Invariant;
 use millwind_core::outcome::{NextStep, Progress, RequestTraits, after_failure};
-use millwind_core::error_kind::ErrorKind;
 use millwind_core::position::{Coverage, LogPosition, Position, Term, TermStart, coverage};
 
 use crate::checker::Model;
@@ -194,12 +194,23 @@
                 if voter == candidate || state.instances[voter].cut {
                     continue;
                 }
-                let newest = |instance: &Instance| (instance.log.last().map_or(0, |(term, _)| *term), instance.log.len());
+                let newest = |instance: &Instance| {
+                    (
+                        instance.log.last().map_or(0, |(term, _)| *term),
+                        instance.log.len(),
+                    )
+                };
                 if newest(&state.instances[candidate]) < newest(&state.instances[voter]) {
                     continue;
                 }
                 let mut next = state.clone();
-                let term = state.instances.iter().map(|instance| instance.voted).max().unwrap_or(0) + 1;
+                let term = state
+                    .instances
+                    .iter()
+                    .map(|instance| instance.voted)
+                    .max()
+                    .unwrap_or(0)
+                    + 1;
                 next.elections += 1;
                 next.instances[candidate].voted = term;
                 next.instances[voter].voted = term;
@@ -210,7 +221,10 @@
                 elected.applied = start;
                 elected.adopted = [false; INSTANCES];
                 elected.role = Role::Opening;
-                steps.push((format!("i{candidate} is elected in term {term} by i{voter}"), next));
+                steps.push((
+                    format!("i{candidate} is elected in term {term} by i{voter}"),
+                    next,
+                ));
             }
         }
     }
@@ -265,7 +279,11 @@
             let mut next = state.clone();
             next.instances[index].cut = !cut;
             next.cuts += u8::from(!cut);
-            let what = if cut { "is reached again" } else { "is cut off from its peers" };
+            let what = if cut {
+                "is reached again"
+            } else {
+                "is cut off from its peers"
+            };
             steps.push((format!("i{index} {what}"), next));
         }
     }
@@ -385,7 +403,10 @@
                 } else {
                     next.stages[write] = Stage::Done;
                     next.told[write] = Told::NotRun;
-                    steps.push((format!("w{write} is not found on i{index} and told as not run"), next));
+                    steps.push((
+                        format!("w{write} is not found on i{index} and told as not run"),
+                        next,
+                    ));
                 }
             }
         }
@@ -426,7 +447,13 @@
                         next
                     }
                 };
-                steps.push((format!("i{index} is asked for w{write} and shows {}", position_of(instance, instance.log.len())), next));
+                steps.push((
+                    format!(
+                        "i{index} is asked for w{write} and shows {}",
+                        position_of(instance, instance.log.len())
+                    ),
+                    next,
+                ));
             }
         }
     }
@@ -443,7 +470,12 @@
         let mut decided = BTreeMap::new();
         for (index, shown) in pending.shown.iter().enumerate() {
             let Some((term, received)) = shown else { continue };
-            let verdicts = tracker.observe(&instance_name(index), ASKED_AFTER, Term(*term), LogPosition(*received as u64));
+            let verdicts = tracker.observe(
+                &instance_name(index),
+                ASKED_AFTER,
+                Term(*term),
+                LogPosition(*received as u64),
+            );
             decided.extend(verdicts);
         }
         decided.get(&0).copied()
@@ -469,8 +501,17 @@
             if !self.may_read(instance, held, state.token) {
                 continue;
             }
-            let visible = |write| instance.log[..instance.applied].iter().any(|(_, record)| *record == Record::Write(write));
-            let label = || format!("the session reads on i{index} at {held} with token {:?}", state.token);
+            let visible = |write| {
+                instance.log[..instance.applied]
+                    .iter()
+                    .any(|(_, record)| *record == Record::Write(write))
+            };
+            let label = || {
+                format!(
+                    "the session reads on i{index} at {held} with token {:?}",
+                    state.token
+                )
+            };
             let missing = (0..WRITES).any(|write| state.seen[write] && !visible(write));
             if missing {
                 let mut next = state.clone();
@@ -506,7 +547,10 @@
 }
 
 fn common(left: &[(u64, Record)], right: &[(u64, Record)]) -> usize {
-    left.iter().zip(right).take_while(|(left, right)| left == right).count()
+    left.iter()
+        .zip(right)
+        .take_while(|(left, right)| left == right)
+        .count()
 }
 
 impl Model for Writes {
@@ -579,7 +623,10 @@
 
     fn violation(&self, state: &State) -> Option<(Invariant, String)> {
         if state.bad_read {
-            return Some((Invariant::ReadYourWrites, "a read lacked an acknowledged write".to_owned()));
+            return Some((
+                Invariant::ReadYourWrites,
+                "a read lacked an acknowledged write".to_owned(),
+            ));
         }
         let leader = state
             .instances
@@ -587,19 +634,33 @@
             .filter(|instance| instance.role == Role::Leader)
             .max_by_key(|instance| log_term(instance))?;
         // While a newer term has no leader, an old one's log says nothing.
-        if state.instances.iter().any(|instance| log_term(instance) > log_term(leader)) {
+        if state
+            .instances
+            .iter()
+            .any(|instance| log_term(instance) > log_term(leader))
+        {
             return None;
         }
         for write in 0..WRITES {
-            let copies = leader.log.iter().filter(|(_, record)| *record == Record::Write(write)).count();
+            let copies = leader
+                .log
+                .iter()
+                .filter(|(_, record)| *record == Record::Write(write))
+                .count();
             let found = match (state.told[write], copies) {
                 (_, 2..) => Some((Invariant::AtMostOnce, "ran twice")),
-                (Told::Acknowledged, 0) => Some((Invariant::NoOldPrimaryAcknowledgement, "was acknowledged and is lost")),
+                (Told::Acknowledged, 0) => Some((
+                    Invariant::NoOldPrimaryAcknowledgement,
+                    "was acknowledged and is lost",
+                )),
                 (Told::NotRun, 1..) => Some((Invariant::NotRunIsTrue, "was told as not run and took effect")),
                 _ => None,
             };
             if let Some((invariant, what)) = found {
-                return Some((invariant, format!("w{write} {what}, in the log of term {}", log_term(leader))));
+                return Some((
+                    invariant,
+                    format!("w{write} {what}, in the log of term {}", log_term(leader)),
+                ));
             }
         }
         None
--- /dev/null
+++ b/crates/millwind-model/tests/check.rs
@@ -0,0 +1,66 @@
+//! The specification holds within the small bounds, and every rule is needed.
+
+use clap::ValueEnum;
+use millwind_model::configuration::Configuration;
+use millwind_model::links::Links;
+use millwind_model::writes::{Bounds, Writes};
+use millwind_model::{Rule, check};
+
+fn links(broken: Option<Rule>) -> Links {
+    Links {
+        broken,
+        restarts: 1,
+        requests: 2,
+    }
+}
+
+fn bounds(broken: Option<Rule>) -> Bounds {
+    match broken {
+        Some(Rule::NoRepeatAfterSent) => Bounds {
+            writes: 2,
+            ..Bounds::SMALL
+        },
+        Some(Rule::BranchPoint) => Bounds {
+            writes: 2,
+            reads: 1,
+            ..Bounds::SMALL
+        },
+        _ => Bounds::SMALL,
+    }
+}
+
+#[test]
+fn the_protocol_holds() {
+    let writes = check(&Writes {
+        bounds: Bounds::SMALL,
+        broken: None,
+    });
+    assert_eq!(writes.counterexample, None);
+    assert!(writes.states > 10_000, "only {} states explored", writes.states);
+    let configuration = check(&Configuration {
+        broken: None,
+        losses: 1,
+    });
+    assert_eq!(configuration.counterexample, None);
+    let links = check(&links(None));
+    assert_eq!(links.counterexample, None);
+}
+
+#[test]
+fn each_rule_switched_off_gives_a_counterexample() {
+    for rule in Rule::value_variants() {
+        let broken = Some(*rule);
+        let writes = check(&Writes {
+            bounds: bounds(broken),
+            broken,
+        });
+        let configuration = check(&Configuration { broken, losses: 1 });
+        let links = check(&links(broken));
+        let found = [writes, configuration, links]
+            .into_iter()
+            .filter_map(|outcome| outcome.counterexample)
+            .next();
+        let counterexample = found.unwrap_or_else(|| panic!("{rule:?} switched off breaks nothing"));
+        assert!(!counterexample.trace.is_empty());
+    }
+}
--- a/crates/millwind-node/src/admin.rs
+++ b/crates/millwind-node/src/admin.rs
@@ -219,16 +219,19 @@
                 Some(_) if primary => "primary",
                 Some(_) => "replica",
             };
-            let lag_ms = snapshot.as_ref().zip(status).and_then(|(group, (_, status))| {
-                group.staleness_ms(now, status.position, &status.history)
-            });
+            let lag_ms = snapshot
+                .as_ref()
+                .zip(status)
+                .and_then(|(group, (_, status))| group.staleness_ms(now, status.position, &status.history));
             rows.push(InstanceRow {
                 group: name.0.clone(),
                 instance: instance.name.0.clone(),
                 zone: instance.zone.0.clone(),
                 owner: owner.map(|owner| owner.0).unwrap_or_default(),
                 role: role.to_owned(),
-                position: status.map(|(_, status)| status.position.to_string()).unwrap_or_default(),
+                position: status
+                    .map(|(_, status)| status.position.to_string())
+                    .unwrap_or_default(),
                 lag_ms,
                 leaving: config.is_leaving(name, &instance.name),
             });
@@ -359,7 +362,10 @@
     Json(rows).into_response()
 }
 
-async fn get_document<S: Store>(State(state): Shared<S>, Path((kind, name)): Path<(String, String)>) -> Response {
+async fn get_document<S: Store>(
+    State(state): Shared<S>,
+    Path((kind, name)): Path<(String, String)>,
+) -> Response {
     let Some(kind) = DocumentKind::from_name(&kind) else {
         return unknown_kind(&kind);
     };
--- a/crates/millwind-node/src/admin_change.rs
+++ b/crates/millwind-node/src/admin_change.rs
@@ -109,7 +109,11 @@
         .list(keys.prefix())
         .await
         .map_err(|error| TryError::Store(error, false))?;
-    let documents: Vec<WireDocument> = listing.entries.iter().filter_map(|entry| keys.parse(entry)).collect();
+    let documents: Vec<WireDocument> = listing
+        .entries
+        .iter()
+        .filter_map(|entry| keys.parse(entry))
+        .collect();
     let current = documents.iter().find(|document| document.key == change.key);
     // An earlier try took effect and its answer was lost.
     if let Some(stored) = current.filter(|stored| stored.change_id == change.change_id) {
--- a/crates/millwind-node/src/config_watch.rs
+++ b/crates/millwind-node/src/config_watch.rs
@@ -77,7 +77,10 @@
             key: key.to_owned(),
             revision: entry.revision,
             deleted: u8::from(deleted),
-            change_id: stored.as_ref().map(|stored| stored.change_id.clone()).unwrap_or_default(),
+            change_id: stored
+                .as_ref()
+                .map(|stored| stored.change_id.clone())
+                .unwrap_or_default(),
             body: stored.map(|stored| stored.body).unwrap_or_default(),
         })
     }
@@ -108,7 +111,11 @@
         let result = watch_while_relay(&store, &keys, &control, &mut backoff).await;
         if let Err(error) = result {
             let delay = backoff.next_delay();
-            warn!("event=platform_lost error={:?} retry_ms={}", error.to_string(), delay.as_millis());
+            warn!(
+                "event=platform_lost error={:?} retry_ms={}",
+                error.to_string(),
+                delay.as_millis()
+            );
             tokio::time::sleep(delay).await;
         }
     }
@@ -123,7 +130,11 @@
     let asked = clock::now();
     let listing = store.list(keys.prefix()).await?;
     let documents = documents(keys, &listing.entries);
-    info!("event=platform_listed revision={} documents={}", listing.revision, documents.len());
+    info!(
+        "event=platform_listed revision={} documents={}",
+        listing.revision,
+        documents.len()
+    );
     let mut watch = store.watch(keys.prefix(), listing.revision).await?;
     let snapshot = FromPlatform::Snapshot {
         asked,
--- a/crates/millwind-node/src/control.rs
+++ b/crates/millwind-node/src/control.rs
@@ -100,7 +100,10 @@
         if avoided.is_empty() {
             return self.owner(instance, zone, region);
         }
-        self.members.owners.owner_except(instance, zone, region, avoided).cloned()
+        self.members
+            .owners
+            .owner_except(instance, zone, region, avoided)
+            .cloned()
     }
 
     /// Peer address of a member.
@@ -247,7 +250,10 @@
         }
         self.serving = Some(serving);
         match serving {
-            Ok(()) => info!("event=serving_started revision={}", self.plane.config().revision()),
+            Ok(()) => info!(
+                "event=serving_started revision={}",
+                self.plane.config().revision()
+            ),
             Err(reason) => warn!("event=serving_stopped reason={reason}"),
         }
     }
@@ -405,7 +411,9 @@
     async fn handle(&mut self, ask: AskStandings, _context: &mut Context<Self>) -> Self::Return {
         let now = clock::now();
         self.sequence += 1;
-        let request = ControlMessage::RevisionsRequest { sequence: self.sequence };
+        let request = ControlMessage::RevisionsRequest {
+            sequence: self.sequence,
+        };
         let view = self.view.borrow().clone();
         for relay in view.relays() {
             if let Some(address) = view.address(relay.as_str()) {
@@ -420,7 +428,13 @@
             .iter()
             .map(|(name, (made, revision))| {
                 let age_ms = u32::try_from(now.millis_since(*made)).unwrap_or(u32::MAX);
-                (name.clone(), NodeRevision { age_ms, ..revision.clone() })
+                (
+                    name.clone(),
+                    NodeRevision {
+                        age_ms,
+                        ..revision.clone()
+                    },
+                )
             })
             .collect();
         self.plane.standings(now, ask.revision, &reports)
--- a/crates/millwind-node/src/daemon.rs
+++ b/crates/millwind-node/src/daemon.rs
@@ -39,10 +39,11 @@
         Ok(node) => node,
         Err(error) => return refuse(&error.to_string()),
     };
-    let (mut terminate, mut interrupt) = match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
-        (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
-        _ => return refuse("signal handlers cannot be installed"),
-    };
+    let (mut terminate, mut interrupt) =
+        match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
+            (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
+            _ => return refuse("signal handlers cannot be installed"),
+        };
     tokio::select! {
         _ = terminate.recv() => info!("event=signal name=SIGTERM"),
         _ = interrupt.recv() => info!("event=signal name=SIGINT"),
--- a/crates/millwind-node/src/gateway/batch.rs
+++ b/crates/millwind-node/src/gateway/batch.rs
@@ -75,7 +75,10 @@
 }
 
 /// Builds a batch from extended-protocol messages; the last one is `Sync`.
-pub fn extended(messages: Vec<PgWireFrontendMessage>, prepared: &mut PreparedStatements) -> Result<Batch, BatchError> {
+pub fn extended(
+    messages: Vec<PgWireFrontendMessage>,
+    prepared: &mut PreparedStatements,
+) -> Result<Batch, BatchError> {
     let mut builder = Builder {
         bytes: BytesMut::new(),
         prepared,
--- a/crates/millwind-node/src/gateway/directory.rs
+++ b/crates/millwind-node/src/gateway/directory.rs
@@ -178,7 +178,13 @@
         self.hints.iter_mut().find(|hint| hint.instance == *instance)
     }
 
-    fn observe(&mut self, instance: &InstanceName, position: Position, history: Vec<TermStart>, primary: bool) {
+    fn observe(
+        &mut self,
+        instance: &InstanceName,
+        position: Position,
+        history: Vec<TermStart>,
+        primary: bool,
+    ) {
         let known_term = self.primary.borrow().as_ref().map(|known| known.term);
         let newest = known_term.is_none_or(|term| position.term >= term);
         if let Some(hint) = self.hint(instance) {
@@ -219,7 +225,11 @@
 }
 
 /// The primary, waiting for one to be found until `deadline`.
-pub async fn await_primary(gateway: &Arc<Gateway>, spec: &Arc<GroupSpec>, deadline: Instant) -> Option<KnownPrimary> {
+pub async fn await_primary(
+    gateway: &Arc<Gateway>,
+    spec: &Arc<GroupSpec>,
+    deadline: Instant,
+) -> Option<KnownPrimary> {
     if let Some(known) = gateway.directory.primary(spec) {
         return Some(known);
     }
@@ -289,7 +299,11 @@
     }
 }
 
-async fn ask_owner(gateway: &Arc<Gateway>, spec: &Arc<GroupSpec>, instance: &InstanceName) -> Option<GroupStatus> {
+async fn ask_owner(
+    gateway: &Arc<Gateway>,
+    spec: &Arc<GroupSpec>,
+    instance: &InstanceName,
+) -> Option<GroupStatus> {
     let instance = spec.instances.iter().find(|entry| entry.name == *instance)?;
     let request = AwaitPrimary {
         request_id: gateway.links.next_request_id(),
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -13,8 +13,8 @@
 use millwind_core::routing::{Choice, ReadRequest, order_for_read};
 use millwind_core::tenant::{GroupSpec, TenantSettings};
 use millwind_wire::{
-    CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, Intent, PeerMessage, ResolveRequest, ResolveResult,
-    WirePosition,
+    CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, Intent, PeerMessage, ResolveRequest,
+    ResolveResult, WirePosition,
 };
 
 use super::request::Terms;
@@ -203,7 +203,9 @@
                 is_unreached: false,
                 detail: "no instance may serve the read".to_owned(),
             };
-            let discarded = order.iter().any(|choice| choice.reason == millwind_core::routing::Reason::Discarded);
+            let discarded = order
+                .iter()
+                .any(|choice| choice.reason == millwind_core::routing::Reason::Discarded);
             for choice in order.iter().filter(|choice| choice.reason.eligible()) {
                 if !first && !self.withdraw() {
                     return Err(Refusal::new(last.kind, last.detail));
@@ -223,7 +225,10 @@
                 }
             }
             if discarded && order.iter().all(|choice| !choice.reason.eligible()) {
-                return Err(Refusal::new(ErrorKind::SessionDiscarded, "a later term discarded it"));
+                return Err(Refusal::new(
+                    ErrorKind::SessionDiscarded,
+                    "a later term discarded it",
+                ));
             }
             if self.gateway.directory.primary(&self.spec).is_none() {
                 let found = directory::await_primary(self.gateway, &self.spec, self.terms.deadline).await;
@@ -347,7 +352,10 @@
         // The owner has already waited for these; waiting again helps nobody.
         let settled = matches!(
             failed.kind,
-            ErrorKind::WindowTooShort | ErrorKind::QueueFull | ErrorKind::InvalidSetting | ErrorKind::AnswerTooLarge
+            ErrorKind::WindowTooShort
+                | ErrorKind::QueueFull
+                | ErrorKind::InvalidSetting
+                | ErrorKind::AnswerTooLarge
                 | ErrorKind::RequestFenced
         );
         if settled {
@@ -425,7 +433,10 @@
                 }
             }
         }
-        warn!("event=outcome_unknown tenant={} request_key={}", self.tenant.name, self.terms.request_key);
+        warn!(
+            "event=outcome_unknown tenant={} request_key={}",
+            self.tenant.name, self.terms.request_key
+        );
         Err(Refusal::new(ErrorKind::OutcomeUnknown, detail))
     }
 
@@ -443,7 +454,12 @@
             Owner::Peer { address, .. } => {
                 let id = request.request_id;
                 let message = PeerMessage::Resolve(request);
-                match self.gateway.links.call(address, id, message, left + REPLY_SLACK).await {
+                match self
+                    .gateway
+                    .links
+                    .call(address, id, message, left + REPLY_SLACK)
+                    .await
+                {
                     Ok(PeerMessage::ResolveReply(reply)) => Some(reply.result),
                     _ => None,
                 }
@@ -482,7 +498,11 @@
             instance: instance.clone(),
             primary: reply.primary == 1,
         }),
-        ExecuteResult::Failed { kind, progress, detail } => Err(Failed {
+        ExecuteResult::Failed {
+            kind,
+            progress,
+            detail,
+        } => Err(Failed {
             kind: ErrorKind::from_code(kind).unwrap_or(ErrorKind::OutcomeUnknown),
             progress: match progress {
                 0 => Progress::NotSent,
--- a/crates/millwind-node/src/gateway/local_answer.rs
+++ b/crates/millwind-node/src/gateway/local_answer.rs
@@ -46,9 +46,15 @@
     show: &impl Fn(&str) -> String,
 ) -> Result<(), PgWireError> {
     match message {
-        PgWireFrontendMessage::Parse(_) => put_backend(out, &PgWireBackendMessage::ParseComplete(ParseComplete::new())),
-        PgWireFrontendMessage::Bind(_) => put_backend(out, &PgWireBackendMessage::BindComplete(BindComplete::new())),
-        PgWireFrontendMessage::Close(_) => put_backend(out, &PgWireBackendMessage::CloseComplete(CloseComplete::new())),
+        PgWireFrontendMessage::Parse(_) => {
+            put_backend(out, &PgWireBackendMessage::ParseComplete(ParseComplete::new()))
+        }
+        PgWireFrontendMessage::Bind(_) => {
+            put_backend(out, &PgWireBackendMessage::BindComplete(BindComplete::new()))
+        }
+        PgWireFrontendMessage::Close(_) => {
+            put_backend(out, &PgWireBackendMessage::CloseComplete(CloseComplete::new()))
+        }
         PgWireFrontendMessage::Describe(target) => {
             if target.target_type == TARGET_STATEMENT {
                 let parameters = ParameterDescription::new(Vec::new());
@@ -71,14 +77,32 @@
     let StatementKind::ShowProxy { name } = kind else {
         return Ok(());
     };
-    let field = FieldDescription::new(format!("millwind.{name}"), 0, 0, TEXT_TYPE_OID, VARIABLE_SIZE, -1, 0);
-    put_backend(out, &PgWireBackendMessage::RowDescription(RowDescription::new(vec![field])))
+    let field = FieldDescription::new(
+        format!("millwind.{name}"),
+        0,
+        0,
+        TEXT_TYPE_OID,
+        VARIABLE_SIZE,
+        -1,
+        0,
+    );
+    put_backend(
+        out,
+        &PgWireBackendMessage::RowDescription(RowDescription::new(vec![field])),
+    )
 }
 
-fn execute(out: &mut BytesMut, kind: &StatementKind, show: &impl Fn(&str) -> String) -> Result<(), PgWireError> {
+fn execute(
+    out: &mut BytesMut,
+    kind: &StatementKind,
+    show: &impl Fn(&str) -> String,
+) -> Result<(), PgWireError> {
     let tag = match kind {
         StatementKind::Empty => {
-            return put_backend(out, &PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
+            return put_backend(
+                out,
+                &PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()),
+            );
         }
         StatementKind::ShowProxy { name } => {
             put_backend(out, &PgWireBackendMessage::DataRow(text_row(&show(name))))?;
@@ -88,7 +112,10 @@
         StatementKind::Rollback => "ROLLBACK",
         _ => "SET",
     };
-    put_backend(out, &PgWireBackendMessage::CommandComplete(CommandComplete::new(tag.to_owned())))
+    put_backend(
+        out,
+        &PgWireBackendMessage::CommandComplete(CommandComplete::new(tag.to_owned())),
+    )
 }
 
 fn text_row(value: &str) -> DataRow {
--- a/crates/millwind-node/src/gateway/request.rs
+++ b/crates/millwind-node/src/gateway/request.rs
@@ -35,13 +35,20 @@
     if kinds.iter().all(is_local) {
         return Action::Local;
     }
-    if kinds.iter().any(|kind| matches!(kind, StatementKind::SetProxy { .. } | StatementKind::ShowProxy { .. })) {
+    if kinds.iter().any(|kind| {
+        matches!(
+            kind,
+            StatementKind::SetProxy { .. } | StatementKind::ShowProxy { .. }
+        )
+    }) {
         return Action::Unsupported("millwind settings mixed with other statements".to_owned());
     }
     if !executes || classified.is_read() {
         return Action::Read;
     }
-    let begins = kinds.iter().position(|kind| matches!(kind, StatementKind::Begin { .. }));
+    let begins = kinds
+        .iter()
+        .position(|kind| matches!(kind, StatementKind::Begin { .. }));
     let ends = |kind: &StatementKind| matches!(kind, StatementKind::Commit | StatementKind::Rollback);
     match begins {
         Some(0) if kinds.last().is_some_and(ends) => Action::Write,
@@ -52,7 +59,13 @@
 }
 
 /// Session settings whose only value the proxy offers; accepted as they are.
-const FIXED_SETTINGS: &[&str] = &["application_name", "client_encoding", "extra_float_digits", "datestyle", "timezone"];
+const FIXED_SETTINGS: &[&str] = &[
+    "application_name",
+    "client_encoding",
+    "extra_float_digits",
+    "datestyle",
+    "timezone",
+];
 
 fn needs_session(kind: &StatementKind) -> bool {
     matches!(kind, StatementKind::SetSession { name } if !FIXED_SETTINGS.contains(&name.as_str()))
--- a/crates/millwind-node/src/gateway/session.rs
+++ b/crates/millwind-node/src/gateway/session.rs
@@ -28,7 +28,7 @@
 use crate::clock;
 use crate::decisions::{CandidateReason, Decision};
 use crate::metrics::RequestLabels;
-use crate::pg::{established_context, error_answer, put_backend};
+use crate::pg::{error_answer, established_context, put_backend};
 
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 /// Messages of one extended batch at most.
@@ -107,7 +107,11 @@
     }
     match ended {
         Ok(()) => info!("event=session_closed tenant={}", session.tenant),
-        Err(error) => debug!("event=session_lost tenant={} error={:?}", session.tenant, error.to_string()),
+        Err(error) => debug!(
+            "event=session_lost tenant={} error={:?}",
+            session.tenant,
+            error.to_string()
+        ),
     }
 }
 
@@ -137,7 +141,11 @@
 
     async fn say_goodbye(&mut self) -> Result<(), std::io::Error> {
         let mut out = BytesMut::new();
-        put_backend(&mut out, &error_answer::error_response(ErrorKind::Draining, true, "")).map_err(encode_error)?;
+        put_backend(
+            &mut out,
+            &error_answer::error_response(ErrorKind::Draining, true, ""),
+        )
+        .map_err(encode_error)?;
         self.stream.write_all(&out).await?;
         self.stream.shutdown().await
     }
@@ -277,7 +285,9 @@
             // The id belongs to the whole transaction and is used at its end.
             self.caller.request_id = Some(terms.request_key.as_str().into());
         }
-        let result = self.dispatch(gateway, settings, batch, &terms, intent, started).await;
+        let result = self
+            .dispatch(gateway, settings, batch, &terms, intent, started)
+            .await;
         (name, result)
     }
 
@@ -328,7 +338,12 @@
         pin: &Pin,
     ) -> (&'static str, Result<CallerAnswer, Refusal>) {
         let kinds = &batch.classified.kinds;
-        if kinds.iter().all(|kind| matches!(kind, StatementKind::SetProxy { .. } | StatementKind::ShowProxy { .. })) {
+        if kinds.iter().all(|kind| {
+            matches!(
+                kind,
+                StatementKind::SetProxy { .. } | StatementKind::ShowProxy { .. }
+            )
+        }) {
             return ("local", self.answer_locally(batch));
         }
         let commits = batch.executes && kinds.contains(&StatementKind::Commit);
@@ -373,7 +388,10 @@
             // A failed transaction is rolled back whichever way it is ended.
             return self.local_answer(batch, &[StatementKind::Rollback]);
         }
-        Err(Refusal::new(ErrorKind::TransactionLost, "statements are ignored until ROLLBACK"))
+        Err(Refusal::new(
+            ErrorKind::TransactionLost,
+            "statements are ignored until ROLLBACK",
+        ))
     }
 
     fn answer_locally(&mut self, batch: &Batch) -> Result<CallerAnswer, Refusal> {
@@ -408,7 +426,11 @@
             "session" => self.token.as_ref().map(ToString::to_string).unwrap_or_default(),
             "class" => self.caller.class.as_deref().unwrap_or_default().to_owned(),
             "request_id" => self.caller.request_id.as_deref().unwrap_or_default().to_owned(),
-            "staleness_ms" => self.caller.staleness_ms.map(|value| value.to_string()).unwrap_or_default(),
+            "staleness_ms" => self
+                .caller
+                .staleness_ms
+                .map(|value| value.to_string())
+                .unwrap_or_default(),
             _ => String::new(),
         }
     }
@@ -440,7 +462,12 @@
         });
     }
 
-    fn conclude(&mut self, settings: &TenantSettings, batch: &Batch, outcome: Outcome) -> Result<CallerAnswer, Refusal> {
+    fn conclude(
+        &mut self,
+        settings: &TenantSettings,
+        batch: &Batch,
+        outcome: Outcome,
+    ) -> Result<CallerAnswer, Refusal> {
         self.raise_token(settings, outcome.position);
         self.transaction = match outcome.pin {
             Some(pin) => Transaction::Open(pin),
@@ -551,8 +578,12 @@
             Err(refusal) => refusal.kind.name(),
         },
         role: match result {
-            Ok(CallerAnswer { replica: Some(true), .. }) => "replica",
-            Ok(CallerAnswer { replica: Some(false), .. }) => "primary",
+            Ok(CallerAnswer {
+                replica: Some(true), ..
+            }) => "replica",
+            Ok(CallerAnswer {
+                replica: Some(false), ..
+            }) => "primary",
             _ => "none",
         },
     };
@@ -589,7 +620,10 @@
         class: dispatch.terms.class.clone(),
         kind,
         candidates,
-        chosen: result.as_ref().map(|outcome| outcome.instance.0.clone()).unwrap_or_default(),
+        chosen: result
+            .as_ref()
+            .map(|outcome| outcome.instance.0.clone())
+            .unwrap_or_default(),
         result: match result {
             Ok(_) => "answered".to_owned(),
             Err(refusal) => refusal.kind.name().to_owned(),
--- a/crates/millwind-node/src/gateway/startup.rs
+++ b/crates/millwind-node/src/gateway/startup.rs
@@ -13,8 +13,12 @@
 use pgwire::api::auth::Password;
 use pgwire::api::auth::sasl::scram::{ScramServerAuth, gen_salted_password};
 use pgwire::messages::response::{ReadyForQuery, SslResponse, TransactionStatus};
-use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, PasswordMessageFamily, SecretKey, Startup};
-use pgwire::messages::{DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage};
+use pgwire::messages::startup::{
+    Authentication, BackendKeyData, ParameterStatus, PasswordMessageFamily, SecretKey, Startup,
+};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage,
+};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -72,14 +76,21 @@
     if let Some(kind) = refusal {
         return conversation.refuse(kind, "").await;
     }
-    let name = startup.parameters.get("database").or_else(|| startup.parameters.get("user"));
+    let name = startup
+        .parameters
+        .get("database")
+        .or_else(|| startup.parameters.get("user"));
     let tenant = TenantName::from(name.map_or("", String::as_str));
     let config = gateway.control.config();
     if config.revision == 0 {
-        return conversation.refuse(ErrorKind::NotServing, "no configuration yet").await;
+        return conversation
+            .refuse(ErrorKind::NotServing, "no configuration yet")
+            .await;
     }
     let Some(settings) = config.tenants.get(&tenant).cloned() else {
-        return conversation.refuse(ErrorKind::UnknownTenant, tenant.as_str()).await;
+        return conversation
+            .refuse(ErrorKind::UnknownTenant, tenant.as_str())
+            .await;
     };
     if !conversation.authenticate(&settings).await? {
         return conversation.refuse(ErrorKind::AuthenticationFailed, "").await;
@@ -87,16 +98,27 @@
     let mut caller = CallerSettings::default();
     for (name, value) in own_parameters(&startup.parameters) {
         if let Err(error) = caller.set(&name, &value) {
-            return conversation.refuse(ErrorKind::InvalidSetting, &error.to_string()).await;
+            return conversation
+                .refuse(ErrorKind::InvalidSetting, &error.to_string())
+                .await;
         }
     }
     let runtime = gateway.tenant_runtime(&tenant, settings.retry_budget_percent);
     let Some(place) = ClientPlace::take(runtime.clone(), settings.maximum_clients) else {
-        return conversation.refuse(ErrorKind::TooManyClients, tenant.as_str()).await;
+        return conversation
+            .refuse(ErrorKind::TooManyClients, tenant.as_str())
+            .await;
     };
     conversation.welcome().await?;
     info!("event=session_opened tenant={tenant}");
-    Ok(Some(Session::new(conversation.stream, conversation.buffer, tenant, caller, runtime, place)))
+    Ok(Some(Session::new(
+        conversation.stream,
+        conversation.buffer,
+        tenant,
+        caller,
+        runtime,
+        place,
+    )))
 }
 
 /// `millwind.*` parameters, given directly or as `-c name=value` options.
@@ -167,7 +189,8 @@
                     self.context.awaiting_frontend_ssl = false;
                 }
                 PgWireFrontendMessage::SslNegotiation(_) => {
-                    self.write(&[PgWireBackendMessage::SslResponse(SslResponse::Refuse)]).await?;
+                    self.write(&[PgWireBackendMessage::SslResponse(SslResponse::Refuse)])
+                        .await?;
                 }
                 PgWireFrontendMessage::Startup(startup) => {
                     self.context.awaiting_frontend_startup = false;
@@ -185,9 +208,15 @@
             return Ok(true);
         }
         let mechanisms = vec![SCRAM_MECHANISM.to_owned()];
-        self.write(&[PgWireBackendMessage::Authentication(Authentication::SASL(mechanisms))])
-            .await?;
-        let first = self.password_message().await?.into_sasl_initial_response().map_err(protocol)?;
+        self.write(&[PgWireBackendMessage::Authentication(Authentication::SASL(
+            mechanisms,
+        ))])
+        .await?;
+        let first = self
+            .password_message()
+            .await?
+            .into_sasl_initial_response()
+            .map_err(protocol)?;
         let salt: [u8; SALT_BYTES] = rand::random();
         let salted = gen_salted_password(&settings.password, &salt, SCRAM_ITERATIONS);
         let expected = Password::new(Some(salt.to_vec()), salted);
@@ -198,20 +227,28 @@
             return Ok(false);
         };
         let continued = Authentication::SASLContinue(Bytes::from(reply));
-        self.write(&[PgWireBackendMessage::Authentication(continued)]).await?;
-        let last = self.password_message().await?.into_sasl_response().map_err(protocol)?;
+        self.write(&[PgWireBackendMessage::Authentication(continued)])
+            .await?;
+        let last = self
+            .password_message()
+            .await?
+            .into_sasl_response()
+            .map_err(protocol)?;
         let Ok(proof) = waiting.on_client_final_message(&last.data) else {
             return Ok(false);
         };
         let finished = Authentication::SASLFinal(Bytes::from(proof));
-        self.write(&[PgWireBackendMessage::Authentication(finished)]).await?;
+        self.write(&[PgWireBackendMessage::Authentication(finished)])
+            .await?;
         Ok(true)
     }
 
     async fn password_message(&mut self) -> Result<PasswordMessageFamily, StartupError> {
         match self.read().await? {
             PgWireFrontendMessage::PasswordMessageFamily(message) => Ok(message),
-            other => Err(StartupError::Protocol(format!("expected a password message, got {other:?}"))),
+            other => Err(StartupError::Protocol(format!(
+                "expected a password message, got {other:?}"
+            ))),
         }
     }
 
@@ -232,12 +269,15 @@
         }
         let key = BackendKeyData::new(rand::random::<i32>() & i32::MAX, SecretKey::I32(rand::random()));
         messages.push(PgWireBackendMessage::BackendKeyData(key));
-        messages.push(PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(TransactionStatus::Idle)));
+        messages.push(PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(
+            TransactionStatus::Idle,
+        )));
         self.write(&messages).await
     }
 
     async fn refuse(mut self, kind: ErrorKind, detail: &str) -> Result<Option<Session>, StartupError> {
-        self.write(&[error_answer::error_response(kind, true, detail)]).await?;
+        self.write(&[error_answer::error_response(kind, true, detail)])
+            .await?;
         self.stream.shutdown().await?;
         Err(StartupError::Refused(kind))
     }
--- a/crates/millwind-node/src/logging.rs
+++ b/crates/millwind-node/src/logging.rs
@@ -8,7 +8,10 @@
         .format(|out, message, record| {
             let time = humantime::format_rfc3339_millis(std::time::SystemTime::now());
             let level = record.level().as_str().to_lowercase();
-            out.finish(format_args!("time={time} level={level} target={} {message}", record.target()));
+            out.finish(format_args!(
+                "time={time} level={level} target={} {message}",
+                record.target()
+            ));
         })
         .level(LevelFilter::Warn)
         .level_for("millwind_node", level)
--- a/crates/millwind-node/src/node.rs
+++ b/crates/millwind-node/src/node.rs
@@ -64,11 +64,13 @@
 }
 
 async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address).await.map_err(|source| NodeError::Listen {
-        field,
-        address,
-        source,
-    })
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| NodeError::Listen {
+            field,
+            address,
+            source,
+        })
 }
 
 impl Node {
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -18,9 +18,9 @@
 use super::pins::{PinTable, Pinned};
 use super::pool::{PoolHandle, Slot};
 use crate::clock;
+use crate::pg::STATUS_IDLE;
 use crate::pg::answer::Answer;
 use crate::pg::backend::{BackendConnection, BackendError};
-use crate::pg::STATUS_IDLE;
 use crate::pg::status::{parse_status, put_status};
 
 /// SQLSTATE of a write on an instance that only replays.
@@ -205,8 +205,14 @@
         };
         match coverage(status.position, &status.history, token) {
             Coverage::Covered => Ok(()),
-            Coverage::Behind => Err(Failure::not_sent(ErrorKind::ReplicaBehind, "position does not cover the session")),
-            Coverage::Discarded => Err(Failure::not_sent(ErrorKind::SessionDiscarded, "a later term discarded it")),
+            Coverage::Behind => Err(Failure::not_sent(
+                ErrorKind::ReplicaBehind,
+                "position does not cover the session",
+            )),
+            Coverage::Discarded => Err(Failure::not_sent(
+                ErrorKind::SessionDiscarded,
+                "a later term discarded it",
+            )),
         }
     }
 
@@ -244,7 +250,9 @@
             return Some(ErrorKind::BackEndUnreachable);
         };
         if status.role == Role::Primary {
-            let leads = view.primary(now).is_some_and(|(primary, _)| *primary == self.instance);
+            let leads = view
+                .primary(now)
+                .is_some_and(|(primary, _)| *primary == self.instance);
             return (!leads).then_some(ErrorKind::NotPrimary);
         }
         if let Some(token) = self.token() {
@@ -270,7 +278,10 @@
         let verdict = self.monitor.confirm(position, clock::until(self.deadline)).await;
         match verdict {
             Some(Verdict::Confirmed) => Ok(answered),
-            _ => Err(Failure::not_sent(ErrorKind::NoPrimary, "the primary's position was not confirmed")),
+            _ => Err(Failure::not_sent(
+                ErrorKind::NoPrimary,
+                "the primary's position was not confirmed",
+            )),
         }
     }
 
@@ -354,10 +365,18 @@
 
     async fn run_begin(&self) -> Result<Answered, Failure> {
         let term = self.leading_term()?;
-        let limit = self.pool.limits.connections.saturating_sub(self.pool.limits.slots).max(1);
+        let limit = self
+            .pool
+            .limits
+            .connections
+            .saturating_sub(self.pool.limits.slots)
+            .max(1);
         let mut slot = self.acquire().await?;
         let Some(pin) = self.pins.reserve(&self.instance, self.link, limit as usize) else {
-            return Err(Failure::not_sent(ErrorKind::QueueFull, "too many open transactions"));
+            return Err(Failure::not_sent(
+                ErrorKind::QueueFull,
+                "too many open transactions",
+            ));
         };
         let begun = self.begin_on(&mut slot, term).await;
         let (connection, answer) = match begun {
@@ -457,7 +476,11 @@
 /// Whether the answer says that a transaction was committed.
 fn is_commit(answer: &Answer) -> bool {
     const COMMIT_TAG: &[u8] = b"COMMIT\0";
-    answer.error.is_none() && answer.messages.windows(COMMIT_TAG.len()).any(|window| window == COMMIT_TAG)
+    answer.error.is_none()
+        && answer
+            .messages
+            .windows(COMMIT_TAG.len())
+            .any(|window| window == COMMIT_TAG)
 }
 
 /// Whether an error means that the instance takes no writes at all.
--- a/crates/millwind-node/src/owner/ledger.rs
+++ b/crates/millwind-node/src/owner/ledger.rs
@@ -21,8 +21,7 @@
 /// Table the operators create in each group's database.
 pub const LEDGER_TABLE: &str = "millwind_ledger";
 /// Statement that creates it.
-pub const CREATE_LEDGER: &str =
-    "CREATE TABLE IF NOT EXISTS millwind_ledger (request_key TEXT PRIMARY KEY, state TEXT NOT NULL, answer TEXT NOT NULL)";
+pub const CREATE_LEDGER: &str = "CREATE TABLE IF NOT EXISTS millwind_ledger (request_key TEXT PRIMARY KEY, state TEXT NOT NULL, answer TEXT NOT NULL)";
 /// Longest request id in bytes.
 pub const MAXIMUM_REQUEST_KEY_BYTES: usize = 128;
 /// Longest answer the ledger keeps, in bytes.
@@ -45,7 +44,9 @@
 }
 
 fn complete(key: &str, answer: &str) -> String {
-    format!("UPDATE {LEDGER_TABLE} SET state = '{STATE_DONE}', answer = '{answer}' WHERE request_key = '{key}'")
+    format!(
+        "UPDATE {LEDGER_TABLE} SET state = '{STATE_DONE}', answer = '{answer}' WHERE request_key = '{key}'"
+    )
 }
 
 fn select(key: &str) -> String {
@@ -58,7 +59,7 @@
 
 fn from_hex(text: &str) -> Option<Vec<u8>> {
     let digits = text.as_bytes();
-    if digits.len() % 2 != 0 {
+    if !digits.len().is_multiple_of(2) {
         return None;
     }
     digits
@@ -131,7 +132,10 @@
         });
     }
     if answer.messages.len() > MAXIMUM_LEDGER_ANSWER_BYTES {
-        return Err(Failure::undone(ErrorKind::AnswerTooLarge, "longer than the ledger keeps"));
+        return Err(Failure::undone(
+            ErrorKind::AnswerTooLarge,
+            "longer than the ledger keeps",
+        ));
     }
     let _expected = execution.monitor.expect_commit();
     let status = execution
@@ -153,7 +157,11 @@
     let mut bytes = BytesMut::new();
     let encode = |error: pgwire::error::PgWireError| BackendError::Protocol(error.to_string());
     put_query(&mut bytes, "BEGIN").map_err(encode)?;
-    put_query(&mut bytes, &insert(&execution.request.request_key, STATE_RUNNING, "")).map_err(encode)?;
+    put_query(
+        &mut bytes,
+        &insert(&execution.request.request_key, STATE_RUNNING, ""),
+    )
+    .map_err(encode)?;
     bytes.extend_from_slice(&execution.request.batch);
     connection.send(&bytes).await?;
     connection.next_answer().await?;
@@ -222,7 +230,10 @@
             pin: 0,
             messages,
         }),
-        Recorded::Fenced => Err(Failure::undone(ErrorKind::RequestFenced, "fenced by an earlier attempt")),
+        Recorded::Fenced => Err(Failure::undone(
+            ErrorKind::RequestFenced,
+            "fenced by an earlier attempt",
+        )),
         Recorded::Nothing => Err(Failure::sent("the first attempt is still running")),
     }
 }
--- a/crates/millwind-node/src/owner/mod.rs
+++ b/crates/millwind-node/src/owner/mod.rs
@@ -8,6 +8,6 @@
 mod pool;
 mod service;
 
-pub use monitor::{GroupSnapshot, MonitorHandle};
 pub use ledger::{CREATE_LEDGER, is_valid_key};
+pub use monitor::{GroupSnapshot, MonitorHandle};
 pub use service::{LOCAL_LINK, OwnerService, PeerService};
--- a/crates/millwind-node/src/owner/monitor.rs
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -170,7 +170,9 @@
 
 impl Drop for AwaitedInstance {
     fn drop(&mut self) {
-        self.commits.interests[self.index].awaited.fetch_sub(1, Ordering::Relaxed);
+        self.commits.interests[self.index]
+            .awaited
+            .fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -253,7 +255,10 @@
         if primary != self.primary {
             match &primary {
                 Some((instance, term)) => {
-                    info!("event=primary_found group={} instance={instance} term={term}", self.group);
+                    info!(
+                        "event=primary_found group={} instance={instance} term={term}",
+                        self.group
+                    );
                 }
                 None => warn!("event=primary_lost group={}", self.group),
             }
@@ -330,7 +335,8 @@
     async fn handle(&mut self, observed: Observed, _context: &mut Context<Self>) {
         let term = observed.status.position.term;
         let received = observed.status.received;
-        self.view.observe(clock::now(), &observed.instance, observed.status);
+        self.view
+            .observe(clock::now(), &observed.instance, observed.status);
         if let Some(asked) = observed.asked {
             let decided = self.tracker.observe(&observed.instance, asked, term, received);
             self.decide(decided);
@@ -434,7 +440,9 @@
         let mut in_flight = std::collections::VecDeque::new();
         let mut next_ask = tokio::time::Instant::now();
         loop {
-            let oldest = in_flight.front().map(|(_, sent): &(Sequence, tokio::time::Instant)| *sent);
+            let oldest = in_flight
+                .front()
+                .map(|(_, sent): &(Sequence, tokio::time::Instant)| *sent);
             let give_up = oldest.unwrap_or_else(tokio::time::Instant::now) + PROBE_TIMEOUT;
             let may_ask = in_flight.len() < MAXIMUM_IN_FLIGHT;
             let ask = tokio::select! {
--- a/crates/millwind-node/src/owner/pins.rs
+++ b/crates/millwind-node/src/owner/pins.rs
@@ -25,7 +25,7 @@
 
 #[derive(Debug)]
 enum Entry {
-    Resting(Pinned),
+    Resting(Box<Pinned>),
     /// A batch is running on it.
     Busy {
         instance: InstanceName,
@@ -97,7 +97,7 @@
                     link,
                 };
                 entries.insert(id, busy);
-                Some(pinned)
+                Some(*pinned)
             }
             other => {
                 entries.insert(id, other);
@@ -111,7 +111,7 @@
     pub fn put(&self, id: u64, pinned: Pinned) {
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         if entries.contains_key(&id) {
-            entries.insert(id, Entry::Resting(pinned));
+            entries.insert(id, Entry::Resting(Box::new(pinned)));
         }
     }
 
--- a/crates/millwind-node/src/owner/pool.rs
+++ b/crates/millwind-node/src/owner/pool.rs
@@ -6,9 +6,9 @@
 
 use futures::FutureExt;
 use log::debug;
+use millwind_core::Instant;
 use millwind_core::admission::{Admission, AdmissionLimits, AdmissionQueue, Ticket};
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::Instant;
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
@@ -115,7 +115,11 @@
                     let _ = self.actor.send(Deposit { connection }).await;
                 }
                 Err(error) => {
-                    debug!("event=preopen_failed address={} error={:?}", self.target.address, error.to_string());
+                    debug!(
+                        "event=preopen_failed address={} error={:?}",
+                        self.target.address,
+                        error.to_string()
+                    );
                     return;
                 }
             }
@@ -151,10 +155,10 @@
 impl Slot {
     /// The connection to use: an idle one, or a new one.
     pub async fn connection(&mut self) -> Result<BackendConnection, BackendError> {
-        if let Some(connection) = self.connection.take() {
-            if connection.is_usable() {
-                return Ok(connection);
-            }
+        if let Some(connection) = self.connection.take()
+            && connection.is_usable()
+        {
+            return Ok(connection);
         }
         self.pool.connect().await
     }
@@ -217,10 +221,10 @@
     }
 
     fn keep(&mut self, connection: Option<BackendConnection>) {
-        if let Some(connection) = connection {
-            if self.idle.len() < self.keep_idle {
-                self.idle.push(connection);
-            }
+        if let Some(connection) = connection
+            && self.idle.len() < self.keep_idle
+        {
+            self.idle.push(connection);
         }
     }
 
--- a/crates/millwind-node/src/owner/service.rs
+++ b/crates/millwind-node/src/owner/service.rs
@@ -14,8 +14,8 @@
 use millwind_core::position::TermStart;
 use millwind_core::tenant::{GroupSpec, InstanceSpec};
 use millwind_wire::{
-    AwaitPrimary, CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, GroupStatus, Intent, MemberStatus,
-    PeerMessage, ResolveReply, ResolveRequest, ResolveResult, WirePosition, WireTermStart,
+    AwaitPrimary, CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, GroupStatus, Intent,
+    MemberStatus, PeerMessage, ResolveReply, ResolveRequest, ResolveResult, WirePosition, WireTermStart,
 };
 
 use super::execute::{Answered, Execution, Failure};
@@ -133,7 +133,10 @@
             first
         };
         if first {
-            info!("event=instance_owned group={} instance={}", group.name, instance.name);
+            info!(
+                "event=instance_owned group={} instance={}",
+                group.name, instance.name
+            );
             tokio::spawn(async move { pool.preopen().await });
         }
     }
@@ -242,7 +245,10 @@
             .ok_or_else(|| Failure::not_sent(ErrorKind::BackEndUnreachable, "group unknown here"))?;
         let new_work = !matches!(request.intent, Intent::Continue | Intent::Commit);
         if new_work && config.is_leaving(&group, &instance) {
-            return Err(Failure::not_sent(ErrorKind::BackEndUnreachable, "instance is leaving"));
+            return Err(Failure::not_sent(
+                ErrorKind::BackEndUnreachable,
+                "instance is leaving",
+            ));
         }
         if new_work && self.control.view().may_serve(clock::now()).is_err() {
             return Err(Failure::not_sent(ErrorKind::NotServing, "owner does not serve"));
@@ -285,7 +291,10 @@
     /// Settles a request id.
     pub async fn resolve(&self, request: ResolveRequest) -> ResolveReply {
         let result = self.try_resolve(&request).await.unwrap_or_else(|failure| {
-            warn!("event=resolve_failed request_key={} error={:?}", request.request_key, failure.detail);
+            warn!(
+                "event=resolve_failed request_key={} error={:?}",
+                request.request_key, failure.detail
+            );
             ResolveResult::Unsettled
         });
         ResolveReply {
@@ -371,7 +380,9 @@
 fn same_targets(left: &GroupSpec, right: &GroupSpec) -> bool {
     let plain = |spec: &GroupSpec| {
         let mut spec = spec.clone();
-        spec.instances.iter_mut().for_each(|instance| instance.leaving = false);
+        spec.instances
+            .iter_mut()
+            .for_each(|instance| instance.leaving = false);
         spec
     };
     plain(left) == plain(right)
@@ -386,15 +397,17 @@
         .instances()
         .map(|instance| {
             let status = view.status(instance);
-            if let Some((_, status)) = status {
-                if status.history.len() > history.len() {
-                    history = status.history.clone();
-                }
+            if let Some((_, status)) = status
+                && status.history.len() > history.len()
+            {
+                history = status.history.clone();
             }
             MemberStatus {
                 instance: instance.0.clone(),
                 primary: u8::from(primary.as_ref() == Some(instance)),
-                position: status.map(|(_, status)| wire_position(status.position)).unwrap_or_default(),
+                position: status
+                    .map(|(_, status)| wire_position(status.position))
+                    .unwrap_or_default(),
                 age_ms: status.map_or(u32::MAX, |(heard, _)| {
                     u32::try_from(now.millis_since(*heard)).unwrap_or(u32::MAX)
                 }),
--- a/crates/millwind-node/src/peer/link.rs
+++ b/crates/millwind-node/src/peer/link.rs
@@ -116,10 +116,10 @@
 
     fn link(self: &Arc<Self>, address: SocketAddr) -> Link {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(link) = links.get(&address) {
-            if !link.commands.is_closed() {
-                return link.clone();
-            }
+        if let Some(link) = links.get(&address)
+            && !link.commands.is_closed()
+        {
+            return link.clone();
         }
         let (commands, receiver) = mpsc::channel(QUEUE_LENGTH);
         let link = Link { commands };
--- a/crates/millwind-node/src/peer/server.rs
+++ b/crates/millwind-node/src/peer/server.rs
@@ -86,7 +86,9 @@
         while let Some(message) = outgoing.recv().await {
             let mut next = Some(message);
             while let Some(message) = next {
-                let Ok(frame) = millwind_wire::encode(&message) else { return };
+                let Ok(frame) = millwind_wire::encode(&message) else {
+                    return;
+                };
                 if sink.feed(Bytes::from(frame)).await.is_err() {
                     return;
                 }
@@ -102,7 +104,11 @@
             Ok(PeerMessage::KeepAlive) => link.reply(PeerMessage::KeepAlive).await,
             Ok(message) => handler.handle(&link, message),
             Err(error) => {
-                warn!("event=peer_frame_refused peer={} error={:?}", link.peer, error.to_string());
+                warn!(
+                    "event=peer_frame_refused peer={} error={:?}",
+                    link.peer,
+                    error.to_string()
+                );
                 break;
             }
         }
--- a/crates/millwind-node/src/pg/backend.rs
+++ b/crates/millwind-node/src/pg/backend.rs
@@ -4,8 +4,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use pgwire::api::auth::sasl::scram::{ScramClientAuth, ScramClientAuthWaitingForServerFinal, ScramClientAuthWaitingForServerFirst};
-use pgwire::messages::startup::{Authentication, Password, PasswordMessageFamily, SASLInitialResponse, SASLResponse, SecretKey, Startup};
+use pgwire::api::auth::sasl::scram::{
+    ScramClientAuth, ScramClientAuthWaitingForServerFinal, ScramClientAuthWaitingForServerFirst,
+};
+use pgwire::messages::startup::{
+    Authentication, Password, PasswordMessageFamily, SASLInitialResponse, SASLResponse, SecretKey, Startup,
+};
 use pgwire::messages::{DecodeContext, PgWireBackendMessage, PgWireFrontendMessage};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -111,11 +115,14 @@
     async fn start(&mut self, target: &BackendTarget) -> Result<(), BackendError> {
         let mut startup = Startup::new();
         startup.parameters.insert("user".into(), target.user.clone());
-        startup.parameters.insert("database".into(), target.database.clone());
+        startup
+            .parameters
+            .insert("database".into(), target.database.clone());
         startup
             .parameters
             .insert("application_name".into(), APPLICATION_NAME.into());
-        self.send_message(&PgWireFrontendMessage::Startup(startup)).await?;
+        self.send_message(&PgWireFrontendMessage::Startup(startup))
+            .await?;
         let mut scram = ScramState::Start;
         loop {
             match self.next_message().await? {
@@ -150,27 +157,32 @@
             (Authentication::Ok, state) => Ok(state),
             (Authentication::CleartextPassword, state) => {
                 let password = Password::new(target.password.clone());
-                self.send_password(PasswordMessageFamily::Password(password)).await?;
+                self.send_password(PasswordMessageFamily::Password(password))
+                    .await?;
                 Ok(state)
             }
             (Authentication::SASL(_), _) => {
                 let client = ScramClientAuth::new(target.user.clone(), target.password.clone());
                 let (first, next) = client.build_client_first().map_err(protocol)?;
                 let initial = SASLInitialResponse::new("SCRAM-SHA-256".into(), Some(Bytes::from(first)));
-                self.send_password(PasswordMessageFamily::SASLInitialResponse(initial)).await?;
+                self.send_password(PasswordMessageFamily::SASLInitialResponse(initial))
+                    .await?;
                 Ok(ScramState::AwaitServerFirst(next))
             }
             (Authentication::SASLContinue(data), ScramState::AwaitServerFirst(client)) => {
                 let (last, next) = client.build_client_final(&data).map_err(protocol)?;
                 let response = SASLResponse::new(Bytes::from(last));
-                self.send_password(PasswordMessageFamily::SASLResponse(response)).await?;
+                self.send_password(PasswordMessageFamily::SASLResponse(response))
+                    .await?;
                 Ok(ScramState::AwaitServerFinal(next))
             }
             (Authentication::SASLFinal(data), ScramState::AwaitServerFinal(client)) => {
                 client.verify_server_final(&data).map_err(protocol)?;
                 Ok(ScramState::Start)
             }
-            (other, _) => Err(BackendError::Protocol(format!("unexpected authentication request {other:?}"))),
+            (other, _) => Err(BackendError::Protocol(format!(
+                "unexpected authentication request {other:?}"
+            ))),
         }
     }
 
--- a/crates/millwind-node/src/pg/status.rs
+++ b/crates/millwind-node/src/pg/status.rs
@@ -1,9 +1,9 @@
 //! The status question: role, position, term and term history of an instance,
 //! in one statement of PostgreSQL's own functions.
 
+use bytes::BytesMut;
 use millwind_core::group_view::{InstanceStatus, Role};
 use millwind_core::position::{LogPosition, Position, Term, TermStart};
-use bytes::BytesMut;
 use pgwire::error::PgWireError;
 use pgwire::messages::PgWireFrontendMessage;
 use pgwire::messages::extendedquery::{Bind, Execute, Parse, Sync};
@@ -25,14 +25,24 @@
 
 /// Appends the messages that prepare the status question.
 pub fn put_status_preparation(out: &mut BytesMut) -> Result<(), PgWireError> {
-    let parse = Parse::new(Some(STATEMENT_NAME.to_owned()), STATUS_QUERY.to_owned(), Vec::new());
+    let parse = Parse::new(
+        Some(STATEMENT_NAME.to_owned()),
+        STATUS_QUERY.to_owned(),
+        Vec::new(),
+    );
     put_frontend(out, &PgWireFrontendMessage::Parse(parse))?;
     put_frontend(out, &PgWireFrontendMessage::Sync(Sync::new()))
 }
 
 /// Appends the messages that ask the prepared status question.
 pub fn put_status(out: &mut BytesMut) -> Result<(), PgWireError> {
-    let bind = Bind::new(None, Some(STATEMENT_NAME.to_owned()), Vec::new(), Vec::new(), Vec::new());
+    let bind = Bind::new(
+        None,
+        Some(STATEMENT_NAME.to_owned()),
+        Vec::new(),
+        Vec::new(),
+        Vec::new(),
+    );
     put_frontend(out, &PgWireFrontendMessage::Bind(bind))?;
     put_frontend(out, &PgWireFrontendMessage::Execute(Execute::new(None, 0)))?;
     put_frontend(out, &PgWireFrontendMessage::Sync(Sync::new()))
@@ -73,7 +83,9 @@
             term: Term(term),
             log_position,
         },
-        received: column(4).and_then(|text| text.parse().ok()).unwrap_or(log_position),
+        received: column(4)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(log_position),
         history: parse_history(column(3).unwrap_or_default(), term),
     })
 }
--- a/crates/millwind-node/src/settings.rs
+++ b/crates/millwind-node/src/settings.rs
@@ -122,7 +122,10 @@
             return range("platform", "one address or more".to_owned());
         }
         if !self.platform_prefix.starts_with('/') || !self.platform_prefix.ends_with('/') {
-            return range("platform_prefix", "a text that starts and ends with '/'".to_owned());
+            return range(
+                "platform_prefix",
+                "a text that starts and ends with '/'".to_owned(),
+            );
         }
         if !CLIENTS_RANGE.contains(&self.maximum_clients) {
             return range("maximum_clients", format!("{CLIENTS_RANGE:?}"));
@@ -146,7 +149,10 @@
 fn check_name(field: &'static str, name: &str) -> Result<(), SettingsError> {
     let legal = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
     if name.is_empty() || name.len() > MAXIMUM_NAME_BYTES || !name.chars().all(legal) {
-        return range(field, format!("1 to {MAXIMUM_NAME_BYTES} letters, digits, '-', '_' or '.'"));
+        return range(
+            field,
+            format!("1 to {MAXIMUM_NAME_BYTES} letters, digits, '-', '_' or '.'"),
+        );
     }
     Ok(())
 }
--- a/crates/millwind-platform/src/etcd.rs
+++ b/crates/millwind-platform/src/etcd.rs
@@ -12,9 +12,10 @@
 use tonic_prost::ProstCodec;
 
 use crate::messages::{
-    Compare, CompareOperand, CompareResult, CompareTarget, Event, EventType, KeyValue, PutRequest, RangeRequest,
-    RangeResponse, RequestOp, RequestOpKind, ResponseOp, ResponseOpKind, TxnRequest, TxnResponse,
-    WatchCreateRequest, WatchProgressRequest, WatchRequest, WatchRequestKind, WatchResponse, prefix_end,
+    Compare, CompareOperand, CompareResult, CompareTarget, Event, EventType, KeyValue, PutRequest,
+    RangeRequest, RangeResponse, RequestOp, RequestOpKind, ResponseOp, ResponseOpKind, TxnRequest,
+    TxnResponse, WatchCreateRequest, WatchProgressRequest, WatchRequest, WatchRequestKind, WatchResponse,
+    prefix_end,
 };
 use crate::{Condition, Entry, Listing, Store, StoreError, Swap, Watch, WatchReport, Write, service};
 
@@ -61,7 +62,11 @@
                 .await
                 .map_err(|error| StoreError::Refused(error.to_string()))?;
             client
-                .unary(request.into_request(), PathAndQuery::from_static(path), ProstCodec::<Q, R>::default())
+                .unary(
+                    request.into_request(),
+                    PathAndQuery::from_static(path),
+                    ProstCodec::<Q, R>::default(),
+                )
                 .await
                 .map(|response| response.into_inner())
                 .map_err(status_error)
@@ -239,7 +244,11 @@
         let now = Instant::now();
         self.asked = Some(now);
         self.next_ask = now + PROGRESS_INTERVAL;
-        send(&self.requests, WatchRequestKind::Progress(WatchProgressRequest {})).await
+        send(
+            &self.requests,
+            WatchRequestKind::Progress(WatchProgressRequest {}),
+        )
+        .await
     }
 
     fn report(&mut self, response: WatchResponse) -> Result<WatchReport, StoreError> {
--- a/crates/millwind-platform/src/lib.rs
+++ b/crates/millwind-platform/src/lib.rs
@@ -104,8 +104,16 @@
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
     /// Watches `prefix` for changes after `revision`.
-    fn watch(&self, prefix: &str, revision: u64) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
+    fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+    ) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
 
     /// Writes all of `writes` if all `conditions` hold, else nothing.
-    fn swap(&self, conditions: &[Condition], writes: &[Write]) -> impl Future<Output = Result<Swap, StoreError>> + Send;
+    fn swap(
+        &self,
+        conditions: &[Condition],
+        writes: &[Write],
+    ) -> impl Future<Output = Result<Swap, StoreError>> + Send;
 }
--- a/crates/millwind-platform/src/service.rs
+++ b/crates/millwind-platform/src/service.rs
@@ -13,8 +13,8 @@
 use tonic_prost::ProstCodec;
 
 use crate::messages::{
-    DeleteRangeRequest, DeleteRangeResponse, PutRequest, PutResponse, RangeRequest, RangeResponse, TxnRequest,
-    TxnResponse, WatchRequest, WatchResponse,
+    DeleteRangeRequest, DeleteRangeResponse, PutRequest, PutResponse, RangeRequest, RangeResponse,
+    TxnRequest, TxnResponse, WatchRequest, WatchResponse,
 };
 
 /// Path of `KV.Range`.
@@ -45,7 +45,10 @@
     /// Answers `Txn`.
     fn txn(&self, request: TxnRequest) -> impl Future<Output = Result<TxnResponse, Status>> + Send;
     /// Answers `Watch`.
-    fn watch(&self, requests: Streaming<WatchRequest>) -> impl Future<Output = Result<WatchStream, Status>> + Send;
+    fn watch(
+        &self,
+        requests: Streaming<WatchRequest>,
+    ) -> impl Future<Output = Result<WatchStream, Status>> + Send;
 }
 
 /// Serves a [`KeyValueService`] over gRPC.
@@ -112,7 +115,12 @@
 
 unary_method!(RangeMethod, RangeRequest, RangeResponse, range);
 unary_method!(PutMethod, PutRequest, PutResponse, put);
-unary_method!(DeleteRangeMethod, DeleteRangeRequest, DeleteRangeResponse, delete_range);
+unary_method!(
+    DeleteRangeMethod,
+    DeleteRangeRequest,
+    DeleteRangeResponse,
+    delete_range
+);
 unary_method!(TxnMethod, TxnRequest, TxnResponse, txn);
 
 impl<T: KeyValueService> StreamingService<WatchRequest> for WatchMethod<T> {
@@ -142,9 +150,21 @@
         let inner = self.inner.clone();
         Box::pin(async move {
             let response = match request.uri().path() {
-                RANGE => Grpc::new(ProstCodec::default()).unary(RangeMethod(inner), request).await,
-                PUT => Grpc::new(ProstCodec::default()).unary(PutMethod(inner), request).await,
-                TXN => Grpc::new(ProstCodec::default()).unary(TxnMethod(inner), request).await,
+                RANGE => {
+                    Grpc::new(ProstCodec::default())
+                        .unary(RangeMethod(inner), request)
+                        .await
+                }
+                PUT => {
+                    Grpc::new(ProstCodec::default())
+                        .unary(PutMethod(inner), request)
+                        .await
+                }
+                TXN => {
+                    Grpc::new(ProstCodec::default())
+                        .unary(TxnMethod(inner), request)
+                        .await
+                }
                 DELETE_RANGE => {
                     Grpc::new(ProstCodec::default())
                         .unary(DeleteRangeMethod(inner), request)
