--- a/crates/millwind-wire/src/text.rs
+++ b/crates/millwind-wire/src/text.rs
@@ -49,11 +49,16 @@
     let position = reader.stream_position()?;
     let length = u32::read_options(reader, endian, ())?;
     if length as usize > crate::MAXIMUM_FRAME_BYTES {
-        return Err(bad_length(position, length.into(), crate::MAXIMUM_FRAME_BYTES as u64));
+        return Err(bad_length(
+            position,
+            length.into(),
+            crate::MAXIMUM_FRAME_BYTES as u64,
+        ));
     }
     read_exactly(reader, length as usize)
 }
 
+#[allow(clippy::ptr_arg, reason = "the codec passes the field as it is")]
 #[binrw::writer(writer, endian)]
 pub(crate) fn write_bytes(bytes: &Vec<u8>) -> BinResult<()> {
     write_prefixed(bytes, writer, endian)
@@ -84,9 +89,8 @@
 where
     T: for<'a> BinWrite<Args<'a> = ()>,
 {
-    let count = u16::try_from(list.len()).map_err(|_| {
-        bad_length(0, list.len() as u64, u64::from(u16::MAX))
-    })?;
+    let count =
+        u16::try_from(list.len()).map_err(|_| bad_length(0, list.len() as u64, u64::from(u16::MAX)))?;
     count.write_options(writer, endian, ())?;
     for element in list {
         element.write_options(writer, endian, ())?;
--- a/crates/millwind-wire/tests/frames.rs
+++ b/crates/millwind-wire/tests/frames.rs
@@ -3,8 +3,8 @@
 
 use millwind_wire::control::{ControlMessage, Digest, Liveness, MemberRecord, WireDocument, ZoneReport};
 use millwind_wire::{
-    ExecuteReply, ExecuteRequest, ExecuteResult, Hello, Intent, PROTOCOL_VERSION, PeerMessage, WireError, WirePosition,
-    WireTermStart, decode, encode,
+    ExecuteReply, ExecuteRequest, ExecuteResult, Hello, Intent, PROTOCOL_VERSION, PeerMessage, WireError,
+    WirePosition, WireTermStart, decode, encode,
 };
 use proptest::prelude::*;
 
@@ -47,27 +47,28 @@
             }],
         }),
     ];
-    let execute = (any::<u64>(), proptest::collection::vec(any::<u8>(), 0..64)).prop_map(|(request_id, batch)| {
-        PeerMessage::Execute(ExecuteRequest {
-            request_id,
-            intent: Intent::Write,
-            tenant: "t".to_owned(),
-            group: "g".to_owned(),
-            instance: "i".to_owned(),
-            pin: 0,
-            window_ms: 1,
-            weight: 1,
-            value: 2,
-            token: WirePosition {
-                term: 1,
-                log_position: 2,
-            },
-            staleness_ms: 3,
-            wait_ms: 4,
-            request_key: "k".to_owned(),
-            batch,
-        })
-    });
+    let execute =
+        (any::<u64>(), proptest::collection::vec(any::<u8>(), 0..64)).prop_map(|(request_id, batch)| {
+            PeerMessage::Execute(ExecuteRequest {
+                request_id,
+                intent: Intent::Write,
+                tenant: "t".to_owned(),
+                group: "g".to_owned(),
+                instance: "i".to_owned(),
+                pin: 0,
+                window_ms: 1,
+                weight: 1,
+                value: 2,
+                token: WirePosition {
+                    term: 1,
+                    log_position: 2,
+                },
+                staleness_ms: 3,
+                wait_ms: 4,
+                request_key: "k".to_owned(),
+                batch,
+            })
+        });
     let reply = (any::<u64>(), ".{0,30}").prop_map(|(request_id, detail)| {
         PeerMessage::ExecuteReply(ExecuteReply {
             request_id,
@@ -127,7 +128,10 @@
 #[test]
 fn another_version_is_named() {
     let error = decode(&[9, 1]).expect_err("refused");
-    assert_eq!(error.to_string(), "frame has protocol version Some(9), this node speaks 1");
+    assert_eq!(
+        error.to_string(),
+        "frame has protocol version Some(9), this node speaks 1"
+    );
 }
 
 #[test]
