Refuse in a transaction what pooling cannot carry

Cause: the whole-path test found that LISTEN inside a transaction went to the back end: only batches outside transactions were checked. Change: one check for both; the transaction then fails as a whole. Measured: whole_path::a_healthy_deployment failed before, passes after.

--- a/crates/millwind-node/src/gateway/request.rs
+++ b/crates/millwind-node/src/gateway/request.rs
@@ -26,11 +26,8 @@
 /// Decides what to do with a batch outside a transaction.
 pub fn action(classified: &Classified, executes: bool) -> Action {
     let kinds = &classified.kinds;
-    if let Some(StatementKind::SetSession { name }) = kinds.iter().find(|kind| needs_session(kind)) {
-        return Action::Unsupported(format!("session setting {name}; use SET LOCAL in a transaction"));
-    }
-    if kinds.contains(&StatementKind::Unsupported) {
-        return Action::Unsupported("statement needs a session of its own".to_owned());
+    if let Some(detail) = unsupported(classified) {
+        return Action::Unsupported(detail);
     }
     if kinds.iter().all(is_local) {
         return Action::Local;
@@ -58,6 +55,29 @@
     }
 }
 
+/// Why a batch cannot be carried, inside a transaction or outside.
+pub fn unsupported(classified: &Classified) -> Option<String> {
+    let kinds = &classified.kinds;
+    if let Some(StatementKind::SetSession { name }) = kinds.iter().find(|kind| needs_session(kind)) {
+        return Some(format!("session setting {name}; use SET LOCAL in a transaction"));
+    }
+    kinds
+        .contains(&StatementKind::Unsupported)
+        .then(|| "statement needs a session of its own".to_owned())
+}
+
+/// Whether every statement is about settings the proxy answers for itself.
+pub fn sets_only(classified: &Classified) -> bool {
+    classified.kinds.iter().all(|kind| {
+        matches!(
+            kind,
+            StatementKind::SetProxy { .. }
+                | StatementKind::ShowProxy { .. }
+                | StatementKind::SetSession { .. }
+        )
+    })
+}
+
 /// Session settings whose only value the proxy offers; accepted as they are.
 const FIXED_SETTINGS: &[&str] = &[
     "application_name",
--- a/crates/millwind-node/src/gateway/session.rs
+++ b/crates/millwind-node/src/gateway/session.rs
@@ -337,15 +337,13 @@
         batch: &Batch,
         pin: &Pin,
     ) -> (&'static str, Result<CallerAnswer, Refusal>) {
-        let kinds = &batch.classified.kinds;
-        if kinds.iter().all(|kind| {
-            matches!(
-                kind,
-                StatementKind::SetProxy { .. } | StatementKind::ShowProxy { .. }
-            )
-        }) {
+        if let Some(detail) = request::unsupported(&batch.classified) {
+            return ("local", Err(Refusal::new(ErrorKind::Unsupported, detail)));
+        }
+        if request::sets_only(&batch.classified) {
             return ("local", self.answer_locally(batch));
         }
+        let kinds = &batch.classified.kinds;
         let commits = batch.executes && kinds.contains(&StatementKind::Commit);
         let (name, intent) = if commits {
             ("commit", Intent::Commit)
