--- a/crates/millwind-core/src/error_kind.rs
+++ b/crates/millwind-core/src/error_kind.rs
@@ -64,8 +64,6 @@
     InvalidSetting = 17,
     /// The answer is longer than the node holds for one request.
     AnswerTooLarge = 18,
-    /// The caller cancelled the request before it was sent.
-    Cancelled = 19,
 }
 
 /// One row of the table from kind to answer.
@@ -85,7 +83,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of its code.
-    pub const ALL: [ErrorKind; 19] = [
+    pub const ALL: [ErrorKind; 18] = [
         ErrorKind::UnknownTenant,
         ErrorKind::AuthenticationFailed,
         ErrorKind::TooManyClients,
@@ -104,7 +102,6 @@
         ErrorKind::Unsupported,
         ErrorKind::InvalidSetting,
         ErrorKind::AnswerTooLarge,
-        ErrorKind::Cancelled,
     ];
 
     /// The kind with this code on the internal wire.
@@ -138,7 +135,6 @@
             ErrorKind::Unsupported => "unsupported",
             ErrorKind::InvalidSetting => "invalid_setting",
             ErrorKind::AnswerTooLarge => "answer_too_large",
-            ErrorKind::Cancelled => "cancelled",
         }
     }
 
@@ -199,7 +195,6 @@
             ErrorKind::AnswerTooLarge => {
                 row("54000", RolledBack, No, 0, "answer is larger than the node holds")
             }
-            ErrorKind::Cancelled => row("57014", NotRun, Yes, 0, "cancelled before it was sent"),
         }
     }
 }
--- a/crates/millwind-node/src/owner/pool.rs
+++ b/crates/millwind-node/src/owner/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -35,6 +36,7 @@
 pub struct PoolHandle {
     actor: Address<PoolActor>,
     target: Arc<BackendTarget>,
+    next_ticket: Arc<AtomicU64>,
     /// Limits of the pool.
     pub limits: PoolLimits,
 }
@@ -65,14 +67,17 @@
     PoolHandle {
         actor: xtra::spawn_tokio(actor, Mailbox::unbounded()),
         target: Arc::new(target),
+        next_ticket: Arc::new(AtomicU64::new(1)),
         limits,
     }
 }
 
 impl PoolHandle {
-    /// Waits for a slot until the ticket's deadline.
-    pub async fn acquire(&self, ticket: Ticket) -> Result<Slot, ErrorKind> {
-        let id = ticket.id;
+    /// Waits for a slot until the ticket's deadline. The ticket gets a number of
+    /// the pool's own: numbers of requests repeat between links.
+    pub async fn acquire(&self, mut ticket: Ticket) -> Result<Slot, ErrorKind> {
+        let id = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        ticket.id = id;
         let deadline = ticket.deadline;
         let mut granted = self
             .actor
