--- a/crates/millwind-core/src/routing.rs
+++ b/crates/millwind-core/src/routing.rs
@@ -65,6 +65,8 @@
     Discarded,
     /// The primary: last choice for a read.
     PrimaryFallback,
+    /// The tenant's policy sends no reads there.
+    NotAllowed,
     /// Leaving: gets no new work.
     Leaving,
     /// Failed lately and is left alone for a while.
@@ -74,7 +76,7 @@
 impl Reason {
     /// Whether a candidate with this reason may be chosen.
     pub const fn eligible(self) -> bool {
-        !matches!(self, Reason::Leaving | Reason::Discarded)
+        !matches!(self, Reason::Leaving | Reason::Discarded | Reason::NotAllowed)
     }
 
     const fn rank(self) -> u8 {
@@ -85,7 +87,7 @@
             Reason::PrimaryFallback => 3,
             Reason::TooFarBehind => 4,
             Reason::Banned => 5,
-            Reason::Leaving | Reason::Discarded => 6,
+            Reason::Leaving | Reason::Discarded | Reason::NotAllowed => 6,
         }
     }
 }
@@ -99,6 +101,7 @@
             Reason::TooFarBehind => "too_far_behind",
             Reason::Discarded => "discarded",
             Reason::PrimaryFallback => "primary_fallback",
+            Reason::NotAllowed => "not_allowed",
             Reason::Leaving => "leaving",
             Reason::Banned => "banned",
         };
@@ -168,7 +171,7 @@
         };
     }
     if request.policy == ReadPolicy::PrimaryOnly {
-        return Reason::TooFarBehind;
+        return Reason::NotAllowed;
     }
     let Some((heard, position)) = hint.position else {
         return Reason::PositionUnknown;
--- a/crates/millwind-core/tests/routing.rs
+++ b/crates/millwind-core/tests/routing.rs
@@ -110,6 +110,15 @@
     );
 }
 
+#[test]
+fn a_tenant_of_the_primary_only_is_never_sent_to_a_replica() {
+    let hints = [hint("replica", "near", false, None)];
+    let mut asked = request(None);
+    asked.policy = ReadPolicy::PrimaryOnly;
+    let order = order_for_read(NOW, &locality(), &hints, &asked);
+    assert!(order.iter().all(|choice| !choice.reason.eligible()));
+}
+
 #[test]
 fn leaving_and_discarded_candidates_are_not_eligible() {
     let mut leaving = hint("leaving", "near", false, None);
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -313,12 +313,12 @@
             batch: &[],
             weighed: Vec::new(),
         };
-        let outcome = empty.on_primary(Intent::Floor).await?;
+        let outcome = empty.on_primary(Intent::Floor, None).await?;
         Ok(outcome.position)
     }
 
     /// Runs a write, or begins a transaction, on the primary.
-    pub async fn on_primary(&self, intent: Intent) -> Result<Outcome, Refusal> {
+    pub async fn on_primary(&self, intent: Intent, token: Option<Position>) -> Result<Outcome, Refusal> {
         self.deposit();
         loop {
             let hold_until = self.terms.hold_until;
@@ -326,6 +326,7 @@
                 return Err(Refusal::new(ErrorKind::NoPrimary, "none was found in the window"));
             };
             let mut request = self.request(&primary.instance, intent);
+            request.token = wire(token);
             if intent == Intent::Write {
                 request.request_key = self.terms.request_key.clone();
             }
@@ -357,6 +358,7 @@
                 | ErrorKind::InvalidSetting
                 | ErrorKind::AnswerTooLarge
                 | ErrorKind::RequestFenced
+                | ErrorKind::SessionDiscarded
         );
         if settled {
             return NextStep::Tell(failed.kind);
--- a/crates/millwind-node/src/gateway/session.rs
+++ b/crates/millwind-node/src/gateway/session.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use log::{debug, info};
+use log::debug;
 use millwind_core::classify::StatementKind;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::TenantName;
@@ -106,7 +106,7 @@
         Dispatch::free(gateway, pin);
     }
     match ended {
-        Ok(()) => info!("event=session_closed tenant={}", session.tenant),
+        Ok(()) => debug!("event=session_closed tenant={}", session.tenant),
         Err(error) => debug!(
             "event=session_lost tenant={} error={:?}",
             session.tenant,
@@ -302,25 +302,19 @@
     ) -> Result<CallerAnswer, Refusal> {
         let runtime = self.runtime.clone();
         let mut dispatch = new_dispatch(gateway, settings, &runtime, terms, batch)?;
-        let result = if intent == Intent::Read {
-            let token = match self.token_in(settings) {
-                Some(position) => Some(position),
-                None => {
-                    let floor = dispatch.floor().await?;
-                    self.written = floor;
-                    self.raise_token(settings, floor);
-                    floor
-                }
-            };
-            match dispatch.read(token).await {
+        let token = match intent {
+            Intent::Read | Intent::Begin => self.token_or_floor(settings, &dispatch).await?,
+            _ => None,
+        };
+        let result = match intent {
+            Intent::Read => match dispatch.read(token).await {
                 Err(refusal) if refusal.kind == ErrorKind::SessionDiscarded && self.written < token => {
                     self.forget_reads(settings);
                     dispatch.read(self.written).await
                 }
                 result => result,
-            }
-        } else {
-            dispatch.on_primary(intent).await
+            },
+            _ => dispatch.on_primary(intent, token).await,
         };
         if let (Ok(outcome), true) = (&result, intent != Intent::Read) {
             self.written = self.written.max(outcome.position);
@@ -452,6 +446,22 @@
         }
     }
 
+    /// The position the session must see: its token, or a floor for one that
+    /// has none yet.
+    async fn token_or_floor(
+        &mut self,
+        settings: &TenantSettings,
+        dispatch: &Dispatch<'_>,
+    ) -> Result<Option<Position>, Refusal> {
+        if let Some(position) = self.token_in(settings) {
+            return Ok(Some(position));
+        }
+        let floor = dispatch.floor().await?;
+        self.written = floor;
+        self.raise_token(settings, floor);
+        Ok(floor)
+    }
+
     /// Takes the token back to the session's own last write.
     fn forget_reads(&mut self, settings: &TenantSettings) {
         self.token = self.written.map(|position| SessionToken {
--- a/crates/millwind-node/src/gateway/startup.rs
+++ b/crates/millwind-node/src/gateway/startup.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::{Bytes, BytesMut};
-use log::info;
+use log::debug;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::TenantName;
 use millwind_core::tenant::TenantSettings;
@@ -110,7 +110,7 @@
             .await;
     };
     conversation.welcome().await?;
-    info!("event=session_opened tenant={tenant}");
+    debug!("event=session_opened tenant={tenant}");
     Ok(Some(Session::new(
         conversation.stream,
         conversation.buffer,
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -200,10 +200,10 @@
     }
 
     fn check_read(&self, status: &InstanceStatus) -> Result<(), Failure> {
-        let Some(token) = self.token().filter(|_| self.request.intent == Intent::Read) else {
+        if self.request.intent != Intent::Read {
             return Ok(());
-        };
-        match coverage(status.position, &status.history, token) {
+        }
+        match self.token_coverage(status) {
             Coverage::Covered => Ok(()),
             Coverage::Behind => Err(Failure::not_sent(
                 ErrorKind::ReplicaBehind,
@@ -397,21 +397,37 @@
         Ok(answered(answer, None, pin))
     }
 
-    async fn begin_on(&self, slot: &mut Slot, term: Term) -> Result<(BackendConnection, Answer), Failure> {
+    /// Begins a transaction behind a position question, in one go.
+    ///
+    /// Must hold because a transaction also reads: it begins only where the
+    /// session's own writes are, not on an old primary that lacks them.
+    async fn begin_on(
+        &self,
+        slot: &mut Slot,
+        term: Term,
+    ) -> Result<(BackendConnection, Answer), Failure> {
         let mut connection = self.connection(slot).await?;
-        let exchange = async {
-            connection.send(&self.request.batch).await?;
-            connection.next_answer().await
-        };
         // Nothing can be committed before a commit is sent.
-        let answer = self
-            .guarded(term, exchange)
+        let (status, answer) = self
+            .guarded(term, self.read_with_position(&mut connection))
             .await
             .map_err(|failure| Failure::undone(ErrorKind::TransactionLost, failure.detail))?;
         if let Some(error) = answer.error.as_ref().filter(|error| is_refusal(&error.sqlstate)) {
             return Err(Failure::undone(ErrorKind::NotPrimary, &error.message));
         }
-        Ok((connection, answer))
+        match self.token_coverage(&status) {
+            Coverage::Covered => Ok((connection, answer)),
+            Coverage::Behind => Err(Failure::undone(ErrorKind::NotPrimary, "it lacks the session's writes")),
+            Coverage::Discarded => {
+                Err(Failure::undone(ErrorKind::SessionDiscarded, "a later term discarded it"))
+            }
+        }
+    }
+
+    /// Whether an instance at `status` holds what the session must see.
+    fn token_coverage(&self, status: &InstanceStatus) -> Coverage {
+        self.token()
+            .map_or(Coverage::Covered, |token| coverage(status.position, &status.history, token))
     }
 
     fn pinned(&self, connection: BackendConnection) -> Pinned {
--- a/crates/millwind-node/src/owner/service.rs
+++ b/crates/millwind-node/src/owner/service.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use millwind_core::Instant;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::outcome::Progress;
@@ -32,6 +33,8 @@
 /// Link number of the node's own gateway.
 pub const LOCAL_LINK: u64 = 0;
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(200);
+/// A group that was not needed for this long is no longer watched.
+const UNNEEDED_MS: u64 = 30_000;
 /// Longest wait of one `AwaitPrimary`.
 const MAXIMUM_AWAIT: Duration = Duration::from_secs(2);
 
@@ -41,6 +44,8 @@
     monitor: MonitorHandle,
     pools: HashMap<InstanceName, PoolHandle>,
     preopened: Vec<InstanceName>,
+    /// When the group was last needed here.
+    needed: Instant,
 }
 
 /// Monitors and pools of the groups this node deals with.
@@ -114,9 +119,30 @@
                 }
             }
             self.refresh_leaving().await;
+            self.stop_unneeded();
         }
     }
 
+    /// Stops watching groups that were not needed here for long: after many
+    /// changes of ownership, stray watchers would use up connections.
+    fn stop_unneeded(&self) {
+        let now = clock::now();
+        let mut groups = self
+            .table
+            .groups
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        groups.retain(|name, runtime| {
+            let open = runtime.pools.keys().any(|instance| self.pins.count(instance) > 0);
+            let needed = open || now.millis_since(runtime.needed) < UNNEEDED_MS;
+            if !needed {
+                info!("event=group_released group={name}");
+                runtime.monitor.stop();
+            }
+            needed
+        });
+    }
+
     async fn own(&self, group: &Arc<GroupSpec>, instance: &InstanceSpec) {
         let Some(pool) = self.pool(group, &instance.name) else {
             return;
@@ -177,6 +203,7 @@
         if let Some(runtime) = groups.get_mut(&spec.name) {
             if same_targets(&runtime.spec, spec) {
                 runtime.spec = spec.clone();
+                runtime.needed = clock::now();
                 return runtime.monitor.clone();
             }
             runtime.monitor.stop();
@@ -192,6 +219,7 @@
             monitor: monitor.clone(),
             pools: HashMap::new(),
             preopened: Vec::new(),
+            needed: clock::now(),
         };
         groups.insert(spec.name.clone(), runtime);
         monitor
