--- a/crates/millwind-core/src/control.rs
+++ b/crates/millwind-core/src/control.rs
@@ -18,8 +18,9 @@
 use crate::Instant;
 use crate::config_state::ConfigState;
 use crate::freshness::{FRESHNESS_BOUND_MS, FRESHNESS_MARGIN_MS, NotServing, ServingGate};
-use crate::ids::{InstanceName, NodeName, RegionName, ZoneName};
+use crate::ids::{NodeName, RegionName, ZoneName};
 use crate::membership::{Membership, MembershipTimes, Outgoing};
+use crate::owner_table::{OwnerCandidate, OwnerTable};
 use crate::placement;
 
 /// Between two digests of a node to a relay of its zone, in milliseconds.
@@ -696,45 +697,3 @@
         age.unwrap_or(now.millis_since(started)) <= ZONE_LIFETIME_MS
     }
 }
-
-/// A node that may own instances.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct OwnerCandidate {
-    node: NodeName,
-    zone: ZoneName,
-    region: RegionName,
-}
-
-/// The nodes that may own instances, as one node sees them.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct OwnerTable {
-    candidates: Vec<OwnerCandidate>,
-}
-
-impl OwnerTable {
-    /// Owner of an instance in `zone` of `region`.
-    pub fn owner(&self, instance: &InstanceName, zone: &ZoneName, region: &RegionName) -> Option<&NodeName> {
-        self.owner_except(instance, zone, region, &BTreeSet::new())
-    }
-
-    /// The same, leaving out nodes that could not be reached just now: the
-    /// next in order takes over before the others know.
-    pub fn owner_except(
-        &self,
-        instance: &InstanceName,
-        zone: &ZoneName,
-        region: &RegionName,
-        avoided: &BTreeSet<NodeName>,
-    ) -> Option<&NodeName> {
-        let candidates = self
-            .candidates
-            .iter()
-            .filter(|candidate| !avoided.contains(&candidate.node))
-            .map(|candidate| placement::Candidate {
-                node: &candidate.node,
-                zone: &candidate.zone,
-                region: &candidate.region,
-            });
-        placement::owner(instance, zone, region, candidates)
-    }
-}
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod invariant;
 pub mod membership;
 pub mod outcome;
+pub mod owner_table;
 pub mod placement;
 pub mod position;
 pub mod retry;
--- a/crates/millwind-lab/src/cluster.rs
+++ b/crates/millwind-lab/src/cluster.rs
@@ -1,10 +1,10 @@
 //! Starts a whole deployment as processes of their own: the platform and
 //! database stand-ins and the nodes, with relays between zones.
 
-use std::fs::File;
+mod process;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
 use crate::ports::free_address;
 use crate::relay::{LinkKey, Relays};
 
+pub use process::Process;
+
 /// Place name of the platform in cuts.
 pub const PLATFORM_PLACE: &str = "platform";
 /// Place name of the clients in cuts.
@@ -92,63 +94,6 @@
     }
 }
 
-/// A child process, killed when dropped.
-#[derive(Debug)]
-pub struct Process {
-    child: Child,
-}
-
-impl Process {
-    fn spawn(program: &Path, arguments: &[&str], log: &Path) -> std::io::Result<Process> {
-        let output = File::create(log)?;
-        let child = Command::new(program)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output)
-            .spawn()?;
-        Ok(Process { child })
-    }
-
-    /// Sends a signal by name, for example `STOP`.
-    pub fn signal(&self, name: &str) -> std::io::Result<()> {
-        let status = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.child.id().to_string())
-            .status()?;
-        if status.success() {
-            return Ok(());
-        }
-        Err(std::io::Error::other(format!("kill -{name} failed")))
-    }
-
-    /// Kills the process at once.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Exit code, if the process has ended.
-    pub fn exit_code(&mut self) -> Option<i32> {
-        self.child
-            .try_wait()
-            .ok()
-            .flatten()
-            .map(|status| status.code().unwrap_or(-1))
-    }
-
-    /// Process id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// A running stand-in instance.
 #[derive(Debug)]
 pub struct InstanceHandle {
--- a/crates/millwind-lab/src/experiment.rs
+++ b/crates/millwind-lab/src/experiment.rs
@@ -89,6 +89,10 @@
     pub lag_ms: u64,
     /// Requests between two writes of a session.
     pub write_every: u32,
+    /// Longest pause of a caller between requests, in milliseconds.
+    pub think_ms: u64,
+    /// Time a statement holds its slot, in microseconds.
+    pub service_us: u64,
     /// Settings to compare with.
     pub baseline: Option<Baseline>,
     /// Prints what happens as it happens.
@@ -107,6 +111,8 @@
             nodes_per_zone: 1,
             lag_ms: 50,
             write_every: 5,
+            think_ms: 10,
+            service_us: 1_000,
             baseline: None,
             verbose: false,
         }
@@ -116,6 +122,7 @@
         let mut options = ClusterOptions::new(self.program.clone());
         options.nodes_per_zone = self.nodes_per_zone;
         options.lag_ms = self.lag_ms;
+        options.service_us = self.service_us;
         match self.baseline {
             Some(Baseline::PrimaryOnly) => options.primary_only = true,
             Some(Baseline::NoHold) => options.hold_ms = Some(0),
@@ -130,6 +137,7 @@
             seed: self.seed,
             sessions: self.sessions,
             write_every: self.write_every,
+            think_ms: self.think_ms,
             ..WorkloadSettings::default()
         };
         if name == ExperimentName::Roaming {
--- a/crates/millwind-lab/src/hollow/network.rs
+++ b/crates/millwind-lab/src/hollow/network.rs
@@ -86,7 +86,7 @@
         self.cut_zones.contains(&node.zone) || self.cut_regions && node.region != self.nodes[0].region
     }
 
-    fn latency(&self, from: usize, to: usize) -> Option<u64> {
+    pub(super) fn latency(&self, from: usize, to: usize) -> Option<u64> {
         let (left, right) = (&self.nodes[from], &self.nodes[to]);
         if left.zone == right.zone {
             return Some(ZONE_LATENCY_US);
--- a/crates/millwind-lab/src/hollow/scene.rs
+++ b/crates/millwind-lab/src/hollow/scene.rs
@@ -19,6 +19,7 @@
 use super::HollowSize;
 use super::network::{HollowNode, Network, TICK_MS};
 use super::report::{HollowReport, role_load};
+use crate::process_memory::resident_bytes;
 
 const START: Instant = Instant::from_millis(1_000_000);
 const INSTANCES_PER_GROUP: usize = 3;
@@ -40,7 +41,6 @@
 const PROBE_TRANSPORT_BYTES: usize = 3 * 52;
 /// While a group has no primary its instances are asked this often.
 const SEARCH_INTERVAL_MS: f64 = 10.0;
-const FAR_LATENCY_MS: f64 = 20.0;
 
 struct Scene {
     size: HollowSize,
@@ -54,14 +54,14 @@
 /// Runs all events.
 pub(super) fn run(size: HollowSize) -> HollowReport {
     let started = WallInstant::now();
-    let before = resident_bytes();
+    let before = resident_bytes("self");
     let mut scene = Scene::new(size);
     let mut report = HollowReport {
         size: Some(size),
         ..HollowReport::default()
     };
     scene.pass(SETTLE_MS);
-    report.memory_bytes_per_node = resident_bytes().saturating_sub(before) / size.nodes as u64;
+    report.memory_bytes_per_node = resident_bytes("self").saturating_sub(before) / size.nodes as u64;
     scene.steady(&mut report);
     scene.ownership(&mut report);
     scene.primary_change(&mut report);
@@ -331,6 +331,14 @@
                 .collect(),
             history: Vec::new(),
         };
+        let (bytes, work_us) = self.answer_all(&status);
+        report.primary_known_owner_bytes = bytes;
+        report.primary_known_ms = self.last_to_know_us(work_us) / 1_000.0;
+    }
+
+    /// Encodes and decodes every gateway's question and its answer; returns the
+    /// answers' bytes and the work for one, in microseconds.
+    fn answer_all(&self, status: &GroupStatus) -> (u64, f64) {
         let started = WallInstant::now();
         let mut bytes = 0;
         for gateway in 0..self.size.nodes as u64 {
@@ -350,9 +358,40 @@
             bytes += frame.len() as u64;
             let _ = decode(&frame);
         }
-        let work_ms = started.elapsed().as_secs_f64() * 1_000.0;
-        report.primary_known_ms = SEARCH_INTERVAL_MS + FAR_LATENCY_MS + work_ms;
-        report.primary_known_owner_bytes = bytes;
+        (
+            bytes,
+            started.elapsed().as_secs_f64() * 1e6 / self.size.nodes as f64,
+        )
+    }
+
+    /// When the last gateway knows, in microseconds after the new primary
+    /// accepts writes: each owner asks at its own phase, then answers all
+    /// waiting gateways one after another, and the first answer counts.
+    fn last_to_know_us(&self, work_us: f64) -> f64 {
+        let owners: Vec<(f64, usize)> = (0..INSTANCES_PER_GROUP)
+            .filter_map(|instance| {
+                let zone = format!("zone-{}", instance % self.size.zones);
+                let owner = self.network.nodes.iter().position(|node| node.zone == zone)?;
+                let phase = (instance as f64 + 1.0) / INSTANCES_PER_GROUP as f64;
+                Some((phase * SEARCH_INTERVAL_MS * 1_000.0, owner))
+            })
+            .collect();
+        let new_primary_zone = owners.get(1).map_or(0, |(_, owner)| *owner);
+        let mut last = 0.0f64;
+        for gateway in 0..self.size.nodes {
+            let first = owners
+                .iter()
+                .filter_map(|(phase, owner)| {
+                    // The question's way to the new primary and back, then the
+                    // answer's to the gateway.
+                    let asking = 2 * self.network.latency(*owner, new_primary_zone)?;
+                    let answer = self.network.latency(*owner, gateway)?;
+                    Some(phase + asking as f64 + gateway as f64 * work_us + answer as f64)
+                })
+                .fold(f64::INFINITY, f64::min);
+            last = last.max(first);
+        }
+        last
     }
 
     /// Time until `done` holds, in steps of one tick; the limit if it never does.
@@ -564,15 +603,3 @@
     }
     question.len() + answer.len() + PROBE_TRANSPORT_BYTES
 }
-
-/// Resident memory of this process, in bytes; zero where it cannot be read.
-fn resident_bytes() -> u64 {
-    const PAGE_BYTES: u64 = 4_096;
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: u64 = text
-        .split(' ')
-        .nth(1)
-        .and_then(|field| field.parse().ok())
-        .unwrap_or(0);
-    pages * PAGE_BYTES
-}
--- a/crates/millwind-lab/src/instance/mod.rs
+++ b/crates/millwind-lab/src/instance/mod.rs
@@ -11,7 +11,9 @@
 mod election;
 mod log_state;
 mod replication;
+mod rows;
 mod session;
+mod sql;
 mod status;
 
 use std::net::SocketAddr;
--- a/crates/millwind-lab/src/instance/replication.rs
+++ b/crates/millwind-lab/src/instance/replication.rs
@@ -14,8 +14,9 @@
 use super::log_state::{Entry, Role, Start, majority};
 use super::{Instance, Peer};
 
-/// A silent leader sends this often.
-pub const HEARTBEAT: Duration = Duration::from_millis(50);
+/// A silent leader sends this often; a new entry waits for the answer to a
+/// message that is under way, so silence is filled sparingly.
+pub const HEARTBEAT: Duration = Duration::from_millis(200);
 const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const ENTRIES_PER_MESSAGE: usize = 512;
--- a/crates/millwind-lab/src/instance/session.rs
+++ b/crates/millwind-lab/src/instance/session.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use millwind_node::pg::put_backend;
 use millwind_node::pg::status::STATUS_QUERY;
-use pgwire::messages::data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription};
+use pgwire::messages::data::{NoData, ParameterDescription};
 use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
 use pgwire::messages::response::{
     CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, SslResponse, TransactionStatus,
@@ -17,7 +17,6 @@
 use pgwire::messages::{
     DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage,
 };
-use rusqlite::types::ValueRef;
 use rusqlite::{Connection, ErrorCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,13 +25,15 @@
 use super::Instance;
 use super::database;
 use super::log_state::{Role, Statement, await_majority};
+use super::rows::{
+    PreparedStatement, ResultSet, TEXT_OID, columns_of, data_row, format_of, parameter_text, row_description,
+    tagged, text_of, type_oid,
+};
+use super::sql::{first_word, is_control, split_statements};
 use super::status;
 
 const LOCK_TIMEOUT: Duration = Duration::from_secs(5);
-const TEXT_OID: u32 = 25;
-const INT8_OID: u32 = 20;
 const TARGET_STATEMENT: u8 = b'S';
-const BINARY_FORMAT: i16 = 1;
 
 /// Accepts clients.
 pub async fn serve(listener: TcpListener, instance: Arc<Instance>) {
@@ -86,12 +87,6 @@
     failed: bool,
 }
 
-#[derive(Debug, Clone)]
-struct PreparedStatement {
-    sql: String,
-    type_oids: Vec<u32>,
-}
-
 #[derive(Debug)]
 struct Portal {
     sql: String,
@@ -99,14 +94,6 @@
     formats: Vec<i16>,
 }
 
-/// Rows of a result, as text.
-#[derive(Debug, Default)]
-struct ResultSet {
-    columns: Vec<(String, u32)>,
-    rows: Vec<Vec<Option<String>>>,
-    tag: String,
-}
-
 struct Session {
     instance: Arc<Instance>,
     stream: TcpStream,
@@ -633,136 +620,3 @@
         self.roll_back();
     }
 }
-
-fn tagged(tag: &str) -> ResultSet {
-    ResultSet {
-        tag: tag.to_owned(),
-        ..ResultSet::default()
-    }
-}
-
-/// Splits a text at semicolons outside quotes and comments.
-fn split_statements(text: &str) -> Vec<String> {
-    let mut statements = Vec::new();
-    let mut current = String::new();
-    let mut quote = None;
-    for character in text.chars() {
-        match quote {
-            None if character == ';' => {
-                statements.push(std::mem::take(&mut current));
-                continue;
-            }
-            None if character == '\'' || character == '"' => quote = Some(character),
-            Some(open) if open == character => quote = None,
-            _ => {}
-        }
-        current.push(character);
-    }
-    statements.push(current);
-    statements.retain(|statement| !statement.trim().is_empty());
-    statements
-}
-
-fn first_word(sql: &str) -> String {
-    let mut rest = sql.trim_start();
-    while let Some(comment) = rest.strip_prefix("/*") {
-        rest = comment
-            .split_once("*/")
-            .map_or("", |(_, after)| after)
-            .trim_start();
-    }
-    rest.split(|character: char| !character.is_ascii_alphabetic())
-        .next()
-        .unwrap_or_default()
-        .to_uppercase()
-}
-
-fn is_control(sql: &str) -> bool {
-    sql == STATUS_QUERY
-        || matches!(
-            first_word(sql).as_str(),
-            "BEGIN" | "START" | "COMMIT" | "END" | "ROLLBACK" | "ABORT" | "SET"
-        )
-}
-
-fn columns_of(prepared: &rusqlite::Statement<'_>) -> Vec<(String, u32)> {
-    prepared
-        .columns()
-        .map(|column| {
-            let declared = column.decl_type().unwrap_or_default().to_uppercase();
-            let oid = if declared.contains("INT") {
-                INT8_OID
-            } else {
-                TEXT_OID
-            };
-            (column.name().to_owned(), oid)
-        })
-        .collect()
-}
-
-fn text_of(value: ValueRef<'_>) -> Option<String> {
-    match value {
-        ValueRef::Null => None,
-        ValueRef::Integer(number) => Some(number.to_string()),
-        ValueRef::Real(number) => Some(number.to_string()),
-        ValueRef::Text(text) | ValueRef::Blob(text) => Some(String::from_utf8_lossy(text).into_owned()),
-    }
-}
-
-fn type_oid(statement: &PreparedStatement, index: usize) -> u32 {
-    let given = statement.type_oids.get(index).copied().unwrap_or(0);
-    if given == 0 { TEXT_OID } else { given }
-}
-
-fn format_of(formats: &[i16], index: usize) -> i16 {
-    match formats {
-        [] => 0,
-        [only] => *only,
-        several => several.get(index).copied().unwrap_or(0),
-    }
-}
-
-fn parameter_text(
-    value: Option<&Bytes>,
-    format: i16,
-    statement: &PreparedStatement,
-    index: usize,
-) -> Option<String> {
-    let bytes = value?;
-    if format == BINARY_FORMAT && type_oid(statement, index) != TEXT_OID {
-        let number = match bytes.len() {
-            2 => i64::from(i16::from_be_bytes([bytes[0], bytes[1]])),
-            4 => i64::from(i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])),
-            8 => i64::from_be_bytes(bytes[..8].try_into().unwrap_or_default()),
-            _ => return Some(String::from_utf8_lossy(bytes).into_owned()),
-        };
-        return Some(number.to_string());
-    }
-    Some(String::from_utf8_lossy(bytes).into_owned())
-}
-
-fn row_description(columns: &[(String, u32)], formats: &[i16]) -> RowDescription {
-    let fields = columns.iter().enumerate().map(|(index, (name, oid))| {
-        let size = if *oid == INT8_OID { 8 } else { -1 };
-        FieldDescription::new(name.clone(), 0, 0, *oid, size, -1, format_of(formats, index))
-    });
-    RowDescription::new(fields.collect())
-}
-
-fn data_row(values: &[Option<String>], columns: &[(String, u32)], formats: &[i16]) -> DataRow {
-    let mut data = BytesMut::new();
-    for (index, value) in values.iter().enumerate() {
-        let Some(text) = value else {
-            data.extend_from_slice(&(-1i32).to_be_bytes());
-            continue;
-        };
-        let binary = format_of(formats, index) == BINARY_FORMAT && columns[index].1 == INT8_OID;
-        let bytes = match text.parse::<i64>() {
-            Ok(number) if binary => number.to_be_bytes().to_vec(),
-            _ => text.as_bytes().to_vec(),
-        };
-        data.extend_from_slice(&(bytes.len() as i32).to_be_bytes());
-        data.extend_from_slice(&bytes);
-    }
-    DataRow::new(data, values.len() as i16)
-}
--- a/crates/millwind-lab/src/lib.rs
+++ b/crates/millwind-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod overhead;
 pub mod platform;
 pub mod ports;
+pub mod process_memory;
 pub mod relay;
 pub mod report;
 pub mod workload;
--- a/crates/millwind-lab/src/main.rs
+++ b/crates/millwind-lab/src/main.rs
@@ -132,6 +132,12 @@
     /// Requests between two writes of a session.
     #[arg(long, default_value_t = 5)]
     write_every: u32,
+    /// Longest pause of a caller between requests, in milliseconds.
+    #[arg(long, default_value_t = 10)]
+    think_ms: u64,
+    /// Time a statement holds its slot, in microseconds.
+    #[arg(long, default_value_t = 1_000)]
+    service_us: u64,
     /// Settings to compare with.
     #[arg(long, value_enum)]
     baseline: Option<Baseline>,
@@ -154,6 +160,8 @@
             nodes_per_zone: self.nodes_per_zone,
             lag_ms: self.lag_ms,
             write_every: self.write_every,
+            think_ms: self.think_ms,
+            service_us: self.service_us,
             baseline: self.baseline,
             verbose: !self.json,
         }
--- a/crates/millwind-lab/src/overhead.rs
+++ b/crates/millwind-lab/src/overhead.rs
@@ -14,6 +14,7 @@
 use crate::cluster::{Cluster, ClusterError, ClusterOptions};
 use crate::deployment::{Deployment, DeploymentName};
 use crate::experiment::ClassLatency;
+use crate::process_memory::resident_bytes;
 
 const STATEMENTS: usize = 4_000;
 const WARM_UP: usize = 300;
@@ -207,7 +208,7 @@
 
 async fn idle_memory(cluster: &Cluster, tenant: &str, idle_callers: usize) -> Result<f64, ClusterError> {
     let node = &cluster.nodes[0];
-    let before = resident_bytes(node.process.id());
+    let before = resident_bytes(&node.process.id().to_string());
     let mut clients = Vec::with_capacity(idle_callers);
     while clients.len() < idle_callers {
         let connecting = (0..CONNECTING_AT_ONCE).map(|_| connect(node.client_address, tenant, None));
@@ -220,17 +221,6 @@
         futures::future::try_join_all(reads).await?;
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let after = resident_bytes(node.process.id());
+    let after = resident_bytes(&node.process.id().to_string());
     Ok(after.saturating_sub(before) as f64 / clients.len() as f64)
 }
-
-fn resident_bytes(process: u32) -> u64 {
-    const PAGE_BYTES: u64 = 4_096;
-    let text = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
-    let pages: u64 = text
-        .split(' ')
-        .nth(1)
-        .and_then(|field| field.parse().ok())
-        .unwrap_or(0);
-    pages * PAGE_BYTES
-}
--- a/crates/millwind-lab/tests/error_kinds.rs
+++ b/crates/millwind-lab/tests/error_kinds.rs
@@ -102,8 +102,7 @@
     let _first = connect(address, "one", None).await.expect("the first is let in");
     let error = connect(address, "one", None)
         .await
-        .err()
-        .expect("the second is not");
+        .expect_err("the second is not");
     assert_eq!(told(&error), hint(ErrorKind::TooManyClients));
 }
 
--- a/crates/millwind-node/src/gateway/mod.rs
+++ b/crates/millwind-node/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: speaks to callers, decides where each request runs, and keeps
 //! each session consistent.
 
+mod accounting;
 mod avoidance;
 mod batch;
 mod caller_settings;
--- a/crates/millwind-node/src/gateway/session.rs
+++ b/crates/millwind-node/src/gateway/session.rs
@@ -19,6 +19,7 @@
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
+use super::accounting::{CallerAnswer, publish_decision, record};
 use super::batch::{self, Batch, PreparedStatements};
 use super::caller_settings::CallerSettings;
 use super::dispatch::{Dispatch, Outcome, Pin, Refusal};
@@ -26,8 +27,6 @@
 use super::startup::ClientPlace;
 use super::{Gateway, TenantRuntime, local_answer};
 use crate::clock;
-use crate::decisions::{CandidateReason, Decision};
-use crate::metrics::RequestLabels;
 use crate::pg::{error_answer, established_context, put_backend};
 
 const READ_CHUNK_BYTES: usize = 8 * 1024;
@@ -523,13 +522,6 @@
     }
 }
 
-struct CallerAnswer {
-    messages: BytesMut,
-    transaction_status: TransactionStatus,
-    /// Whether a replica answered; none when no back end did.
-    replica: Option<bool>,
-}
-
 fn new_dispatch<'a>(
     gateway: &'a Arc<Gateway>,
     settings: &'a TenantSettings,
@@ -577,65 +569,3 @@
 fn encode_error(error: pgwire::error::PgWireError) -> std::io::Error {
     std::io::Error::other(error.to_string())
 }
-
-fn record(gateway: &Gateway, kind: &'static str, result: &Result<CallerAnswer, Refusal>, micros: u64) {
-    let labels = RequestLabels {
-        kind,
-        result: match result {
-            Ok(_) => "answered",
-            Err(refusal) => refusal.kind.name(),
-        },
-        role: match result {
-            Ok(CallerAnswer {
-                replica: Some(true), ..
-            }) => "replica",
-            Ok(CallerAnswer {
-                replica: Some(false), ..
-            }) => "primary",
-            _ => "none",
-        },
-    };
-    gateway.metrics.requests.get_or_create(&labels).inc();
-    gateway.metrics.latency.observe(micros as f64 / 1e6);
-}
-
-fn publish_decision(
-    dispatch: &Dispatch<'_>,
-    intent: Intent,
-    result: &Result<Outcome, Refusal>,
-    started: millwind_core::Instant,
-) {
-    if !dispatch.gateway.decisions.is_watched() {
-        return;
-    }
-    let kind = match intent {
-        Intent::Read | Intent::Describe | Intent::Floor => "read",
-        Intent::Write => "write",
-        Intent::Begin => "begin",
-        Intent::Continue => "continue",
-        Intent::Commit => "commit",
-    };
-    let candidates = dispatch
-        .weighed
-        .iter()
-        .map(|choice| CandidateReason {
-            instance: choice.instance.0.clone(),
-            reason: choice.reason.to_string(),
-        })
-        .collect();
-    dispatch.gateway.decisions.publish(Decision {
-        tenant: dispatch.tenant.name.0.clone(),
-        class: dispatch.terms.class.clone(),
-        kind,
-        candidates,
-        chosen: result
-            .as_ref()
-            .map(|outcome| outcome.instance.0.clone())
-            .unwrap_or_default(),
-        result: match result {
-            Ok(_) => "answered".to_owned(),
-            Err(refusal) => refusal.kind.name().to_owned(),
-        },
-        micros: clock::now().0 - started.0,
-    });
-}
--- a/crates/millwind-node/src/owner/execute.rs
+++ b/crates/millwind-node/src/owner/execute.rs
@@ -401,11 +401,7 @@
     ///
     /// Must hold because a transaction also reads: it begins only where the
     /// session's own writes are, not on an old primary that lacks them.
-    async fn begin_on(
-        &self,
-        slot: &mut Slot,
-        term: Term,
-    ) -> Result<(BackendConnection, Answer), Failure> {
+    async fn begin_on(&self, slot: &mut Slot, term: Term) -> Result<(BackendConnection, Answer), Failure> {
         let mut connection = self.connection(slot).await?;
         // Nothing can be committed before a commit is sent.
         let (status, answer) = self
@@ -417,17 +413,22 @@
         }
         match self.token_coverage(&status) {
             Coverage::Covered => Ok((connection, answer)),
-            Coverage::Behind => Err(Failure::undone(ErrorKind::NotPrimary, "it lacks the session's writes")),
-            Coverage::Discarded => {
-                Err(Failure::undone(ErrorKind::SessionDiscarded, "a later term discarded it"))
-            }
+            Coverage::Behind => Err(Failure::undone(
+                ErrorKind::NotPrimary,
+                "it lacks the session's writes",
+            )),
+            Coverage::Discarded => Err(Failure::undone(
+                ErrorKind::SessionDiscarded,
+                "a later term discarded it",
+            )),
         }
     }
 
     /// Whether an instance at `status` holds what the session must see.
     fn token_coverage(&self, status: &InstanceStatus) -> Coverage {
-        self.token()
-            .map_or(Coverage::Covered, |token| coverage(status.position, &status.history, token))
+        self.token().map_or(Coverage::Covered, |token| {
+            coverage(status.position, &status.history, token)
+        })
     }
 
     fn pinned(&self, connection: BackendConnection) -> Pinned {
--- a/crates/millwind-node/src/owner/service.rs
+++ b/crates/millwind-node/src/owner/service.rs
@@ -127,11 +127,7 @@
     /// changes of ownership, stray watchers would use up connections.
     fn stop_unneeded(&self) {
         let now = clock::now();
-        let mut groups = self
-            .table
-            .groups
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut groups = self.table.groups.lock().unwrap_or_else(PoisonError::into_inner);
         groups.retain(|name, runtime| {
             let open = runtime.pools.keys().any(|instance| self.pins.count(instance) > 0);
             let needed = open || now.millis_since(runtime.needed) < UNNEEDED_MS;
