Ask at once when a primary is lost; ship without echo in the stand-in

Cause: (1) reading the monitor: a question planned up to a second ahead is not brought forward when the primary is lost. (2) a same-zone write took 75 ms at best where latencies give 50: in the stand-in each peer's reply made the leader send the other peer an empty message, so new entries waited behind one. Ruled out: confirmation (statuses arrive with the primary's own answer), detection (8 ms after opening, by the logs). Change: losing the primary wakes all questions; the stand-in sends on new entries, a new term, or silence. Long functions split (reads, links, node).

--- a/crates/millwind-lab/src/instance/replication.rs
+++ b/crates/millwind-lab/src/instance/replication.rs
@@ -7,7 +7,8 @@
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::sync::watch;
+use tokio::time::{timeout, timeout_at};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::database;
@@ -130,12 +131,29 @@
             };
             next = learn(&instance, &peer, sent_term, reply, next, count);
             if next >= length {
-                let _ = timeout(HEARTBEAT, changed.changed()).await;
+                await_news(&instance, &mut changed, next, sent_term).await;
             }
         }
     }
 }
 
+/// Waits for an entry beyond `next`, a change of term, or the next heartbeat.
+/// Other changes, such as another peer's reply, are no reason to send.
+async fn await_news(instance: &Instance, changed: &mut watch::Receiver<u64>, next: usize, term: u64) {
+    let heartbeat = tokio::time::Instant::now() + HEARTBEAT;
+    loop {
+        {
+            let core = instance.state.lock();
+            if core.log.len() > next || core.term != term {
+                return;
+            }
+        }
+        if !matches!(timeout_at(heartbeat, changed.changed()).await, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
 fn append_from(core: &super::log_state::Core, next: usize) -> (Append, usize) {
     let next = next.min(core.log.len());
     let previous = next.checked_sub(1).map(|index| &core.log[index]);
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -10,7 +10,7 @@
 use millwind_core::ids::InstanceName;
 use millwind_core::outcome::{NextStep, Progress, after_failure};
 use millwind_core::position::Position;
-use millwind_core::routing::{Choice, ReadRequest, order_for_read};
+use millwind_core::routing::{Choice, ReadRequest, Reason, order_for_read};
 use millwind_core::tenant::{GroupSpec, TenantSettings};
 use millwind_wire::{
     CancelRequest, ExecuteReply, ExecuteRequest, ExecuteResult, Intent, PeerMessage, ResolveRequest,
@@ -194,55 +194,73 @@
     /// Runs a read on the best instance that covers `token`.
     pub async fn read(&mut self, token: Option<Position>) -> Result<Outcome, Refusal> {
         self.deposit();
-        let mut first = true;
+        let mut attempts = 0;
         loop {
             let order = self.read_order(token);
-            let mut last = Failed {
-                kind: ErrorKind::ReplicaBehind,
-                progress: Progress::NotSent,
-                is_unreached: false,
-                detail: "no instance may serve the read".to_owned(),
-            };
-            let discarded = order
-                .iter()
-                .any(|choice| choice.reason == millwind_core::routing::Reason::Discarded);
-            for choice in order.iter().filter(|choice| choice.reason.eligible()) {
-                if !first && !self.withdraw() {
-                    return Err(Refusal::new(last.kind, last.detail));
-                }
-                first = false;
-                match self.read_on(choice, token).await {
-                    Ok(outcome) => return Ok(outcome),
-                    Err(failed) => last = failed,
-                }
-                if last.kind == ErrorKind::SessionDiscarded || clock::now() >= self.terms.deadline {
-                    return Err(Refusal::new(last.kind, last.detail));
-                }
-                self.note_failure(&choice.instance, &last);
-                if last.kind == ErrorKind::NotPrimary {
-                    // An old primary: neither leads nor replays.
-                    self.gateway.directory.ban(&self.spec, &choice.instance);
-                }
-            }
-            if discarded && order.iter().all(|choice| !choice.reason.eligible()) {
+            if is_discarded_everywhere(&order) {
                 return Err(Refusal::new(
                     ErrorKind::SessionDiscarded,
                     "a later term discarded it",
                 ));
             }
-            if self.gateway.directory.primary(&self.spec).is_none() {
-                let found = directory::await_primary(self.gateway, &self.spec, self.terms.deadline).await;
-                if found.is_none() {
-                    return Err(Refusal::new(ErrorKind::NoPrimary, "and no replica could serve"));
-                }
-            }
-            if clock::now() >= self.terms.deadline {
-                return Err(Refusal::new(last.kind, last.detail));
+            let failed = match self.read_in_order(&order, token, &mut attempts).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(failed) => failed,
+            };
+            let over_budget = attempts > 0 && !self.withdraw();
+            let settled = failed.kind == ErrorKind::SessionDiscarded;
+            if over_budget || settled || clock::now() >= self.terms.deadline {
+                return Err(Refusal::new(failed.kind, failed.detail));
             }
+            self.await_some_primary().await?;
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 
+    /// Tries the candidates one after another while the retry budget and the
+    /// window allow; returns the last failure.
+    async fn read_in_order(
+        &self,
+        order: &[Choice],
+        token: Option<Position>,
+        attempts: &mut u32,
+    ) -> Result<Outcome, Failed> {
+        let mut last = Failed {
+            kind: ErrorKind::ReplicaBehind,
+            progress: Progress::NotSent,
+            is_unreached: false,
+            detail: "no instance may serve the read".to_owned(),
+        };
+        for choice in order.iter().filter(|choice| choice.reason.eligible()) {
+            if *attempts > 0 && !self.withdraw() {
+                return Err(last);
+            }
+            *attempts += 1;
+            last = match self.read_on(choice, token).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(failed) => failed,
+            };
+            if last.kind == ErrorKind::SessionDiscarded || clock::now() >= self.terms.deadline {
+                return Err(last);
+            }
+            self.note_failure(&choice.instance, &last);
+            if last.kind == ErrorKind::NotPrimary {
+                // An old primary: neither leads nor replays.
+                self.gateway.directory.ban(&self.spec, &choice.instance);
+            }
+        }
+        Err(last)
+    }
+
+    /// Waits for a primary if none is known; the fallback of every read.
+    async fn await_some_primary(&self) -> Result<(), Refusal> {
+        let found = directory::await_primary(self.gateway, &self.spec, self.terms.deadline).await;
+        match found {
+            Some(_) => Ok(()),
+            None => Err(Refusal::new(ErrorKind::NoPrimary, "and no replica could serve")),
+        }
+    }
+
     fn read_order(&mut self, token: Option<Position>) -> Vec<Choice> {
         let mut hints = self.gateway.directory.hints(&self.spec);
         let config = self.gateway.control.config();
@@ -470,6 +488,13 @@
     }
 }
 
+/// Whether a candidate has discarded the session's position and none is left
+/// that may still have it.
+fn is_discarded_everywhere(order: &[Choice]) -> bool {
+    let discarded = order.iter().any(|choice| choice.reason == Reason::Discarded);
+    discarded && order.iter().all(|choice| !choice.reason.eligible())
+}
+
 fn wire(position: Option<Position>) -> WirePosition {
     position.map_or(WirePosition::default(), |position| WirePosition {
         term: position.term.0,
--- a/crates/millwind-node/src/node.rs
+++ b/crates/millwind-node/src/node.rs
@@ -84,38 +84,8 @@
         settings.peer_address = local_address(&peers, settings.peer_address);
         settings.admin_address = local_address(&operators, settings.admin_address);
         let settings = Arc::new(settings);
-        let incarnation = clock::unix_millis();
-        let hello = Hello {
-            node: settings.name.clone(),
-            incarnation,
-        };
-        let links = PeerLinks::new(hello, Box::new(NodeSettings::clone(&settings)));
-        let plane = control_plane(&settings, incarnation);
-        let control = control::start(plane, links.clone());
-        let owner = OwnerService::start(settings.clone(), control.clone());
-        let service = PeerService {
-            owner: owner.clone(),
-            control: control.clone(),
-        };
-        tokio::spawn(peer::serve(peers, Arc::new(service)));
-        let metrics = Arc::new(Metrics::default());
-        let gateway = Gateway::new(settings.clone(), control.clone(), links, owner, metrics);
-        tokio::spawn(gateway::serve(clients, gateway.clone()));
-        let store = EtcdStore::new(&settings.platform)?;
-        let keys = KeySpace::new(&settings.platform_prefix);
-        tokio::spawn(config_watch::run(store.clone(), keys.clone(), control.clone()));
-        let (drain, drain_requests) = mpsc::channel(1);
-        let state = Arc::new(AdminState {
-            gateway: gateway.clone(),
-            store,
-            keys,
-            drain,
-        });
-        tokio::spawn(async move {
-            if let Err(error) = axum::serve(operators, admin::router(state)).await {
-                warn!("event=admin_stopped error={error:?}");
-            }
-        });
+        let (gateway, control) = start_services(&settings, clients, peers);
+        let drain_requests = start_administration(&settings, operators, &gateway, &control)?;
         info!(
             "event=node_started node={} zone={} region={} clients={} peers={} admin={}",
             settings.name,
@@ -182,6 +152,56 @@
     }
 }
 
+/// Starts what serves callers and peers.
+fn start_services(
+    settings: &Arc<NodeSettings>,
+    clients: TcpListener,
+    peers: TcpListener,
+) -> (Arc<Gateway>, ControlHandle) {
+    let incarnation = clock::unix_millis();
+    let hello = Hello {
+        node: settings.name.clone(),
+        incarnation,
+    };
+    let links = PeerLinks::new(hello, Box::new(NodeSettings::clone(settings)));
+    let control = control::start(control_plane(settings, incarnation), links.clone());
+    let owner = OwnerService::start(settings.clone(), control.clone());
+    let service = PeerService {
+        owner: owner.clone(),
+        control: control.clone(),
+    };
+    tokio::spawn(peer::serve(peers, Arc::new(service)));
+    let metrics = Arc::new(Metrics::default());
+    let gateway = Gateway::new(settings.clone(), control.clone(), links, owner, metrics);
+    tokio::spawn(gateway::serve(clients, gateway.clone()));
+    (gateway, control)
+}
+
+/// Starts what serves operators and watches the platform.
+fn start_administration(
+    settings: &NodeSettings,
+    operators: TcpListener,
+    gateway: &Arc<Gateway>,
+    control: &ControlHandle,
+) -> Result<mpsc::Receiver<()>, NodeError> {
+    let store = EtcdStore::new(&settings.platform)?;
+    let keys = KeySpace::new(&settings.platform_prefix);
+    tokio::spawn(config_watch::run(store.clone(), keys.clone(), control.clone()));
+    let (drain, drain_requests) = mpsc::channel(1);
+    let state = Arc::new(AdminState {
+        gateway: gateway.clone(),
+        store,
+        keys,
+        drain,
+    });
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(operators, admin::router(state)).await {
+            warn!("event=admin_stopped error={error:?}");
+        }
+    });
+    Ok(drain_requests)
+}
+
 fn local_address(listener: &TcpListener, configured: SocketAddr) -> SocketAddr {
     listener.local_addr().unwrap_or(configured)
 }
--- a/crates/millwind-node/src/owner/monitor.rs
+++ b/crates/millwind-node/src/owner/monitor.rs
@@ -1,7 +1,7 @@
 //! Watches one database group: asks every instance for its status, keeps the
 //! view, and confirms writes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -16,7 +16,8 @@
 use xtra::prelude::*;
 
 use crate::clock;
-use crate::pg::backend::{BackendConnection, BackendTarget};
+use crate::pg::answer::Answer;
+use crate::pg::backend::{BackendConnection, BackendError, BackendTarget};
 use crate::pg::status::{parse_status, put_status};
 
 /// The primary is asked this often when nothing waits on it.
@@ -260,7 +261,11 @@
                         self.group
                     );
                 }
-                None => warn!("event=primary_lost group={}", self.group),
+                None => {
+                    warn!("event=primary_lost group={}", self.group);
+                    // Questions planned for later are asked now.
+                    self.commits.wake_all();
+                }
             }
             self.primary = primary;
         }
@@ -425,64 +430,86 @@
     }
 
     /// Whether a status came lately by another way, so that asking is needless.
-    fn heard_lately(&self, interval: Duration) -> bool {
+    fn is_needless(&self) -> bool {
+        if self.commits.are_expected() {
+            return false;
+        }
+        // Before the view is borrowed: it must not be borrowed twice.
+        let interval = self.interval().as_millis();
         let view = self.view.borrow();
         let heard = view.status(&self.instance).map(|(heard, _)| *heard);
-        heard.is_some_and(|heard| u128::from(clock::now().millis_since(heard)) < interval.as_millis() / 2)
+        heard.is_some_and(|heard| u128::from(clock::now().millis_since(heard)) < interval / 2)
     }
 
     /// Asks until the connection is lost; returns why.
     async fn ask_until_lost(&self, mut connection: BackendConnection) -> String {
-        let mut question = bytes::BytesMut::new();
-        if let Err(error) = put_status(&mut question) {
-            return error.to_string();
-        }
-        let mut in_flight = std::collections::VecDeque::new();
+        let mut in_flight = InFlight::new();
         let mut next_ask = tokio::time::Instant::now();
         loop {
-            let oldest = in_flight
-                .front()
-                .map(|(_, sent): &(Sequence, tokio::time::Instant)| *sent);
+            let oldest = in_flight.front().map(|(_, sent)| *sent);
             let give_up = oldest.unwrap_or_else(tokio::time::Instant::now) + PROBE_TIMEOUT;
             let may_ask = in_flight.len() < MAXIMUM_IN_FLIGHT;
-            let ask = tokio::select! {
+            let may_ask_ahead = in_flight.is_empty() || self.commits.are_expected();
+            let step = tokio::select! {
                 answer = connection.next_answer(), if !in_flight.is_empty() => {
-                    let status = match answer.map(|answer| parse_status(&answer)) {
-                        Ok(Ok(status)) => status,
-                        Ok(Err(error)) => return error.to_string(),
-                        Err(error) => return error.to_string(),
-                    };
-                    let asked = in_flight.pop_front().map(|(asked, _)| asked);
-                    let observed = Observed { instance: self.instance.clone(), asked, status };
-                    if self.monitor.send(observed).await.is_err() {
-                        return "monitor stopped".to_owned();
-                    }
-                    false
+                    self.take_answer(answer, &mut in_flight).await.map(|()| false)
                 }
                 () = tokio::time::sleep_until(give_up), if oldest.is_some() => {
-                    return "no answer to the status question".to_owned();
+                    Err("no answer to the status question".to_owned())
                 }
-                () = self.commits.interests[self.index].wake.notified(), if may_ask => true,
-                () = tokio::time::sleep_until(next_ask), if may_ask && (in_flight.is_empty() || self.commits.are_expected()) => {
-                    let interval = self.interval();
-                    let needless = !self.commits.are_expected() && self.heard_lately(interval);
-                    if needless {
-                        next_ask = tokio::time::Instant::now() + interval;
-                    }
-                    !needless
+                () = self.commits.interests[self.index].wake.notified(), if may_ask => Ok(true),
+                () = tokio::time::sleep_until(next_ask), if may_ask && may_ask_ahead => {
+                    next_ask = tokio::time::Instant::now() + self.interval();
+                    Ok(!self.is_needless())
                 }
             };
-            if !ask {
-                continue;
-            }
-            let Ok(asked) = self.monitor.send(DrawSequence).await else {
-                return "monitor stopped".to_owned();
+            let asks = match step {
+                Ok(asks) => asks,
+                Err(error) => return error,
             };
-            if let Err(error) = connection.send(&question).await {
-                return error.to_string();
+            if asks {
+                if let Err(error) = self.ask(&mut connection, &mut in_flight).await {
+                    return error;
+                }
+                next_ask = tokio::time::Instant::now() + self.interval();
             }
-            in_flight.push_back((asked, tokio::time::Instant::now()));
-            next_ask = tokio::time::Instant::now() + self.interval();
         }
     }
+
+    async fn ask(&self, connection: &mut BackendConnection, in_flight: &mut InFlight) -> Result<(), String> {
+        let mut question = bytes::BytesMut::new();
+        put_status(&mut question).map_err(|error| error.to_string())?;
+        let asked = self
+            .monitor
+            .send(DrawSequence)
+            .await
+            .map_err(|error| error.to_string())?;
+        connection
+            .send(&question)
+            .await
+            .map_err(|error| error.to_string())?;
+        in_flight.push_back((asked, tokio::time::Instant::now()));
+        Ok(())
+    }
+
+    async fn take_answer(
+        &self,
+        answer: Result<Answer, BackendError>,
+        in_flight: &mut InFlight,
+    ) -> Result<(), String> {
+        let answer = answer.map_err(|error| error.to_string())?;
+        let status = parse_status(&answer).map_err(|error| error.to_string())?;
+        let observed = Observed {
+            instance: self.instance.clone(),
+            asked: in_flight.pop_front().map(|(asked, _)| asked),
+            status,
+        };
+        self.monitor
+            .send(observed)
+            .await
+            .map_err(|error| error.to_string())
+    }
 }
+
+/// Questions without an answer yet, oldest first, and when they were sent.
+type InFlight = VecDeque<(Sequence, tokio::time::Instant)>;
--- a/crates/millwind-node/src/peer/server.rs
+++ b/crates/millwind-node/src/peer/server.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::stream::SplitSink;
 use futures::{SinkExt, StreamExt};
 use log::{debug, warn};
 use millwind_wire::PeerMessage;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::frame_codec;
 
@@ -63,42 +64,14 @@
 
 async fn serve_link(id: u64, stream: TcpStream, handler: Arc<dyn PeerHandler>) {
     let mut framed = Framed::new(stream, frame_codec());
-    let Some(Ok(first)) = framed.next().await else {
+    let Some(peer) = read_hello(&mut framed).await else {
         return;
     };
-    let hello = match millwind_wire::decode(&first) {
-        Ok(PeerMessage::Hello(hello)) => hello,
-        Ok(_) => return,
-        Err(error) => {
-            warn!("event=peer_refused error={:?}", error.to_string());
-            return;
-        }
-    };
-    let (replies, mut outgoing) = mpsc::channel(REPLY_QUEUE_LENGTH);
-    let link = InboundLink {
-        id,
-        peer: Arc::from(hello.node.as_str()),
-        replies,
-    };
-    debug!("event=peer_link_opened peer={} link={id}", hello.node);
-    let (mut sink, mut source) = framed.split();
-    let writer = tokio::spawn(async move {
-        while let Some(message) = outgoing.recv().await {
-            let mut next = Some(message);
-            while let Some(message) = next {
-                let Ok(frame) = millwind_wire::encode(&message) else {
-                    return;
-                };
-                if sink.feed(Bytes::from(frame)).await.is_err() {
-                    return;
-                }
-                next = outgoing.try_recv().ok();
-            }
-            if sink.flush().await.is_err() {
-                return;
-            }
-        }
-    });
+    debug!("event=peer_link_opened peer={peer} link={id}");
+    let (replies, outgoing) = mpsc::channel(REPLY_QUEUE_LENGTH);
+    let link = InboundLink { id, peer, replies };
+    let (sink, mut source) = framed.split();
+    let writer = tokio::spawn(write_replies(sink, outgoing));
     while let Some(Ok(frame)) = source.next().await {
         match millwind_wire::decode(&frame) {
             Ok(PeerMessage::KeepAlive) => link.reply(PeerMessage::KeepAlive).await,
@@ -116,3 +89,38 @@
     handler.closed(&link);
     writer.abort();
 }
+
+/// The peer's name from its first message.
+async fn read_hello(framed: &mut Framed<TcpStream, LengthDelimitedCodec>) -> Option<Arc<str>> {
+    let first = framed.next().await?.ok()?;
+    match millwind_wire::decode(&first) {
+        Ok(PeerMessage::Hello(hello)) => Some(Arc::from(hello.node.as_str())),
+        Ok(_) => None,
+        Err(error) => {
+            warn!("event=peer_refused error={:?}", error.to_string());
+            None
+        }
+    }
+}
+
+/// Writes replies, and flushes once for all that are queued.
+async fn write_replies(
+    mut sink: SplitSink<Framed<TcpStream, LengthDelimitedCodec>, Bytes>,
+    mut outgoing: mpsc::Receiver<PeerMessage>,
+) {
+    while let Some(message) = outgoing.recv().await {
+        let mut next = Some(message);
+        while let Some(message) = next {
+            let Ok(frame) = millwind_wire::encode(&message) else {
+                return;
+            };
+            if sink.feed(Bytes::from(frame)).await.is_err() {
+                return;
+            }
+            next = outgoing.try_recv().ok();
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
