Explain a statement; nothing of no name is deleted

Cause: running millwindctl by hand: 'tenant delete nobody' stored a tombstone; nothing told what would happen to a statement. Change: explain through any node; deleting what is not there is refused. Measured: the test failed before (one swap), passes after.

--- a/crates/millwind-ctl/src/client.rs
+++ b/crates/millwind-ctl/src/client.rs
@@ -92,14 +92,32 @@
         Ok(())
     }
 
-    /// Sends JSON and reads JSON.
+    /// Stores JSON and reads JSON.
     pub async fn put<T: Serialize, R: DeserializeOwned>(
         &self,
         path: &str,
         body: &T,
+    ) -> Result<R, ClientError> {
+        self.exchange(Method::PUT, path, body).await
+    }
+
+    /// Posts JSON and reads JSON.
+    pub async fn post_json<T: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &T,
+    ) -> Result<R, ClientError> {
+        self.exchange(Method::POST, path, body).await
+    }
+
+    async fn exchange<T: Serialize, R: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &T,
     ) -> Result<R, ClientError> {
         let bytes = serde_json::to_vec(body).map_err(|error| self.transport(error))?;
-        let response = self.call(Method::PUT, path, bytes).await?;
+        let response = self.call(method, path, bytes).await?;
         let answer = self.body(response).await?;
         serde_json::from_slice(&answer).map_err(|error| self.transport(error))
     }
--- a/crates/millwind-ctl/src/main.rs
+++ b/crates/millwind-ctl/src/main.rs
@@ -9,7 +9,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use millwind_node::admin::{DocumentRow, InstanceRow, NodeRow, PoolRow, StatusReport, TenantRow};
+use millwind_node::admin::{
+    DocumentRow, ExplainBody, InstanceRow, NodeRow, PoolRow, StatusReport, TenantRow,
+};
+use millwind_node::gateway::Explanation;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -78,6 +81,13 @@
         #[arg(long)]
         revision: Option<u64>,
     },
+    /// Explain what would happen to a statement now, without running it.
+    Explain {
+        /// The tenant.
+        tenant: String,
+        /// The statement.
+        statement: String,
+    },
     /// Watch decisions as they are made.
     Watch,
     /// Stop the node as planned.
@@ -154,6 +164,14 @@
         Command::Template { action } => return documents(admin, output, "template", action).await,
         Command::Tenant { action } => return documents(admin, output, "tenant", action).await,
         Command::Config { revision } => return apply::report(admin, *revision).await,
+        Command::Explain { tenant, statement } => {
+            let body = ExplainBody {
+                tenant: tenant.clone(),
+                statement: statement.clone(),
+            };
+            let explanation: Explanation = admin.post_json("/explain", &body).await?;
+            print(output, &explanation, tables::explanation);
+        }
         Command::Watch => admin.stream("/decisions").await?,
         Command::Drain => {
             admin.post("/drain").await?;
--- a/crates/millwind-ctl/src/tables.rs
+++ b/crates/millwind-ctl/src/tables.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use millwind_node::admin::{DocumentRow, InstanceRow, NodeRow, PoolRow, StatusReport, TenantRow};
+use millwind_node::gateway::Explanation;
 
 /// A table with a header.
 #[derive(Debug)]
@@ -67,6 +68,26 @@
     }
 }
 
+/// What would happen to a statement.
+pub fn explanation(explanation: &Explanation) -> Table {
+    let mut rows = vec![
+        vec!["node".to_owned(), explanation.node.clone()],
+        vec!["statements".to_owned(), explanation.kinds.join(" ")],
+        vec!["action".to_owned(), explanation.action.clone()],
+        vec!["class".to_owned(), explanation.class.clone()],
+        vec!["window".to_owned(), format!("{} ms", explanation.window_ms)],
+        vec!["may be repeated".to_owned(), yes(explanation.may_repeat)],
+    ];
+    for (place, candidate) in explanation.candidates.iter().enumerate() {
+        let text = format!("{} ({})", candidate.instance, candidate.reason);
+        rows.push(vec![format!("candidate {}", place + 1), text]);
+    }
+    Table {
+        header: vec!["field", "value"],
+        rows,
+    }
+}
+
 /// Members.
 pub fn nodes(rows: &[NodeRow]) -> Table {
     Table {
--- a/crates/millwind-node/src/admin.rs
+++ b/crates/millwind-node/src/admin.rs
@@ -54,6 +54,7 @@
             get(get_document::<S>).put(put_document::<S>),
         )
         .route("/standings", get(standings::<S>))
+        .route("/explain", post(explain::<S>))
         .route("/drain", post(drain::<S>))
         .route("/decisions", get(decisions::<S>))
         .route("/metrics", get(metrics::<S>))
@@ -430,6 +431,7 @@
     let text = error.to_string();
     match error {
         ChangeError::Invalid(_) => plain_error(StatusCode::UNPROCESSABLE_ENTITY, text),
+        ChangeError::NotFound(_) => plain_error(StatusCode::NOT_FOUND, text),
         ChangeError::Unavailable(_) => plain_error(StatusCode::SERVICE_UNAVAILABLE, text),
         ChangeError::Unknown { .. } => plain_error(StatusCode::GATEWAY_TIMEOUT, text),
         ChangeError::Conflict {
@@ -486,6 +488,22 @@
     .into_response()
 }
 
+/// A statement to explain.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ExplainBody {
+    /// The tenant.
+    pub tenant: String,
+    /// The statement.
+    pub statement: String,
+}
+
+async fn explain<S: Store>(State(state): Shared<S>, Json(body): Json<ExplainBody>) -> Response {
+    match state.gateway.explain(&body.tenant, &body.statement) {
+        Some(explanation) => Json(explanation).into_response(),
+        None => plain_error(StatusCode::NOT_FOUND, format!("no tenant named {}", body.tenant)),
+    }
+}
+
 async fn drain<S: Store>(State(state): Shared<S>) -> StatusCode {
     let _ = state.drain.try_send(());
     StatusCode::ACCEPTED
--- a/crates/millwind-node/src/admin_change.rs
+++ b/crates/millwind-node/src/admin_change.rs
@@ -33,6 +33,9 @@
     /// The document is not valid.
     #[error("{0}")]
     Invalid(#[from] DocumentError),
+    /// There is nothing of this name to delete.
+    #[error("{0}: there is no such document")]
+    NotFound(String),
     /// Somebody else changed the document first.
     #[error("document is at revision {current_revision}, not the one you saw")]
     Conflict {
@@ -128,6 +131,10 @@
             wanted: change.body.clone().unwrap_or_default(),
         }));
     }
+    let exists = current.is_some_and(|document| document.deleted == 0);
+    if change.body.is_none() && !exists {
+        return Err(TryError::Final(ChangeError::NotFound(change.key.clone())));
+    }
     check(&documents, listing.revision, change).map_err(|error| TryError::Final(error.into()))?;
     let head = listing.entries.iter().find(|entry| entry.key == keys.head());
     let conditions = [
--- a/crates/millwind-node/src/decisions.rs
+++ b/crates/millwind-node/src/decisions.rs
@@ -1,12 +1,12 @@
 //! The live stream of decisions that operators watch.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::sync::broadcast;
 
 const STREAM_LENGTH: usize = 1_024;
 
 /// A candidate and the reason for its place.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CandidateReason {
     /// The instance.
     pub instance: String,
--- /dev/null
+++ b/crates/millwind-node/src/gateway/explain.rs
@@ -0,0 +1,119 @@
+//! What would happen to a statement of a tenant now, without running it.
+
+use millwind_core::classify::{StatementKind, classify};
+use millwind_core::ids::TenantName;
+use millwind_core::routing::{ReadRequest, order_for_read};
+use serde::{Deserialize, Serialize};
+
+use super::Gateway;
+use super::request::{self, Action};
+use crate::clock;
+use crate::decisions::CandidateReason;
+
+/// What would happen to a statement.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Explanation {
+    /// `serving`, or why the node would refuse it.
+    pub node: String,
+    /// Kinds of its statements.
+    pub kinds: Vec<String>,
+    /// `read`, `write`, `begin`, `local`, or why it is not carried.
+    pub action: String,
+    /// Class it falls into, empty for none.
+    pub class: String,
+    /// Time from arrival to answer, in milliseconds.
+    pub window_ms: u64,
+    /// Whether the proxy may run it again once sent.
+    pub may_repeat: bool,
+    /// Instances in the order they would be tried, with reasons; for a session
+    /// without a token.
+    pub candidates: Vec<CandidateReason>,
+}
+
+impl Gateway {
+    /// Explains a statement; none when there is no such tenant.
+    pub fn explain(&self, tenant: &str, statement: &str) -> Option<Explanation> {
+        let config = self.control.config();
+        let settings = config.tenants.get(&TenantName::from(tenant))?;
+        let classified = classify(statement);
+        let action = request::action(&classified, true);
+        let read = action == Action::Read;
+        let class = settings.class(classified.tag("class"), read, &classified.tables);
+        let node = match self.control.view().may_serve(clock::now()) {
+            Ok(()) => "serving".to_owned(),
+            Err(reason) => reason.to_string(),
+        };
+        Some(Explanation {
+            node,
+            kinds: classified.kinds.iter().map(kind_name).collect(),
+            action: action_name(&action),
+            class: class.map(|class| class.name.clone()).unwrap_or_default(),
+            window_ms: class.map_or(settings.default_window_ms, |class| class.window_ms),
+            may_repeat: read || class.is_some_and(|class| class.may_repeat),
+            candidates: self.candidates(settings, read),
+        })
+    }
+
+    fn candidates(
+        &self,
+        settings: &millwind_core::tenant::TenantSettings,
+        read: bool,
+    ) -> Vec<CandidateReason> {
+        let config = self.control.config();
+        let Some(spec) = config.groups.get(&settings.group) else {
+            return Vec::new();
+        };
+        if !read {
+            let primary = self.directory.primary(spec);
+            return primary
+                .map(|known| CandidateReason {
+                    instance: known.instance.0,
+                    reason: format!("primary of term {}", known.term),
+                })
+                .into_iter()
+                .collect();
+        }
+        let request = ReadRequest {
+            token: None,
+            wait_ms: settings.replica_wait_ms,
+            policy: settings.read_policy,
+        };
+        order_for_read(
+            clock::now(),
+            &self.locality,
+            &self.directory.hints(spec),
+            &request,
+        )
+        .into_iter()
+        .map(|choice| CandidateReason {
+            instance: choice.instance.0,
+            reason: choice.reason.to_string(),
+        })
+        .collect()
+    }
+}
+
+fn kind_name(kind: &StatementKind) -> String {
+    match kind {
+        StatementKind::Read => "read",
+        StatementKind::Write => "write",
+        StatementKind::Begin { .. } => "begin",
+        StatementKind::Commit => "commit",
+        StatementKind::Rollback => "rollback",
+        StatementKind::SetProxy { .. } | StatementKind::SetSession { .. } => "set",
+        StatementKind::ShowProxy { .. } => "show",
+        StatementKind::Unsupported => "unsupported",
+        StatementKind::Empty => "empty",
+    }
+    .to_owned()
+}
+
+fn action_name(action: &Action) -> String {
+    match action {
+        Action::Read => "read".to_owned(),
+        Action::Write => "write".to_owned(),
+        Action::Begin => "begin".to_owned(),
+        Action::Local => "local".to_owned(),
+        Action::Unsupported(detail) => format!("not carried: {detail}"),
+    }
+}
--- a/crates/millwind-node/src/gateway/mod.rs
+++ b/crates/millwind-node/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod caller_settings;
 mod directory;
 mod dispatch;
+mod explain;
 mod listener;
 mod local_answer;
 mod request;
@@ -31,6 +32,7 @@
 use crate::owner::OwnerService;
 use crate::peer::PeerLinks;
 
+pub use explain::Explanation;
 pub use listener::serve;
 
 /// Saved retries per tenant at most.
--- a/crates/millwind-node/tests/changes.rs
+++ b/crates/millwind-node/tests/changes.rs
@@ -178,6 +178,18 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_is_not_there_cannot_be_deleted() {
+    let store = MemoryStore::default();
+    let deleted = Change {
+        body: None,
+        ..template("c1", None)
+    };
+    let error = change(&store, &keys(), &deleted).await.expect_err("refused");
+    assert_eq!(error.to_string(), "template/t: there is no such document");
+    assert_eq!(store.content().swaps, 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn refusals_are_paced_and_then_told_as_not_changed() {
     let store = MemoryStore::default();
