Give a silent owner no further calls, and let reads leave it

Ruled out: faster death by membership (a pause of a second must not cost a node its instances everywhere); hedging reads by time (doubles an overload). Change: a link with calls in flight that is silent for 600 ms gets no further calls (not sent, so the next owner is asked), and reads on it are given up.

--- a/crates/millwind-node/src/gateway/directory.rs
+++ b/crates/millwind-node/src/gateway/directory.rs
@@ -17,7 +17,7 @@
 
 use super::{Gateway, Owner};
 use crate::clock;
-use crate::peer::CallError;
+use crate::peer::{CallError, Patience};
 
 /// Each question for a primary waits this long at an owner.
 const SEARCH_WAIT_MS: u32 = 1_000;
@@ -318,7 +318,11 @@
     let limit = Duration::from_millis(u64::from(SEARCH_WAIT_MS) + 500);
     let id = request.request_id;
     let message = PeerMessage::AwaitPrimary(request);
-    match gateway.links.call(address, id, message, limit).await {
+    match gateway
+        .links
+        .call(address, id, message, limit, Patience::WhileHeard)
+        .await
+    {
         Ok(PeerMessage::GroupStatus(status)) => Some(status),
         Err(CallError::NotSent) => {
             gateway.avoidance.avoid(&node);
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -21,7 +21,7 @@
 use super::{Gateway, Owner, TenantRuntime, directory};
 use crate::clock;
 use crate::owner::LOCAL_LINK;
-use crate::peer::CallError;
+use crate::peer::{CallError, Patience};
 use crate::pg::STATUS_IDLE;
 
 /// Between two tries while an instance cannot serve.
@@ -162,8 +162,17 @@
             None => self.send_local(request).await,
             Some(address) => {
                 let id = request.request_id;
+                let patience = match request.intent {
+                    Intent::Read | Intent::Describe | Intent::Floor => Patience::WhileHeard,
+                    _ => Patience::UntilLimit,
+                };
                 let message = PeerMessage::Execute(request);
-                match self.gateway.links.call(address, id, message, limit).await {
+                match self
+                    .gateway
+                    .links
+                    .call(address, id, message, limit, patience)
+                    .await
+                {
                     Ok(PeerMessage::ExecuteReply(reply)) => Ok(reply),
                     Ok(_) => Err(CallError::Lost),
                     Err(error) => Err(error),
@@ -477,7 +486,7 @@
                 match self
                     .gateway
                     .links
-                    .call(address, id, message, left + REPLY_SLACK)
+                    .call(address, id, message, left + REPLY_SLACK, Patience::WhileHeard)
                     .await
                 {
                     Ok(PeerMessage::ResolveReply(reply)) => Some(reply.result),
--- a/crates/millwind-node/src/peer/link.rs
+++ b/crates/millwind-node/src/peer/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -19,7 +19,10 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A link with calls in flight is probed this often.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+/// A link with calls in flight that is silent this long gets no further calls:
+/// they have truthfully not been sent, and another owner can take them.
+const SUSPICION_LIMIT: Duration = Duration::from_millis(600);
 /// A link with calls in flight that is silent this long is dropped.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 const QUEUE_LENGTH: usize = 1_024;
@@ -37,15 +40,31 @@
 
 type CallReply = oneshot::Sender<Result<PeerMessage, CallError>>;
 
+/// How long a call waits on a link that has fallen silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Until its own limit: its outcome matters, and the peer may still answer.
+    UntilLimit,
+    /// While the peer is heard: it can be run elsewhere instead.
+    WhileHeard,
+}
+
+/// A call that waits for its reply.
+struct PendingCall {
+    patience: Patience,
+    reply: CallReply,
+}
+
 enum Command {
     Send(PeerMessage),
-    Call(u64, PeerMessage, CallReply),
+    Call(u64, PeerMessage, PendingCall),
     Forget(u64),
 }
 
 #[derive(Debug, Clone)]
 struct Link {
     commands: mpsc::Sender<Command>,
+    silent: Arc<AtomicBool>,
 }
 
 /// All outbound links of a node.
@@ -98,11 +117,19 @@
         request_id: u64,
         message: PeerMessage,
         limit: Duration,
+        patience: Patience,
     ) -> Result<PeerMessage, CallError> {
         let link = self.link(address);
+        if link.silent.load(Ordering::Relaxed) {
+            return Err(CallError::NotSent);
+        }
         let (reply, receiver) = oneshot::channel();
         link.commands
-            .try_send(Command::Call(request_id, message, reply))
+            .try_send(Command::Call(
+                request_id,
+                message,
+                PendingCall { patience, reply },
+            ))
             .map_err(|_| CallError::NotSent)?;
         let outcome = timeout(limit, receiver).await;
         if outcome.is_err() {
@@ -122,15 +149,24 @@
             return link.clone();
         }
         let (commands, receiver) = mpsc::channel(QUEUE_LENGTH);
-        let link = Link { commands };
+        let silent = Arc::new(AtomicBool::new(false));
+        let link = Link {
+            commands,
+            silent: silent.clone(),
+        };
         links.insert(address, link.clone());
         let dial = self.dial.dial_address(address);
-        tokio::spawn(run_link(dial, self.hello.clone(), receiver));
+        tokio::spawn(run_link(dial, self.hello.clone(), receiver, silent));
         link
     }
 }
 
-async fn run_link(address: SocketAddr, hello: Hello, mut commands: mpsc::Receiver<Command>) {
+async fn run_link(
+    address: SocketAddr,
+    hello: Hello,
+    mut commands: mpsc::Receiver<Command>,
+    silent: Arc<AtomicBool>,
+) {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = connected else {
         refuse_queued(&mut commands);
@@ -141,7 +177,7 @@
     if feed(&mut framed, &PeerMessage::Hello(hello)).await.is_err() {
         return;
     }
-    let mut pending: HashMap<u64, CallReply> = HashMap::new();
+    let mut pending: HashMap<u64, PendingCall> = HashMap::new();
     let mut last_heard = tokio::time::Instant::now();
     let mut probe = tokio::time::interval(KEEP_ALIVE_INTERVAL);
     probe.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -159,13 +195,19 @@
             frame = framed.next() => {
                 let Some(Ok(frame)) = frame else { return };
                 last_heard = tokio::time::Instant::now();
+                silent.store(false, Ordering::Relaxed);
                 let Ok(message) = millwind_wire::decode(&frame) else { return };
-                if let Some(reply) = request_id(&message).and_then(|id| pending.remove(&id)) {
-                    let _ = reply.send(Ok(message));
+                if let Some(call) = request_id(&message).and_then(|id| pending.remove(&id)) {
+                    let _ = call.reply.send(Ok(message));
                 }
             }
             _ = probe.tick(), if !pending.is_empty() => {
-                pending.retain(|_, reply| !reply.is_closed());
+                pending.retain(|_, call| !call.reply.is_closed());
+                if last_heard.elapsed() > SUSPICION_LIMIT {
+                    silent.store(true, Ordering::Relaxed);
+                    // Dropped with their reply senders, which tells their callers.
+                    pending.retain(|_, call| call.patience == Patience::UntilLimit);
+                }
                 if last_heard.elapsed() > SILENCE_LIMIT {
                     return;
                 }
@@ -181,8 +223,8 @@
 fn refuse_queued(commands: &mut mpsc::Receiver<Command>) {
     commands.close();
     while let Ok(command) = commands.try_recv() {
-        if let Command::Call(_, _, reply) = command {
-            let _ = reply.send(Err(CallError::NotSent));
+        if let Command::Call(_, _, call) = command {
+            let _ = call.reply.send(Err(CallError::NotSent));
         }
     }
 }
@@ -192,14 +234,14 @@
     first: Command,
     commands: &mut mpsc::Receiver<Command>,
     framed: &mut Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
-    pending: &mut HashMap<u64, CallReply>,
+    pending: &mut HashMap<u64, PendingCall>,
 ) -> Result<(), std::io::Error> {
     let mut next = Some(first);
     while let Some(command) = next {
         match command {
             Command::Send(message) => framed.feed(encode(&message)?).await?,
-            Command::Call(id, message, reply) => {
-                pending.insert(id, reply);
+            Command::Call(id, message, call) => {
+                pending.insert(id, call);
                 framed.feed(encode(&message)?).await?;
             }
             Command::Forget(id) => {
--- a/crates/millwind-node/src/peer/mod.rs
+++ b/crates/millwind-node/src/peer/mod.rs
@@ -4,7 +4,7 @@
 mod link;
 mod server;
 
-pub use link::{CallError, PeerLinks};
+pub use link::{CallError, DialMap, Patience, PeerLinks};
 pub use server::{InboundLink, PeerHandler, serve};
 
 use millwind_wire::MAXIMUM_FRAME_BYTES;
