--- a/crates/millwind-lab/src/hollow/network.rs
+++ b/crates/millwind-lab/src/hollow/network.rs
@@ -27,6 +27,8 @@
     pub(super) busy: Duration,
     pub(super) sent: BTreeMap<&'static str, (u64, u64)>,
     pub(super) received: (u64, u64),
+    /// Nodes whose link to this one was opened since the accounts were reset.
+    pub(super) links_opened_by: BTreeSet<usize>,
 }
 
 struct Delivery {
@@ -162,6 +164,7 @@
         if !node.alive {
             return;
         }
+        node.links_opened_by.insert(delivery.from);
         node.received.0 += 1;
         node.received.1 += delivery.frame.len() as u64 + TRANSPORT_BYTES;
         let from = self.nodes[delivery.from].plane.membership().own().node.clone();
@@ -192,6 +195,7 @@
             node.busy = Duration::ZERO;
             node.sent.clear();
             node.received = (0, 0);
+            node.links_opened_by.clear();
         }
     }
 }
--- a/crates/millwind-lab/src/hollow/report.rs
+++ b/crates/millwind-lab/src/hollow/report.rs
@@ -65,6 +65,12 @@
     pub restart_bytes: f64,
     /// Time until a restarted node may serve, in milliseconds.
     pub restart_serving_ms: u64,
+    /// Most links opened to one node within a second, when all are opened anew
+    /// as far as messages need them.
+    pub links_opened_in_first_second: usize,
+    /// Connections a new owner opens to one instance per second, by the pool's
+    /// pace; no more than its slots in all.
+    pub pool_connections_per_second: f64,
     /// Nodes of a cut-off zone that stopped serving, of all its nodes.
     pub cut_zone_stopped: (usize, usize),
     /// Nodes elsewhere that went on serving meanwhile, of all others.
--- a/crates/millwind-lab/src/hollow/scene.rs
+++ b/crates/millwind-lab/src/hollow/scene.rs
@@ -1,6 +1,6 @@
 //! The events of a hollow run, one after another.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant as WallInstant;
 
 use millwind_core::Instant;
@@ -37,6 +37,10 @@
 const PRIMARY_PROBES: f64 = 5.0;
 const OWNED_PROBES: f64 = 2.0;
 const DISTANT_PROBES: f64 = 1.0;
+/// A new owner opens an instance's connections one after another, this far
+/// apart, each at the cost of the users' databases.
+const PREOPEN_PACE_MS: f64 = 5.0;
+const CONNECT_MS: f64 = 10.0;
 /// TCP and IP headers of a question, its answer and an acknowledgement.
 const PROBE_TRANSPORT_BYTES: usize = 3 * 52;
 /// While a group has no primary its instances are asked this often.
@@ -100,6 +104,7 @@
         busy: std::time::Duration::ZERO,
         sent: BTreeMap::new(),
         received: (0, 0),
+        links_opened_by: BTreeSet::new(),
     }
 }
 
@@ -309,6 +314,7 @@
         report.probes_at_instance_per_second = at_instance;
         report.probes_by_node_per_second = (total / nodes, highest);
         let bytes = probe_bytes() as f64;
+        report.pool_connections_per_second = 1_000.0 / (PREOPEN_PACE_MS + CONNECT_MS);
         report.probe_bytes_per_second = (total / nodes * bytes, highest * bytes);
     }
 
@@ -486,6 +492,11 @@
         self.pass(2_000);
         self.network.reset_accounts();
         self.network.nodes[victim] = hollow_node(&self.size, victim, 2);
+        self.pass(1_000);
+        let opened = self.network.nodes.iter().map(|node| node.links_opened_by.len());
+        report.links_opened_in_first_second = opened.max().unwrap_or(0);
+        self.network.reset_accounts();
+        self.network.nodes[victim] = hollow_node(&self.size, victim, 3);
         report.restart_serving_ms =
             self.time_until(|network| network.nodes[victim].plane.may_serve(network.now).is_ok());
         self.pass(5_000);
@@ -512,7 +523,7 @@
         }
         report.change_relays_lost_ms = self.change_once();
         for relay in lost {
-            self.network.nodes[relay] = hollow_node(&self.size, relay, 3);
+            self.network.nodes[relay] = hollow_node(&self.size, relay, 4);
         }
         self.pass(SETTLE_MS);
     }
--- a/crates/millwind-platform/src/etcd.rs
+++ b/crates/millwind-platform/src/etcd.rs
@@ -50,17 +50,23 @@
         Ok(EtcdStore { channel })
     }
 
+    /// A client whose channel takes a call; until then nothing was sent.
+    async fn ready_client(&self) -> Result<Grpc<Channel>, StoreError> {
+        let mut client = Grpc::new(self.channel.clone());
+        client
+            .ready()
+            .await
+            .map_err(|error| StoreError::Refused(error.to_string()))?;
+        Ok(client)
+    }
+
     async fn unary<Q, R>(&self, path: &'static str, request: Q) -> Result<R, StoreError>
     where
         Q: prost::Message + Send + Sync + 'static,
         R: prost::Message + Default + Send + Sync + 'static,
     {
         let call = async {
-            let mut client = Grpc::new(self.channel.clone());
-            client
-                .ready()
-                .await
-                .map_err(|error| StoreError::Refused(error.to_string()))?;
+            let mut client = self.ready_client().await?;
             client
                 .unary(
                     request.into_request(),
@@ -123,11 +129,7 @@
         };
         send(&requests, WatchRequestKind::Create(create)).await?;
         let call = async {
-            let mut client = Grpc::new(self.channel.clone());
-            client
-                .ready()
-                .await
-                .map_err(|error| StoreError::Refused(error.to_string()))?;
+            let mut client = self.ready_client().await?;
             client
                 .streaming(
                     ReceiverStream::new(receiver).into_request(),
