--- a/crates/millwind-core/src/confirmation.rs
+++ b/crates/millwind-core/src/confirmation.rs
@@ -113,11 +113,6 @@
         self.pending.retain(|commit| commit.id != id);
     }
 
-    /// True while some commit waits, so that a round should be asked at once.
-    pub fn is_waiting(&self) -> bool {
-        !self.pending.is_empty()
-    }
-
     /// Takes in that `instance`, in answer to a question numbered `asked`,
     /// showed `term` and had received the log up to `received`; returns the
     /// commits that are decided by it.
--- a/crates/millwind-lab/src/experiment.rs
+++ b/crates/millwind-lab/src/experiment.rs
@@ -12,6 +12,7 @@
 
 use clap::ValueEnum;
 use millwind_core::confirmation::ConfirmationRule;
+use millwind_core::invariant::Invariant;
 
 use crate::cluster::{Cluster, ClusterError, ClusterOptions};
 use crate::deployment::{Deployment, DeploymentName};
@@ -163,6 +164,13 @@
     pub(crate) notes: Vec<String>,
 }
 
+impl FaultReport {
+    /// Records that a property did not hold.
+    pub(crate) fn violated(&mut self, invariant: Invariant, detail: String) {
+        self.violations.push(Violation::new(invariant, detail));
+    }
+}
+
 /// Runs one experiment; returns its summary and history.
 pub async fn run(
     name: ExperimentName,
--- a/crates/millwind-lab/src/experiment/faults.rs
+++ b/crates/millwind-lab/src/experiment/faults.rs
@@ -11,7 +11,6 @@
 use super::{ExperimentName, ExperimentOptions, FaultReport, WARM_UP};
 use crate::client::connect;
 use crate::cluster::{Cluster, ClusterError};
-use crate::history::Violation;
 use crate::http::{self, HttpError};
 use crate::instance::InstanceReport;
 use crate::platform::PlatformFaults;
@@ -178,10 +177,6 @@
         report
             .notes
             .push(format!("{} in the outage: {}", status.node, status.state));
-        if status.state != "serving" {
-            let detail = format!("{} stopped in a shared outage: {}", status.node, status.state);
-            report.notes.push(detail);
-        }
     }
     cluster.set_platform_faults(&PlatformFaults::default()).await
 }
@@ -227,9 +222,7 @@
     let again = put(cluster, 1, "lost-answer", None, 33).await?;
     if revision != again {
         let detail = format!("asked again, the change was stored twice: {revision} and {again}");
-        report
-            .violations
-            .push(Violation::new(Invariant::ConfigurationInForce, detail));
+        report.violated(Invariant::ConfigurationInForce, detail);
     }
     cluster.await_in_force(0, revision).await
 }
@@ -249,9 +242,7 @@
             .count();
         if stored != 1 {
             let detail = format!("{stored} of two racing changes were stored: {first:?} {second:?}");
-            report
-                .violations
-                .push(Violation::new(Invariant::ConfigurationInForce, detail));
+            report.violated(Invariant::ConfigurationInForce, detail);
         }
         if let Some(revision) = first.ok().or(second.ok()) {
             cluster.await_in_force(0, revision).await?;
@@ -271,9 +262,7 @@
         slowest = slowest.max(took);
         if took > IN_FORCE_LIMIT {
             let detail = format!("revision {revision} took {took:?}");
-            report
-                .violations
-                .push(Violation::new(Invariant::ConfigurationInForce, detail));
+            report.violated(Invariant::ConfigurationInForce, detail);
         }
         for index in 0..cluster.nodes.len() {
             let status = cluster.status(index).await?;
@@ -282,9 +271,7 @@
                     "{} has {} although {revision} was said in force",
                     status.node, status.revision
                 );
-                report
-                    .violations
-                    .push(Violation::new(Invariant::ConfigurationInForce, detail));
+                report.violated(Invariant::ConfigurationInForce, detail);
             }
         }
     }
@@ -330,9 +317,7 @@
             "{} serves revision {} although {revision} is in force",
             status.node, status.revision
         );
-        report
-            .violations
-            .push(Violation::new(Invariant::ConfigurationInForce, detail));
+        report.violated(Invariant::ConfigurationInForce, detail);
     }
     sleep(length.saturating_sub(started.elapsed())).await;
     cluster.set_zone_cut(zone, false);
@@ -375,9 +360,7 @@
         ));
         if code != 0 {
             let detail = format!("planned stop ended with exit code {code}");
-            report
-                .violations
-                .push(Violation::new(Invariant::PlannedStopCutsNothing, detail));
+            report.violated(Invariant::PlannedStopCutsNothing, detail);
         }
         cluster.restart_node(index)?;
         await_serving(cluster, index, report).await?;
@@ -409,9 +392,7 @@
     ));
     if new_work > 0 {
         let detail = format!("{name} got {new_work} statements after {LEAVING_LIMIT:?}");
-        report
-            .violations
-            .push(Violation::new(Invariant::LeavingGetsNoWork, detail));
+        report.violated(Invariant::LeavingGetsNoWork, detail);
     }
     cluster.list_machine(&name, "", false).await
 }
--- a/crates/millwind-lab/src/instance/log_state.rs
+++ b/crates/millwind-lab/src/instance/log_state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use millwind_core::position::{LogPosition, Position};
+use millwind_core::position::Position;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -223,11 +223,6 @@
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
-
-    /// The position readers see.
-    pub fn log_position(&self) -> LogPosition {
-        self.lock().position().log_position
-    }
 }
 
 /// Instances that make a majority, out of the peers and the instance itself.
--- a/crates/millwind-lab/src/instance/mod.rs
+++ b/crates/millwind-lab/src/instance/mod.rs
@@ -84,8 +84,6 @@
     pub peak_connections: AtomicU32,
     /// Statements run, status questions left out.
     pub statements: AtomicU64,
-    /// Write transactions tried.
-    pub writes: AtomicU64,
 }
 
 impl Instance {
@@ -101,7 +99,6 @@
             connections: AtomicU32::new(0),
             peak_connections: AtomicU32::new(0),
             statements: AtomicU64::new(0),
-            writes: AtomicU64::new(0),
             settings,
         });
         tokio::spawn(session::serve(clients, instance.clone()));
--- a/crates/millwind-lab/src/instance/session.rs
+++ b/crates/millwind-lab/src/instance/session.rs
@@ -524,7 +524,6 @@
         sql: &str,
         parameters: &[Option<String>],
     ) -> Result<ResultSet, SqlError> {
-        self.instance.writes.fetch_add(1, Ordering::Relaxed);
         self.check_leads()?;
         let locked = self
             .transaction
--- a/crates/millwind-lab/src/main.rs
+++ b/crates/millwind-lab/src/main.rs
@@ -170,18 +170,24 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match Arguments::parse().command {
+    let command = Arguments::parse().command;
+    // The lab starts its stand-ins and nodes from its own program.
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(error) => return fail(&error),
+    };
+    match command {
         Command::Instance { settings } => run_instance(&settings).await,
         Command::Platform { listen, control } => run_platform(listen, control).await,
         Command::Node { config } => match NodeSettings::read(&config) {
             Ok(settings) => daemon::run(settings).await,
             Err(error) => daemon::refuse(&error.to_string()),
         },
-        Command::Demo { deployment, seed } => run_demo(deployment, seed).await,
+        Command::Demo { deployment, seed } => run_demo(program, deployment, seed).await,
         Command::Overhead {
             callers,
             idle_callers,
-        } => run_overhead(callers, idle_callers).await,
+        } => run_overhead(program, callers, idle_callers).await,
         Command::Report { directory } => match report::make(&directory) {
             Ok(path) => {
                 println!("{}", path.display());
@@ -208,11 +214,11 @@
             };
             run_hollow(size, json)
         }
-        Command::Experiment(arguments) => run_experiment(&arguments).await,
+        Command::Experiment(arguments) => run_experiment(program, &arguments).await,
         Command::Cluster {
             deployment,
             nodes_per_zone,
-        } => run_cluster(deployment, nodes_per_zone).await,
+        } => run_cluster(program, deployment, nodes_per_zone).await,
     }
 }
 
@@ -272,11 +278,7 @@
     }
 }
 
-async fn run_demo(deployment: DeploymentName, seed: u64) -> ExitCode {
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(error) => return fail(&error),
-    };
+async fn run_demo(program: PathBuf, deployment: DeploymentName, seed: u64) -> ExitCode {
     let mut options = ExperimentOptions::new(program, deployment);
     options.seed = seed;
     options.verbose = true;
@@ -289,11 +291,7 @@
     }
 }
 
-async fn run_overhead(callers: usize, idle_callers: usize) -> ExitCode {
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(error) => return fail(&error),
-    };
+async fn run_overhead(program: PathBuf, callers: usize, idle_callers: usize) -> ExitCode {
     match overhead::run(program, callers, idle_callers).await {
         Ok(report) => {
             print_json(&report);
@@ -303,11 +301,7 @@
     }
 }
 
-async fn run_experiment(arguments: &ExperimentArguments) -> ExitCode {
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(error) => return fail(&error),
-    };
+async fn run_experiment(program: PathBuf, arguments: &ExperimentArguments) -> ExitCode {
     let (summary, history) = match experiment::run(arguments.name, &arguments.options(program)).await {
         Ok(result) => result,
         Err(error) => return fail(&error),
@@ -334,13 +328,9 @@
     std::fs::write(directory.join(name), text)
 }
 
-async fn run_cluster(deployment: DeploymentName, nodes_per_zone: usize) -> ExitCode {
+async fn run_cluster(program: PathBuf, deployment: DeploymentName, nodes_per_zone: usize) -> ExitCode {
     use millwind_lab::cluster::{Cluster, ClusterOptions};
     use millwind_lab::deployment::Deployment;
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(error) => return fail(&error),
-    };
     let mut options = ClusterOptions::new(program);
     options.nodes_per_zone = nodes_per_zone;
     let cluster = match Cluster::start(Deployment::of(deployment), options).await {
--- a/crates/millwind-node/src/pg/answer.rs
+++ b/crates/millwind-node/src/pg/answer.rs
@@ -52,11 +52,6 @@
         message.encode(&mut self.messages)?;
         Ok(false)
     }
-
-    /// The first column of the first row.
-    pub fn first_value(&self) -> Option<&str> {
-        self.rows.first()?.first()?.as_deref()
-    }
 }
 
 fn status_byte(status: TransactionStatus) -> u8 {
