--- /dev/null
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -0,0 +1,58 @@
+//! Why an exchange with an instance came to nothing.
+
+use millwind_core::error_kind::ErrorKind;
+use thiserror::Error;
+
+use crate::statement::BackEndError;
+
+/// A failed exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum LinkError {
+    /// Nobody listens there, or the connection was reset while opening.
+    #[error("connection refused")]
+    Refused,
+    /// The connection did not open in time.
+    #[error("connection did not open in time")]
+    ConnectTimeout,
+    /// The instance refused the opening of the session.
+    #[error("startup refused: {} {}", .0.code, .0.text)]
+    StartupRefused(BackEndError),
+    /// No connection became free in time.
+    #[error("no connection became free in time")]
+    NoConnection,
+    /// The instance is no longer used.
+    #[error("instance is no longer used")]
+    Retired,
+    /// The connection broke after bytes were sent.
+    #[error("connection broke")]
+    Lost,
+    /// No answer came in time after bytes were sent.
+    #[error("no answer in time")]
+    Silent,
+    /// The answer was no message of the protocol.
+    #[error("answer cannot be read")]
+    Protocol,
+}
+
+impl LinkError {
+    /// Whether a statement may have reached the instance.
+    pub const fn may_have_run(&self) -> bool {
+        matches!(self, LinkError::Lost | LinkError::Silent | LinkError::Protocol)
+    }
+
+    /// Whether the instance itself showed that it is in trouble.
+    pub const fn is_evidence(&self) -> bool {
+        matches!(
+            self,
+            LinkError::Refused | LinkError::ConnectTimeout | LinkError::Lost | LinkError::Silent
+        )
+    }
+
+    /// What a caller is told where nothing has run.
+    pub const fn kind(&self) -> ErrorKind {
+        match self {
+            LinkError::NoConnection => ErrorKind::QueueFull,
+            _ => ErrorKind::BackEndUnreachable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/backend/mod.rs
@@ -0,0 +1,11 @@
+//! Connections to back-end instances and the pools that share them.
+
+pub mod connection;
+pub mod link_error;
+pub mod pool;
+pub mod pools;
+
+pub use connection::Connection;
+pub use link_error::LinkError;
+pub use pool::{Pool, Purpose};
+pub use pools::Pools;
--- /dev/null
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -0,0 +1,404 @@
+//! The pool of one instance: its idle connections, its share of the
+//! instance's connections, and the statements that wait for one.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use millwind_core::Instant;
+use millwind_core::session_state::{PreparedStatement, SessionState};
+use tokio::sync::oneshot;
+
+use super::connection::Connection;
+use super::link_error::LinkError;
+use crate::catalog::InstanceRecord;
+use crate::clock;
+use crate::ports::BackEndCodec;
+use crate::statement::{BackEndErrorKind, Command, Envelope, TransactionState};
+
+/// Longest wait for a new connection, in milliseconds.
+const CONNECT_LIMIT_MS: u64 = 1_000;
+/// After the instance said that it takes no more connections, none is opened
+/// for this time, in milliseconds.
+const LIMIT_PAUSE_MS: u64 = 300;
+/// A connection is given this long to roll back before it is closed.
+const ROLLBACK_LIMIT_MS: u64 = 3_000;
+
+/// What a connection is wanted for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A statement of this priority; zero comes first.
+    Statement {
+        /// The tenant's priority.
+        priority: u8,
+    },
+    /// A health check, which may use one connection beyond the share.
+    Probe,
+}
+
+/// One open connection, or the right to open one.
+#[derive(Debug)]
+pub struct Permit {
+    pool: Arc<Pool>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.pool.permit_returned();
+    }
+}
+
+enum Grant {
+    Idle(Box<Connection>),
+    Open(Permit),
+}
+
+struct Waiter {
+    priority: u8,
+    grant: oneshot::Sender<Grant>,
+}
+
+#[derive(Default)]
+struct PoolState {
+    idle: Vec<Connection>,
+    open: usize,
+    share: usize,
+    waiters: VecDeque<Waiter>,
+    no_open_before: Instant,
+    is_retired: bool,
+}
+
+/// The pool of one instance.
+pub struct Pool {
+    record: InstanceRecord,
+    codec: Arc<dyn BackEndCodec>,
+    state: Mutex<PoolState>,
+}
+
+impl std::fmt::Debug for Pool {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "Pool({})", self.record.name)
+    }
+}
+
+impl Pool {
+    /// A pool that may hold `share` connections.
+    pub fn new(record: InstanceRecord, codec: Arc<dyn BackEndCodec>, share: usize) -> Arc<Pool> {
+        let state = PoolState {
+            share,
+            ..PoolState::default()
+        };
+        Arc::new(Pool {
+            record,
+            codec,
+            state: Mutex::new(state),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The instance.
+    pub fn record(&self) -> &InstanceRecord {
+        &self.record
+    }
+
+    /// Changes how many connections it may hold.
+    pub fn set_share(&self, share: usize) {
+        let surplus = {
+            let mut state = self.state();
+            state.share = share;
+            let excess = state.open.saturating_sub(share).min(state.idle.len());
+            state.idle.drain(..excess).collect::<Vec<_>>()
+        };
+        drop(surplus);
+    }
+
+    /// Closes idle connections and refuses statements from now on.
+    pub fn retire(&self) {
+        let (idle, waiters) = {
+            let mut state = self.state();
+            state.is_retired = true;
+            (
+                std::mem::take(&mut state.idle),
+                std::mem::take(&mut state.waiters),
+            )
+        };
+        drop(idle);
+        drop(waiters);
+    }
+
+    /// Open connections, and statements waiting for one.
+    pub fn load(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.open, state.waiters.len())
+    }
+
+    /// A connection outside of any transaction, for one statement or
+    /// transaction of `session`.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        purpose: Purpose,
+        session: &SessionState,
+        needed: Option<&PreparedStatement>,
+        deadline: Instant,
+    ) -> Result<PooledConnection, LinkError> {
+        loop {
+            if let Some(connection) = self.take_idle(session, needed)? {
+                return Ok(PooledConnection::new(self.clone(), connection));
+            }
+            if let Some(permit) = self.take_permit(purpose) {
+                return self.open(permit, deadline).await;
+            }
+            let limit = self.wait_limit(deadline);
+            match self.wait(purpose, limit).await {
+                Ok(Grant::Idle(connection)) if connection.is_alive() => {
+                    return Ok(PooledConnection::new(self.clone(), *connection));
+                }
+                Ok(Grant::Idle(_)) => {}
+                Ok(Grant::Open(permit)) => return self.open(permit, deadline).await,
+                Err(LinkError::NoConnection) if clock::now() < deadline => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    async fn open(
+        self: &Arc<Self>,
+        permit: Permit,
+        deadline: Instant,
+    ) -> Result<PooledConnection, LinkError> {
+        let limit = clock::now().plus_millis(CONNECT_LIMIT_MS).min(deadline);
+        let opened = Connection::open(&self.record, self.codec.clone(), permit, limit).await;
+        if let Err(LinkError::StartupRefused(error)) = &opened
+            && error.kind == BackEndErrorKind::TooManyConnections
+        {
+            self.state().no_open_before = clock::now().plus_millis(LIMIT_PAUSE_MS);
+        }
+        opened.map(|connection| PooledConnection::new(self.clone(), connection))
+    }
+
+    /// The idle connection that needs the fewest steps; dead ones are dropped.
+    fn take_idle(
+        &self,
+        session: &SessionState,
+        needed: Option<&PreparedStatement>,
+    ) -> Result<Option<Connection>, LinkError> {
+        let mut dead = Vec::new();
+        let chosen = {
+            let mut state = self.state();
+            if state.is_retired {
+                return Err(LinkError::Retired);
+            }
+            loop {
+                let best = state
+                    .idle
+                    .iter()
+                    .enumerate()
+                    .rev()
+                    .min_by_key(|(_, connection)| connection.steps_to(session, needed))
+                    .map(|(index, _)| index);
+                let Some(index) = best else { break None };
+                let connection = state.idle.remove(index);
+                if connection.is_alive() {
+                    break Some(connection);
+                }
+                dead.push(connection);
+            }
+        };
+        // Dropped outside of the lock: that returns their permits.
+        drop(dead);
+        Ok(chosen)
+    }
+
+    fn take_permit(self: &Arc<Self>, purpose: Purpose) -> Option<Permit> {
+        let mut state = self.state();
+        let allowed = match purpose {
+            Purpose::Statement { .. } => state.share,
+            Purpose::Probe => state.share + 1,
+        };
+        if state.open >= allowed || clock::now() < state.no_open_before {
+            return None;
+        }
+        state.open += 1;
+        Some(Permit { pool: self.clone() })
+    }
+
+    /// A waiter looks again when connections may be opened again.
+    fn wait_limit(&self, deadline: Instant) -> Instant {
+        let no_open_before = self.state().no_open_before;
+        if no_open_before > clock::now() {
+            return deadline.min(no_open_before.plus_millis(1));
+        }
+        deadline
+    }
+
+    async fn wait(&self, purpose: Purpose, deadline: Instant) -> Result<Grant, LinkError> {
+        let (sender, receiver) = oneshot::channel();
+        let priority = match purpose {
+            Purpose::Statement { priority } => priority.saturating_add(1),
+            Purpose::Probe => 0,
+        };
+        {
+            let mut state = self.state();
+            let waiter = Waiter {
+                priority,
+                grant: sender,
+            };
+            let index = state
+                .waiters
+                .iter()
+                .position(|other| other.priority > priority)
+                .unwrap_or(state.waiters.len());
+            state.waiters.insert(index, waiter);
+        }
+        match tokio::time::timeout_at(clock::deadline(deadline), receiver).await {
+            Ok(Ok(grant)) => Ok(grant),
+            Ok(Err(_)) => Err(LinkError::Retired),
+            Err(_) => Err(LinkError::NoConnection),
+        }
+    }
+
+    /// Takes back a settled connection that is outside of any transaction.
+    fn give_back(&self, connection: Connection) {
+        let mut grant = Grant::Idle(Box::new(connection));
+        loop {
+            let waiter = {
+                let mut state = self.state();
+                if state.is_retired || state.open > state.share + 1 {
+                    None
+                } else if let Some(waiter) = pop_live(&mut state.waiters) {
+                    Some(waiter)
+                } else {
+                    if let Grant::Idle(connection) = grant {
+                        state.idle.push(*connection);
+                    }
+                    return;
+                }
+            };
+            let Some(waiter) = waiter else { return };
+            match waiter.grant.send(grant) {
+                Ok(()) => return,
+                Err(unused) => grant = unused,
+            }
+        }
+    }
+
+    /// A connection was closed or not opened: the next waiter may open one.
+    fn permit_returned(self: &Arc<Self>) {
+        let waiter = {
+            let mut state = self.state();
+            state.open -= 1;
+            let may_open = state.open < state.share && !state.is_retired;
+            let waiter = if may_open {
+                pop_live(&mut state.waiters)
+            } else {
+                None
+            };
+            if waiter.is_some() {
+                state.open += 1;
+            }
+            waiter
+        };
+        if let Some(waiter) = waiter {
+            // An unused permit comes back here when it is dropped.
+            drop(waiter.grant.send(Grant::Open(Permit { pool: self.clone() })));
+        }
+    }
+}
+
+fn pop_live(waiters: &mut VecDeque<Waiter>) -> Option<Waiter> {
+    while let Some(waiter) = waiters.pop_front() {
+        if !waiter.grant.is_closed() {
+            return Some(waiter);
+        }
+    }
+    None
+}
+
+/// A connection that goes back to its pool when dropped: at once if it is
+/// settled, after a rollback if a transaction is open, never if an answer is
+/// outstanding.
+#[derive(Debug)]
+pub struct PooledConnection {
+    pool: Arc<Pool>,
+    connection: Option<Connection>,
+}
+
+impl PooledConnection {
+    fn new(pool: Arc<Pool>, connection: Connection) -> Self {
+        PooledConnection {
+            pool,
+            connection: Some(connection),
+        }
+    }
+
+    /// The pool it belongs to.
+    pub fn pool(&self) -> &Arc<Pool> {
+        &self.pool
+    }
+}
+
+impl std::ops::Deref for PooledConnection {
+    type Target = Connection;
+
+    fn deref(&self) -> &Connection {
+        self.connection.as_ref().expect("present until dropped")
+    }
+}
+
+impl std::ops::DerefMut for PooledConnection {
+    fn deref_mut(&mut self) -> &mut Connection {
+        self.connection.as_mut().expect("present until dropped")
+    }
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        if !connection.is_settled() {
+            return;
+        }
+        if connection.transaction() == TransactionState::Idle {
+            self.pool.give_back(connection);
+            return;
+        }
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(roll_back(self.pool.clone(), connection));
+        }
+    }
+}
+
+async fn roll_back(pool: Arc<Pool>, mut connection: Connection) {
+    let envelope = Envelope {
+        id: None,
+        since: None,
+        command: Command::Rollback,
+    };
+    let deadline = clock::now().plus_millis(ROLLBACK_LIMIT_MS);
+    let result = connection.exchange(&envelope, deadline).await;
+    let is_clean = result.is_ok_and(|reply| reply.state == TransactionState::Idle);
+    if is_clean && connection.is_settled() {
+        pool.give_back(connection);
+    }
+}
+
+/// Opens up to `count` connections ahead of need.
+pub async fn open_ahead(pool: Arc<Pool>, count: usize, pace: Duration) {
+    let mut held = Vec::new();
+    for _ in 0..count {
+        let deadline = clock::now().plus_millis(CONNECT_LIMIT_MS);
+        let purpose = Purpose::Statement { priority: u8::MAX };
+        match pool
+            .acquire(purpose, &SessionState::default(), None, deadline)
+            .await
+        {
+            Ok(connection) => held.push(connection),
+            Err(_) => return,
+        }
+        tokio::time::sleep(pace).await;
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -0,0 +1,84 @@
+//! The pools of all instances that are in use.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use millwind_core::ids::InstanceName;
+
+use super::pool::{Pool, open_ahead};
+use crate::catalog::InstanceRecord;
+use crate::ports::BackEndCodec;
+
+/// Between two connections that are opened ahead of need.
+const OPEN_PACE: Duration = Duration::from_millis(20);
+
+/// Pools by instance.
+pub struct Pools {
+    codec: Arc<dyn BackEndCodec>,
+    pools: Mutex<HashMap<InstanceName, Arc<Pool>>>,
+}
+
+impl std::fmt::Debug for Pools {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Pools")
+    }
+}
+
+impl Pools {
+    /// No pools yet.
+    pub fn new(codec: Arc<dyn BackEndCodec>) -> Self {
+        Pools {
+            codec,
+            pools: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// The protocol spoken with back ends.
+    pub fn codec(&self) -> &Arc<dyn BackEndCodec> {
+        &self.codec
+    }
+
+    /// The pool of `record`, made if there is none.
+    pub fn pool(&self, record: &InstanceRecord, share: usize) -> Arc<Pool> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.get(&record.name)
+            && pool.record().address == record.address
+        {
+            return pool.clone();
+        }
+        let pool = Pool::new(record.clone(), self.codec.clone(), share);
+        if let Some(replaced) = pools.insert(record.name.clone(), pool.clone()) {
+            replaced.retire();
+        }
+        pool
+    }
+
+    /// Gives all pools their share of the instances' connections.
+    pub fn set_shares(&self, share_of: impl Fn(&InstanceRecord) -> usize) {
+        let pools: Vec<_> = {
+            let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+            pools.values().cloned().collect()
+        };
+        for pool in pools {
+            pool.set_share(share_of(pool.record()));
+        }
+    }
+
+    /// Closes the pool of an instance that is gone.
+    pub fn retire(&self, instance: &InstanceName) {
+        let removed = self
+            .pools
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(instance);
+        if let Some(pool) = removed {
+            pool.retire();
+        }
+    }
+
+    /// Opens connections of a pool ahead of need, in the background.
+    pub fn warm_up(&self, record: &InstanceRecord, share: usize, count: usize) {
+        tokio::spawn(open_ahead(self.pool(record, share), count, OPEN_PACE));
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/catalog.rs
@@ -0,0 +1,75 @@
+//! The configuration in force and the instances that are known.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use millwind_core::ids::{GroupName, InstanceName, TenantName, ZoneName};
+use millwind_core::tenant::TenantSettings;
+
+/// What the sessions of a tenant are promised about reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Consistency {
+    /// Every read sees every acknowledged commit.
+    Primary,
+    /// A read may miss commits younger than the tenant's staleness.
+    BoundedStaleness,
+    /// As bounded staleness, but a session sees all its own commits.
+    ReadYourWrites,
+}
+
+/// A tenant as the engine serves it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineTenant {
+    /// Settings that follow from its template.
+    pub settings: TenantSettings,
+    /// What its reads are promised.
+    pub consistency: Consistency,
+    /// Time within which an operation should be answered, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Zero is served first.
+    pub priority: u8,
+}
+
+/// What is configured for a database group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GroupLimits {
+    /// Connections an instance accepts from all nodes together.
+    pub connections: u32,
+    /// Replicas that have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigSnapshot {
+    /// Rises with each change.
+    pub version: u64,
+    /// Tenants by name.
+    pub tenants: HashMap<TenantName, Arc<EngineTenant>>,
+    /// Groups by name.
+    pub groups: HashMap<GroupName, GroupLimits>,
+    /// A transaction that rests for so long may be ended, in milliseconds.
+    pub transaction_idle_ms: u64,
+    /// Largest message of a caller, in bytes.
+    pub maximum_message_bytes: usize,
+}
+
+/// An instance as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceRecord {
+    /// Its id.
+    pub name: InstanceName,
+    /// Group it belongs to.
+    pub group: GroupName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zone it runs in.
+    pub zone: ZoneName,
+    /// Statements it runs at the same time.
+    pub slots: u32,
+    /// It has announced that it will end.
+    pub is_leaving: bool,
+    /// It sees itself as the leader.
+    pub claims_lead: bool,
+}
--- /dev/null
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -0,0 +1,116 @@
+//! Takes the operators' configuration and the instances' records from the
+//! store into the directory.
+
+use std::sync::Arc;
+
+use log::warn;
+use millwind_store::{Entry, Listing};
+
+use crate::node::Engine;
+use crate::ports::CatalogCodec;
+use crate::store_watch::Follower;
+
+/// Follows the configuration.
+pub struct ConfigFollower {
+    engine: Arc<Engine>,
+    codec: Arc<dyn CatalogCodec>,
+}
+
+impl ConfigFollower {
+    /// Reads documents with `codec` into the engine's directory.
+    pub fn new(engine: Arc<Engine>, codec: Arc<dyn CatalogCodec>) -> Self {
+        ConfigFollower { engine, codec }
+    }
+
+    fn apply(&self, entries: Vec<Entry>) {
+        for entry in entries {
+            let Some(value) = entry.value else { continue };
+            if entry.key != self.codec.config_key() {
+                continue;
+            }
+            match self.codec.read_config(&value) {
+                Ok(config) => self.engine.apply_config(config, "store"),
+                Err(error) => {
+                    warn!(
+                        "event=config_refused revision={} error={:?}",
+                        entry.revision,
+                        error.to_string()
+                    );
+                }
+            }
+        }
+    }
+}
+
+impl Follower for ConfigFollower {
+    fn name(&self) -> &'static str {
+        "config"
+    }
+
+    fn listed(&self, listing: Listing) {
+        self.apply(listing.entries);
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        self.apply(entries);
+    }
+}
+
+/// Follows the instances' records.
+pub struct InstanceFollower {
+    engine: Arc<Engine>,
+    codec: Arc<dyn CatalogCodec>,
+}
+
+impl InstanceFollower {
+    /// Reads records with `codec` into the engine's directory.
+    pub fn new(engine: Arc<Engine>, codec: Arc<dyn CatalogCodec>) -> Self {
+        InstanceFollower { engine, codec }
+    }
+
+    fn apply(&self, entry: &Entry) -> Option<millwind_core::ids::InstanceName> {
+        let name = entry.key.strip_prefix(self.codec.instances_prefix())?;
+        let name = millwind_core::ids::InstanceName::from(name);
+        let Some(value) = &entry.value else {
+            self.engine.directory.remove_record(&name);
+            return None;
+        };
+        match self.codec.read_instance(&entry.key, value) {
+            Ok(record) => self.engine.apply_record(record),
+            Err(error) => {
+                warn!(
+                    "event=instance_refused instance={name} error={:?}",
+                    error.to_string()
+                );
+            }
+        }
+        Some(name)
+    }
+}
+
+impl Follower for InstanceFollower {
+    fn name(&self) -> &'static str {
+        "instances"
+    }
+
+    fn listed(&self, listing: Listing) {
+        let present: Vec<_> = listing
+            .entries
+            .iter()
+            .filter_map(|entry| self.apply(entry))
+            .collect();
+        self.engine.directory.listing_applied(&present);
+        self.engine.directory.store_heard();
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        for entry in &entries {
+            self.apply(entry);
+        }
+        self.engine.directory.store_heard();
+    }
+
+    fn heard(&self) {
+        self.engine.directory.store_heard();
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/directory.rs
@@ -0,0 +1,551 @@
+//! What this node believes: the configuration, the instances, who leads each
+//! group, what the leaders reported, and how each instance answers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use log::info;
+use millwind_core::Instant;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
+use millwind_core::position::{Position, Term};
+use tokio::sync::{Notify, watch};
+
+use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
+use crate::clock;
+
+/// Weight of a new sample in the mean latency, as one part in so many.
+const LATENCY_WEIGHT: u64 = 8;
+/// Assumed latency of an instance in this node's zone, in microseconds.
+const NEAR_LATENCY_US: u64 = 10_000;
+/// Assumed latency of an instance elsewhere, in microseconds.
+const FAR_LATENCY_US: u64 = 40_000;
+/// A failing instance is left alone for this long by reads, in milliseconds.
+const AVOID_MS: u64 = 400;
+/// An instance that lacked a position is left alone for this long, in
+/// milliseconds.
+const BEHIND_MS: u64 = 100;
+
+/// How an instance has answered this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Contact {
+    /// Last answer of any kind.
+    pub last_success: Option<Instant>,
+    /// Since when nothing but failures were seen.
+    pub failing_since: Option<Instant>,
+    /// The last failure was a refused connection.
+    pub is_refusing: bool,
+    /// Mean time from question to answer, in microseconds.
+    pub latency_us: u64,
+    /// Statements under way.
+    pub outstanding: u32,
+    /// Not chosen for reads before this time.
+    pub avoid_until: Instant,
+}
+
+/// An instance with what is known of it.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// Its own record.
+    pub record: Arc<InstanceRecord>,
+    /// When its record last changed in the store, as seen here.
+    pub heard: Instant,
+    /// Since when it is known to leave, or to be gone from the store.
+    pub leaving_since: Option<Instant>,
+    /// Its record is gone from the store.
+    pub is_gone: bool,
+    /// How it has answered.
+    pub contact: Contact,
+}
+
+/// Who is believed to lead a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leader {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its term, once it has proved it.
+    pub term: Option<Term>,
+}
+
+#[derive(Debug, Default)]
+struct Group {
+    leader: Option<Leader>,
+    /// The instance that last denied to lead.
+    denied: Option<InstanceName>,
+    observations: LeaderObservations,
+    last_use: Option<Instant>,
+    staleness_ms: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    config: Option<Arc<ConfigSnapshot>>,
+    instances: BTreeMap<InstanceName, Known>,
+    has_listing: bool,
+    store_heard: Option<Instant>,
+    groups: HashMap<GroupName, Group>,
+}
+
+/// Beliefs of a node.
+#[derive(Debug)]
+pub struct Directory {
+    zone: String,
+    state: Mutex<State>,
+    leaders_changed: Notify,
+    observed: Notify,
+    config_version: watch::Sender<u64>,
+}
+
+impl Directory {
+    /// Nothing is known yet.
+    pub fn new(zone: &str) -> Self {
+        Directory {
+            zone: zone.to_owned(),
+            state: Mutex::new(State::default()),
+            leaders_changed: Notify::new(),
+            observed: Notify::new(),
+            config_version: watch::Sender::new(0),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<ConfigSnapshot>> {
+        self.state().config.clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is; true if it changed.
+    pub fn apply_config(&self, config: ConfigSnapshot, source: &str) -> bool {
+        let version = config.version;
+        {
+            let mut state = self.state();
+            let held = state.config.as_ref().map(|held| held.version);
+            if held.is_some_and(|held| held >= version) {
+                return false;
+            }
+            info!(
+                "event=config_applied version={version} previous={} source={source} tenants={} groups={}",
+                held.unwrap_or_default(),
+                config.tenants.len(),
+                config.groups.len()
+            );
+            state.config = Some(Arc::new(config));
+        }
+        self.config_version.send_replace(version);
+        true
+    }
+
+    /// Whether enough is known to serve callers.
+    pub fn is_complete(&self) -> bool {
+        let state = self.state();
+        state.config.is_some() && state.has_listing
+    }
+
+    /// Limits of a group; none if it is not configured.
+    pub fn group_limits(&self, group: &GroupName) -> Option<GroupLimits> {
+        let config = self.config()?;
+        config.groups.get(group).copied()
+    }
+
+    /// Takes in an instance's record as the store holds it now.
+    pub fn apply_record(&self, record: InstanceRecord) {
+        let now = clock::now();
+        let mut state = self.state();
+        let previous = state.instances.get(&record.name);
+        let claimed_before = previous.is_some_and(|known| known.record.claims_lead && !known.is_gone);
+        let leaving_before = previous.and_then(|known| known.leaving_since);
+        let is_new = previous.is_none_or(|known| known.is_gone);
+        if is_new || previous.is_some_and(|known| *known.record != record) {
+            info!(
+                "event=instance_seen instance={} group={} address={} zone={} leaving={} claims_lead={}",
+                record.name, record.group, record.address, record.zone, record.is_leaving, record.claims_lead
+            );
+        }
+        let contact = previous.map_or_else(|| self.new_contact(&record), |known| known.contact);
+        let newly_claims = record.claims_lead && !claimed_before;
+        let name = record.name.clone();
+        let group = record.group.clone();
+        let leaving_since = match (record.is_leaving, leaving_before) {
+            (true, Some(since)) if !is_new => Some(since),
+            (true, _) => Some(now),
+            (false, _) => None,
+        };
+        let known = Known {
+            record: Arc::new(record),
+            heard: now,
+            leaving_since,
+            is_gone: false,
+            contact,
+        };
+        state.instances.insert(name.clone(), known);
+        if newly_claims {
+            self.claimed(&mut state, &group, &name);
+        } else if claimed_before {
+            demoted_by_record(&mut state, &group, &name);
+        }
+    }
+
+    /// An instance newly says that it leads: believed unless another one has
+    /// proved it and still claims it.
+    fn claimed(&self, state: &mut State, group: &GroupName, instance: &InstanceName) {
+        let entry = state.groups.entry(group.clone()).or_default();
+        let current = entry.leader.as_ref().map(|leader| leader.instance.clone());
+        if current.as_ref() == Some(instance) {
+            return;
+        }
+        info!(
+            "event=leader_claimed group={group} instance={instance} previous={}",
+            current.as_ref().map_or("none", |name| name.as_str())
+        );
+        entry.denied = None;
+        entry.leader = Some(Leader {
+            instance: instance.clone(),
+            term: None,
+        });
+        self.leaders_changed.notify_waiters();
+    }
+
+    /// An instance's record is gone from the store.
+    pub fn remove_record(&self, instance: &InstanceName) -> bool {
+        let mut state = self.state();
+        let Some(known) = state.instances.get_mut(instance) else {
+            return false;
+        };
+        if known.is_gone {
+            return false;
+        }
+        known.is_gone = true;
+        known.leaving_since.get_or_insert(clock::now());
+        info!(
+            "event=instance_gone instance={instance} group={}",
+            known.record.group
+        );
+        true
+    }
+
+    /// The whole list of instances was read; returns those that are gone now.
+    pub fn listing_applied(&self, present: &[InstanceName]) -> Vec<InstanceName> {
+        let missing: Vec<InstanceName> = {
+            let mut state = self.state();
+            state.has_listing = true;
+            state
+                .instances
+                .values()
+                .filter(|known| !known.is_gone && !present.contains(&known.record.name))
+                .map(|known| known.record.name.clone())
+                .collect()
+        };
+        for instance in &missing {
+            self.remove_record(instance);
+        }
+        missing
+    }
+
+    /// The store answered about instances.
+    pub fn store_heard(&self) {
+        self.state().store_heard = Some(clock::now());
+    }
+
+    /// When the store last answered about instances.
+    pub fn last_store_contact(&self) -> Option<Instant> {
+        self.state().store_heard
+    }
+
+    /// Forgets instances that have been gone for `bound_ms`.
+    pub fn forget_gone(&self, bound_ms: u64) -> Vec<InstanceName> {
+        let now = clock::now();
+        let mut state = self.state();
+        let forgotten: Vec<_> = state
+            .instances
+            .values()
+            .filter(|known| known.is_gone)
+            .filter(|known| {
+                known
+                    .leaving_since
+                    .is_some_and(|since| now.millis_since(since) > bound_ms)
+            })
+            .map(|known| known.record.name.clone())
+            .collect();
+        for name in &forgotten {
+            state.instances.remove(name);
+        }
+        forgotten
+    }
+
+    /// An instance with what is known of it.
+    pub fn instance(&self, instance: &InstanceName) -> Option<Known> {
+        self.state().instances.get(instance).cloned()
+    }
+
+    /// The instances of a group.
+    pub fn instances_of(&self, group: &GroupName) -> Vec<Known> {
+        let state = self.state();
+        state
+            .instances
+            .values()
+            .filter(|known| known.record.group == *group)
+            .cloned()
+            .collect()
+    }
+
+    /// All instances.
+    pub fn instances(&self) -> Vec<Known> {
+        self.state().instances.values().cloned().collect()
+    }
+
+    /// Who is believed to lead a group.
+    pub fn leader(&self, group: &GroupName) -> Option<Leader> {
+        self.state().groups.get(group)?.leader.clone()
+    }
+
+    /// Waits until the belief about leaders changes, or until `deadline`.
+    pub async fn leaders_changed(&self, deadline: Instant) {
+        let changed = self.leaders_changed.notified();
+        let _ = tokio::time::timeout_at(clock::deadline(deadline), changed).await;
+    }
+
+    /// The leader of a group, waiting for one to be known until `deadline`.
+    pub async fn await_leader(&self, group: &GroupName, deadline: Instant) -> Option<InstanceName> {
+        loop {
+            let changed = self.leaders_changed.notified();
+            if let Some(leader) = self.leader(group) {
+                return Some(leader.instance);
+            }
+            if tokio::time::timeout_at(clock::deadline(deadline), changed)
+                .await
+                .is_err()
+            {
+                return self.leader(group).map(|leader| leader.instance);
+            }
+        }
+    }
+
+    /// `instance` proved that it led when it answered a question sent at
+    /// `asked`, with its log at `position`.
+    pub fn leader_proved(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        asked: Instant,
+        position: Position,
+    ) {
+        let mut state = self.state();
+        let entry = state.groups.entry(group.clone()).or_default();
+        entry.observations.record(asked, position);
+        self.observed.notify_waiters();
+        let newest_term = entry.observations.newest().map(|newest| newest.position.term);
+        if newest_term.is_some_and(|newest| position.term < newest) {
+            return;
+        }
+        let leader = Leader {
+            instance: instance.clone(),
+            term: Some(position.term),
+        };
+        if entry.leader.as_ref() == Some(&leader) {
+            return;
+        }
+        let is_other = entry
+            .leader
+            .as_ref()
+            .is_none_or(|previous| previous.instance != *instance);
+        info!(
+            "event=leader_proved group={group} instance={instance} term={} position={}",
+            position.term, position.log_position.0
+        );
+        entry.leader = Some(leader);
+        entry.denied = None;
+        if is_other {
+            self.leaders_changed.notify_waiters();
+        }
+    }
+
+    /// `instance` denied that it leads.
+    pub fn leader_denied(&self, group: &GroupName, instance: &InstanceName) {
+        let mut state = self.state();
+        let entry = state.groups.entry(group.clone()).or_default();
+        let is_believed = entry
+            .leader
+            .as_ref()
+            .is_some_and(|leader| leader.instance == *instance);
+        if is_believed {
+            info!("event=leader_denied group={group} instance={instance}");
+            entry.leader = None;
+            entry.denied = Some(instance.clone());
+        }
+    }
+
+    /// The newest position that a leader of the group has proved.
+    pub fn newest_observation(&self, group: &GroupName) -> Option<LeaderObservation> {
+        self.state().groups.get(group)?.observations.newest()
+    }
+
+    /// The least position that proves a read of staleness `staleness_ms` safe,
+    /// which arrived at `arrived` in a session that has written `written`.
+    pub fn floor(
+        &self,
+        group: &GroupName,
+        arrived: Instant,
+        staleness_ms: u64,
+        written: Option<Position>,
+    ) -> Option<Position> {
+        let not_before = clock::minus_millis(arrived, staleness_ms);
+        let state = self.state();
+        let observations = &state.groups.get(group)?.observations;
+        let floor = observations.floor(not_before)?;
+        let own = written.map(|position| observations.covering(position));
+        Some(own.map_or(floor, |own| own.max(floor)))
+    }
+
+    /// As [`Directory::floor`], waiting for an observation until `deadline`.
+    pub async fn await_floor(
+        &self,
+        group: &GroupName,
+        arrived: Instant,
+        staleness_ms: u64,
+        written: Option<Position>,
+        deadline: Instant,
+    ) -> Option<Position> {
+        loop {
+            let observed = self.observed.notified();
+            if let Some(floor) = self.floor(group, arrived, staleness_ms, written) {
+                return Some(floor);
+            }
+            tokio::time::timeout_at(clock::deadline(deadline), observed)
+                .await
+                .ok()?;
+        }
+    }
+
+    /// Whether the last contacts with an instance have all failed.
+    pub fn is_failing(&self, instance: &InstanceName) -> bool {
+        let state = self.state();
+        state
+            .instances
+            .get(instance)
+            .is_none_or(|known| known.contact.failing_since.is_some())
+    }
+
+    /// An instance is left alone by reads for a moment.
+    pub fn avoid(&self, instance: &InstanceName) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.contact.avoid_until = clock::now().plus_millis(AVOID_MS);
+        }
+    }
+
+    /// Notes that a group is in use, by tenants of this staleness.
+    pub fn used(&self, group: &GroupName, staleness_ms: Option<u64>) {
+        let mut state = self.state();
+        if !state.groups.contains_key(group) {
+            state.groups.insert(group.clone(), Group::default());
+        }
+        if let Some(entry) = state.groups.get_mut(group) {
+            entry.last_use = Some(clock::now());
+            if let Some(staleness) = staleness_ms {
+                let least = entry.staleness_ms.map_or(staleness, |held| held.min(staleness));
+                entry.staleness_ms = Some(least);
+            }
+        }
+    }
+
+    /// When a group was last used, and the least staleness asked of it.
+    pub fn usage(&self, group: &GroupName) -> (Option<Instant>, Option<u64>) {
+        let state = self.state();
+        state
+            .groups
+            .get(group)
+            .map_or((None, None), |entry| (entry.last_use, entry.staleness_ms))
+    }
+
+    /// A question to `instance` is under way.
+    pub fn asked(&self, instance: &InstanceName) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.contact.outstanding += 1;
+        }
+    }
+
+    /// A question to `instance` ended; `latency_us` if it was a statement's.
+    pub fn answered(&self, instance: &InstanceName, latency_us: Option<u64>) {
+        let mut state = self.state();
+        let Some(known) = state.instances.get_mut(instance) else {
+            return;
+        };
+        let contact = &mut known.contact;
+        contact.last_success = Some(clock::now());
+        if contact.failing_since.take().is_some() {
+            info!("event=instance_regained instance={instance}");
+        }
+        contact.is_refusing = false;
+        if let Some(sample) = latency_us {
+            contact.latency_us = (contact.latency_us * (LATENCY_WEIGHT - 1) + sample) / LATENCY_WEIGHT;
+        }
+    }
+
+    /// A question to `instance` is no longer under way.
+    pub fn settled(&self, instance: &InstanceName) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.contact.outstanding = known.contact.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// A question sent to `instance` at `asked` came to nothing.
+    pub fn failed(&self, instance: &InstanceName, asked: Instant, is_refusing: bool) {
+        let mut state = self.state();
+        let Some(known) = state.instances.get_mut(instance) else {
+            return;
+        };
+        let contact = &mut known.contact;
+        contact.avoid_until = clock::now().plus_millis(AVOID_MS);
+        if contact.last_success.is_some_and(|success| success > asked) {
+            return;
+        }
+        if contact.failing_since.is_none() {
+            info!("event=instance_failing instance={instance} refusing={is_refusing}");
+        }
+        contact.failing_since.get_or_insert(asked);
+        contact.is_refusing = is_refusing;
+    }
+
+    /// `instance` lacked a position that a read needs.
+    pub fn behind(&self, instance: &InstanceName) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.contact.avoid_until = clock::now().plus_millis(BEHIND_MS);
+        }
+    }
+
+    fn new_contact(&self, record: &InstanceRecord) -> Contact {
+        let is_near = record.zone.as_str() == self.zone;
+        Contact {
+            last_success: None,
+            failing_since: None,
+            is_refusing: false,
+            latency_us: if is_near { NEAR_LATENCY_US } else { FAR_LATENCY_US },
+            outstanding: 0,
+            avoid_until: Instant::default(),
+        }
+    }
+}
+
+/// An instance no longer says that it leads.
+fn demoted_by_record(state: &mut State, group: &GroupName, instance: &InstanceName) {
+    let still_claims = state
+        .instances
+        .get(instance)
+        .is_some_and(|known| known.record.claims_lead);
+    if still_claims {
+        return;
+    }
+    let Some(entry) = state.groups.get_mut(group) else {
+        return;
+    };
+    let is_believed = entry
+        .leader
+        .as_ref()
+        .is_some_and(|leader| leader.instance == *instance);
+    if is_believed {
+        info!("event=leader_stepped_down group={group} instance={instance}");
+        entry.leader = None;
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/duty.rs
@@ -0,0 +1,185 @@
+//! The duty to replace a group's leader: one record per group in the store.
+//!
+//! Whoever writes the record under the condition of its last revision holds
+//! the duty, and the revision of that write is the fencing token: it rises
+//! with each holder and with each order. The record also tells everyone which
+//! replica was chosen, so that nobody else orders another one meanwhile. A
+//! holder keeps its token while the store is out; an order of an earlier
+//! holder that is carried out late is turned away by its token.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use log::{info, warn};
+use millwind_core::Instant;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_store::{Condition, Entry, Listing, Store, StoreError, Swap, Write};
+use serde::{Deserialize, Serialize};
+
+use crate::clock;
+use crate::store_watch::Follower;
+
+/// Other nodes' orders are left alone for this long, in milliseconds.
+pub const ORDER_GRACE_MS: u64 = 2_500;
+
+/// The record of a group's duty.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyRecord {
+    /// Node that holds the duty.
+    pub holder: String,
+    /// Replica it chose last; none when it only took the duty.
+    #[serde(default)]
+    pub chosen: Option<InstanceName>,
+}
+
+/// A duty record as this node last saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenDuty {
+    /// The record.
+    pub record: DutyRecord,
+    /// Its revision: the fencing token.
+    pub revision: u64,
+    /// When this node first saw it.
+    pub seen: Instant,
+}
+
+/// Why the duty was not taken.
+#[derive(Debug)]
+pub enum DutyError {
+    /// Another node wrote the record meanwhile.
+    Taken,
+    /// The store refused or gave no answer.
+    Store(StoreError),
+}
+
+/// The duty records of all groups.
+pub struct Duties<S> {
+    store: Arc<S>,
+    prefix: String,
+    node: String,
+    seen: Mutex<HashMap<GroupName, SeenDuty>>,
+}
+
+impl<S> std::fmt::Debug for Duties<S> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "Duties({})", self.prefix)
+    }
+}
+
+impl<S: Store + 'static> Duties<S> {
+    /// Duties kept under `prefix`, taken in the name of `node`.
+    pub fn new(store: Arc<S>, prefix: String, node: String) -> Self {
+        Duties {
+            store,
+            prefix,
+            node,
+            seen: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// The prefix of the records.
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    fn seen(&self) -> MutexGuard<'_, HashMap<GroupName, SeenDuty>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The record of `group` as last seen.
+    pub fn get(&self, group: &GroupName) -> Option<SeenDuty> {
+        self.seen().get(group).cloned()
+    }
+
+    /// Whether another node's recent order should be left to take effect.
+    pub fn is_ordered_by_other(&self, group: &GroupName) -> bool {
+        self.get(group).is_some_and(|duty| {
+            duty.record.holder != self.node
+                && duty.record.chosen.is_some()
+                && clock::now().millis_since(duty.seen) < ORDER_GRACE_MS
+        })
+    }
+
+    /// The token this node may use without asking the store, if it holds the
+    /// duty as far as it knows.
+    pub fn held_token(&self, group: &GroupName) -> Option<u64> {
+        let duty = self.get(group)?;
+        (duty.record.holder == self.node).then_some(duty.revision)
+    }
+
+    /// Writes the record with `chosen`; returns the new fencing token.
+    pub async fn take(&self, group: &GroupName, chosen: Option<InstanceName>) -> Result<u64, DutyError> {
+        let key = format!("{}{}", self.prefix, group);
+        let known = self.get(group).map_or(0, |duty| duty.revision);
+        let record = DutyRecord {
+            holder: self.node.clone(),
+            chosen,
+        };
+        let write = Write {
+            key: key.clone(),
+            value: serde_json::to_vec(&record).unwrap_or_default(),
+        };
+        let condition = Condition { key, revision: known };
+        match self.store.swap(&[condition], &[write]).await {
+            Ok(Swap::Done { revision }) => {
+                info!("event=duty_taken group={group} token={revision} previous={known}");
+                self.note(group.clone(), record, revision);
+                Ok(revision)
+            }
+            Ok(Swap::Conflict { current }) => {
+                info!("event=duty_conflict group={group} expected={known}");
+                self.apply(current);
+                Err(DutyError::Taken)
+            }
+            Err(error) => {
+                warn!("event=duty_unknown group={group} error={:?}", error.to_string());
+                Err(DutyError::Store(error))
+            }
+        }
+    }
+
+    fn note(&self, group: GroupName, record: DutyRecord, revision: u64) {
+        let mut seen = self.seen();
+        if seen.get(&group).is_some_and(|held| held.revision >= revision) {
+            return;
+        }
+        let duty = SeenDuty {
+            record,
+            revision,
+            seen: clock::now(),
+        };
+        seen.insert(group, duty);
+    }
+
+    fn apply(&self, entries: Vec<Entry>) {
+        for entry in entries {
+            let Some(group) = entry.key.strip_prefix(&self.prefix) else {
+                continue;
+            };
+            let Some(value) = entry.value else { continue };
+            match serde_json::from_slice(&value) {
+                Ok(record) => self.note(GroupName::from(group), record, entry.revision),
+                Err(error) => {
+                    warn!(
+                        "event=duty_unreadable group={group} error={:?}",
+                        error.to_string()
+                    );
+                }
+            }
+        }
+    }
+}
+
+impl<S: Store + 'static> Follower for Duties<S> {
+    fn name(&self) -> &'static str {
+        "duties"
+    }
+
+    fn listed(&self, listing: Listing) {
+        self.apply(listing.entries);
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        self.apply(entries);
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -0,0 +1,120 @@
+//! Asks leaders whether they still lead, and searches for one where none is
+//! known. An empty transaction is the question: it takes no slot, only a
+//! leader accepts it, and its answer carries the leader's position.
+
+use std::sync::Arc;
+
+use futures::future::join_all;
+use millwind_core::Instant;
+use millwind_core::ids::GroupName;
+use millwind_core::session_state::SessionState;
+
+use crate::backend::{LinkError, Purpose};
+use crate::catalog::InstanceRecord;
+use crate::clock;
+use crate::directory::Known;
+use crate::node::Engine;
+use crate::statement::{BackEndErrorKind, Command, Envelope};
+
+/// A leader that was heard within this time is not asked, in milliseconds.
+const HEARD_MS: u64 = 250;
+/// An answer must come within this time, in milliseconds.
+const ANSWER_MS: u64 = 400;
+/// Observations are renewed when they are older than this part of the
+/// staleness that reads ask for.
+const STALENESS_PARTS: u64 = 3;
+/// Groups that have not been used for this time are asked less often, in
+/// milliseconds.
+const UNUSED_MS: u64 = 5_000;
+/// How often a leader of an unused group is asked, in milliseconds.
+const UNUSED_INTERVAL_MS: u64 = 1_000;
+
+/// Looks at the leader of a group, or for one.
+pub(super) async fn check(engine: &Arc<Engine>, group: &GroupName) {
+    let leader = engine
+        .directory
+        .leader(group)
+        .and_then(|leader| engine.directory.instance(&leader.instance));
+    match leader {
+        Some(known) if known.contact.failing_since.is_none() => {
+            if is_due(engine, group, &known) {
+                ask(engine, &known.record).await;
+            }
+        }
+        _ => search(engine, group).await,
+    }
+}
+
+/// Whether the leader should be asked now.
+fn is_due(engine: &Engine, group: &GroupName, known: &Known) -> bool {
+    let now = clock::now();
+    let age = |time: Option<Instant>| time.map_or(u64::MAX, |time| now.millis_since(time));
+    let heard = age(known.contact.last_success);
+    let (last_use, staleness) = engine.directory.usage(group);
+    if age(last_use) > UNUSED_MS {
+        return heard > UNUSED_INTERVAL_MS;
+    }
+    let observed = age(engine
+        .directory
+        .newest_observation(group)
+        .map(|newest| newest.asked));
+    let renew = staleness.map_or(u64::MAX, |staleness| staleness / STALENESS_PARTS);
+    heard > HEARD_MS || observed > renew
+}
+
+/// Asks all instances of a group whether they lead.
+async fn search(engine: &Arc<Engine>, group: &GroupName) {
+    let known = engine.directory.instances_of(group);
+    let questions = known
+        .iter()
+        .filter(|known| !known.is_gone)
+        .map(|known| ask(engine, &known.record));
+    join_all(questions).await;
+}
+
+/// Asks one instance whether it leads, by an empty transaction.
+async fn ask(engine: &Arc<Engine>, record: &InstanceRecord) {
+    let asked = clock::now();
+    let deadline = asked.plus_millis(ANSWER_MS);
+    let session = SessionState::default();
+    let connected = engine
+        .pool(record)
+        .acquire(Purpose::Probe, &session, None, deadline)
+        .await;
+    let mut connection = match connected {
+        Ok(connection) => connection,
+        Err(error) => return note_failure(engine, record, asked, &error),
+    };
+    let envelope = Envelope {
+        id: None,
+        since: None,
+        command: Command::Begin { read_only: false },
+    };
+    let sent = clock::now();
+    match connection.exchange(&envelope, deadline).await {
+        Err(error) => note_failure(engine, record, sent, &error),
+        Ok(reply) => {
+            engine.directory.answered(&record.name, None);
+            match (reply.result, reply.position) {
+                (Ok(_), Some(position)) => {
+                    engine
+                        .directory
+                        .leader_proved(&record.group, &record.name, sent, position);
+                }
+                (Err(error), _) if error.kind == BackEndErrorKind::ReadOnly => {
+                    engine.directory.leader_denied(&record.group, &record.name);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn note_failure(engine: &Engine, record: &InstanceRecord, asked: Instant, error: &LinkError) {
+    let is_wrong_instance = matches!(error, LinkError::StartupRefused(error)
+        if error.kind == BackEndErrorKind::WrongInstance);
+    if error.is_evidence() || is_wrong_instance {
+        let is_refusing = is_wrong_instance || matches!(error, LinkError::Refused | LinkError::Lost);
+        engine.directory.failed(&record.name, asked, is_refusing);
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -0,0 +1,163 @@
+//! Watches the leaders of the groups in use, and replaces those that are lost.
+
+mod health;
+mod replacement;
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use millwind_core::Instant;
+use millwind_core::failover::{FailoverTimes, LeaderEvidence, LeaderVerdict, judge_leader};
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_store::Store;
+
+use crate::clock;
+use crate::duty::Duties;
+use crate::node::Engine;
+use crate::ports::Promoter;
+
+/// Between two looks at the groups.
+const TICK: Duration = Duration::from_millis(100);
+/// Silence after which a leader is suspected, in milliseconds.
+const SUSPECT_MS: u64 = 400;
+/// Silence after which a lone witness acts, in milliseconds.
+const ALONE_MS: u64 = 1_200;
+/// Heartbeats missed before a suspicion is confirmed, in tenths.
+const HEARTBEAT_TENTHS: u64 = 20;
+/// Heartbeats are judged only if the store was heard within this time, in
+/// milliseconds.
+const STORE_RECENT_MS: u64 = 2_500;
+/// Age of a peer's report beyond which it says nothing, in milliseconds.
+const REPORT_MS: u64 = 1_500;
+
+/// Watches all groups on behalf of one node.
+pub struct Monitor<S> {
+    engine: Arc<Engine>,
+    duties: Arc<Duties<S>>,
+    promoter: Arc<dyn Promoter>,
+    busy: Mutex<HashSet<GroupName>>,
+    replacing: Mutex<HashSet<GroupName>>,
+    leaderless: Mutex<HashMap<GroupName, Instant>>,
+}
+
+impl<S: Store + 'static> Monitor<S> {
+    /// A monitor that orders promotions from `promoter` under `duties`.
+    pub fn new(engine: Arc<Engine>, duties: Arc<Duties<S>>, promoter: Arc<dyn Promoter>) -> Arc<Self> {
+        Arc::new(Monitor {
+            engine,
+            duties,
+            promoter,
+            busy: Mutex::new(HashSet::new()),
+            replacing: Mutex::new(HashSet::new()),
+            leaderless: Mutex::new(HashMap::new()),
+        })
+    }
+
+    /// Watches for the life of the process.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(TICK) => {}
+                () = self.engine.monitor_woken() => {}
+            }
+            let Some(config) = self.engine.directory.config() else {
+                continue;
+            };
+            for group in config.groups.keys() {
+                if enter(&self.busy, group) {
+                    let monitor = self.clone();
+                    let group = group.clone();
+                    tokio::spawn(async move {
+                        monitor.look_at(&group).await;
+                        leave(&monitor.busy, &group);
+                    });
+                }
+            }
+        }
+    }
+
+    /// Checks the health of one group, and starts a replacement if needed.
+    async fn look_at(self: &Arc<Self>, group: &GroupName) {
+        health::check(&self.engine, group).await;
+        let leader = self.engine.directory.leader(group).map(|leader| leader.instance);
+        let evidence = self.evidence(group, leader.as_ref());
+        let verdict = judge_leader(clock::now(), &evidence, &self.times());
+        let LeaderVerdict::Replace(reason) = verdict else {
+            return;
+        };
+        if self.duties.is_ordered_by_other(group) || !enter(&self.replacing, group) {
+            return;
+        }
+        let monitor = self.clone();
+        let group = group.clone();
+        tokio::spawn(async move {
+            monitor.replace(&group, leader, reason).await;
+            leave(&monitor.replacing, &group);
+        });
+    }
+
+    fn times(&self) -> FailoverTimes {
+        FailoverTimes {
+            suspect_ms: SUSPECT_MS,
+            alone_ms: ALONE_MS,
+            report_ms: REPORT_MS,
+            heartbeat_ms: self.engine.settings.heartbeat_ms * HEARTBEAT_TENTHS / 10,
+        }
+    }
+
+    /// What is known about the leader of a group now.
+    fn evidence(&self, group: &GroupName, leader: Option<&InstanceName>) -> LeaderEvidence {
+        let directory = &self.engine.directory;
+        let now = clock::now();
+        let replicas_reached = directory
+            .instances_of(group)
+            .iter()
+            .filter(|known| Some(&known.record.name) != leader)
+            .filter(|known| !known.is_gone && !known.record.is_leaving)
+            .filter(|known| known.contact.failing_since.is_none())
+            .count();
+        let known = leader.and_then(|leader| directory.instance(leader));
+        let mut evidence = LeaderEvidence {
+            replicas_reached,
+            ..LeaderEvidence::default()
+        };
+        let Some(known) = known else {
+            evidence.failing_since = Some(self.leaderless_since(group, now));
+            return evidence;
+        };
+        self.has_leader(group);
+        let store_is_recent = directory
+            .last_store_contact()
+            .is_some_and(|heard| now.millis_since(heard) < STORE_RECENT_MS);
+        evidence.failing_since = known.contact.failing_since;
+        evidence.is_refusing = known.contact.is_refusing;
+        evidence.is_leaving = known.leaving_since.is_some();
+        evidence.heartbeat_age_ms = store_is_recent.then(|| now.millis_since(known.heard));
+        evidence
+    }
+
+    fn leaderless_since(&self, group: &GroupName, now: Instant) -> Instant {
+        let mut leaderless = self.leaderless.lock().unwrap_or_else(PoisonError::into_inner);
+        *leaderless.entry(group.clone()).or_insert(now)
+    }
+
+    fn has_leader(&self, group: &GroupName) {
+        self.leaderless
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(group);
+    }
+}
+
+/// Marks a group as worked on; false if it is already.
+fn enter(marks: &Mutex<HashSet<GroupName>>, group: &GroupName) -> bool {
+    marks
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .insert(group.clone())
+}
+
+fn leave(marks: &Mutex<HashSet<GroupName>>, group: &GroupName) {
+    marks.lock().unwrap_or_else(PoisonError::into_inner).remove(group);
+}
--- /dev/null
+++ b/crates/millwind-engine/src/lib.rs
@@ -0,0 +1,27 @@
+//! The statement engine of millwind.
+//!
+//! It keeps callers' sessions, the pools of back-end connections, what is
+//! believed about database groups, and the replacement of lost leaders. It
+//! knows no wire protocol, no store and no promotion service of its own: those
+//! are the ports in [`ports`], implemented by an adapter. Decisions come from
+//! `millwind-core`; this crate does the input and output.
+
+pub mod answer;
+pub mod backend;
+pub mod catalog;
+pub mod catalog_watch;
+pub mod clock;
+pub mod directory;
+pub mod duty;
+pub mod failover;
+pub mod listener;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod ports;
+pub mod readiness;
+pub mod registry;
+pub mod session;
+pub mod settings;
+pub mod statement;
+pub mod store_watch;
--- /dev/null
+++ b/crates/millwind-engine/src/logging.rs
@@ -0,0 +1,116 @@
+//! Logs on standard output: one line of key=value pairs for each event.
+//!
+//! Lines go through a bounded queue to a thread of their own, so that a slow
+//! reader never blocks a request. What does not fit is dropped, counted, and
+//! told in the next line that does fit.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use log::LevelFilter;
+use millwind_core::Instant;
+
+use crate::clock;
+
+/// Lines that may wait to be written.
+const QUEUE_LINES: usize = 4_096;
+/// Lines about single requests per second at most.
+const REQUEST_LINES_PER_SECOND: u64 = 100;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped since the start of the process.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sends log lines of `level` and above to standard output.
+pub fn start(level: LevelFilter, node: &str) -> Result<(), log::SetLoggerError> {
+    let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
+    std::thread::spawn(move || write_lines(&receiver));
+    let node = node.to_owned();
+    fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let time = humantime::format_rfc3339_millis(std::time::SystemTime::now());
+            let level = record.level().as_str().to_lowercase();
+            out.finish(format_args!("time={time} level={level} node={node} {message}"));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("millwind_engine", level)
+        .level_for("millwind_platform", level)
+        .level_for("millwind_proxy", level)
+        .chain(fern::Output::call(move |record| {
+            enqueue(&sender, record.args().to_string());
+        }))
+        .apply()
+}
+
+fn enqueue(sender: &SyncSender<String>, line: String) {
+    match sender.try_send(line) {
+        Ok(()) => {}
+        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_lines(receiver: &Receiver<String>) {
+    let mut told = 0;
+    while let Ok(line) = receiver.recv() {
+        let mut batch = line;
+        batch.push('\n');
+        while let Ok(next) = receiver.try_recv() {
+            batch.push_str(&next);
+            batch.push('\n');
+        }
+        let dropped = dropped_lines();
+        if dropped > told {
+            batch.push_str(&format!(
+                "level=warn event=log_lines_dropped count={} total={dropped}\n",
+                dropped - told
+            ));
+            told = dropped;
+        }
+        if std::io::stdout().write_all(batch.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Limits the lines about single requests; the rest are counted and told with
+/// the next line that passes.
+#[derive(Debug, Default, Clone)]
+pub struct RequestLog {
+    state: Arc<Mutex<RequestLogState>>,
+}
+
+#[derive(Debug, Default)]
+struct RequestLogState {
+    second: Instant,
+    lines: u64,
+    suppressed: u64,
+}
+
+impl RequestLog {
+    /// Whether one more line may be written now.
+    pub fn admit(&self) -> bool {
+        let now = clock::now();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.millis_since(state.second) >= 1_000 {
+            if state.suppressed > 0 {
+                log::info!("event=request_lines_suppressed count={}", state.suppressed);
+            }
+            state.second = now;
+            state.lines = 0;
+            state.suppressed = 0;
+        }
+        if state.lines >= REQUEST_LINES_PER_SECOND {
+            state.suppressed += 1;
+            return false;
+        }
+        state.lines += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/metrics.rs
@@ -0,0 +1,119 @@
+//! Counters and latency histograms of a node, as Prometheus text.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of an answered statement.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// Kind of statement.
+    pub statement: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of a statement's latency.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StatementLabels {
+    /// Kind of statement.
+    pub statement: &'static str,
+}
+
+/// Labels of a call to the store or the promotion service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// What was called.
+    pub call: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// Metrics of a node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    answers: Family<AnswerLabels, Counter>,
+    latency: Family<StatementLabels, Histogram>,
+    /// Calls to the store and the promotion service.
+    pub calls: Family<CallLabels, Counter>,
+    /// Reads tried on a second instance at the same time.
+    pub hedged: Counter,
+    /// Transactions ended from this side.
+    pub transactions_abandoned: Counter,
+    /// Promotions ordered.
+    pub promotions: Counter,
+    /// Sessions opened.
+    pub sessions: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("millwind");
+        let latency = Family::<StatementLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(0.001, 2.0, 14))
+        });
+        let metrics = Metrics {
+            answers: Family::default(),
+            latency,
+            calls: Family::default(),
+            hedged: Counter::default(),
+            transactions_abandoned: Counter::default(),
+            promotions: Counter::default(),
+            sessions: Counter::default(),
+            registry: Registry::default(),
+        };
+        registry.register("answers", "Statements answered", metrics.answers.clone());
+        registry.register(
+            "latency_seconds",
+            "Time from arrival to answer",
+            metrics.latency.clone(),
+        );
+        registry.register(
+            "calls",
+            "Calls to the store and the promotion service",
+            metrics.calls.clone(),
+        );
+        registry.register(
+            "hedged_reads",
+            "Reads tried on two instances",
+            metrics.hedged.clone(),
+        );
+        registry.register(
+            "transactions_abandoned",
+            "Transactions ended by the proxy",
+            metrics.transactions_abandoned.clone(),
+        );
+        registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
+        registry.register("sessions", "Sessions opened", metrics.sessions.clone());
+        Metrics { registry, ..metrics }
+    }
+}
+
+impl Metrics {
+    /// Counts an answered statement.
+    pub fn answered(&self, statement: &'static str, outcome: &'static str, micros: u64) {
+        self.answers
+            .get_or_create(&AnswerLabels { statement, outcome })
+            .inc();
+        self.latency
+            .get_or_create(&StatementLabels { statement })
+            .observe(micros as f64 / 1_000_000.0);
+    }
+
+    /// Counts a call to another service.
+    pub fn called(&self, call: &'static str, outcome: &'static str) {
+        self.calls.get_or_create(&CallLabels { call, outcome }).inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/node.rs
@@ -0,0 +1,359 @@
+//! Puts an engine node together, runs it, and stops it as planned.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use log::{info, warn};
+use millwind_core::Instant;
+use millwind_core::retry::RetryBudget;
+use millwind_store::Store;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+
+use crate::backend::{Pool, Pools};
+use crate::catalog::{ConfigSnapshot, InstanceRecord};
+use crate::catalog_watch::{ConfigFollower, InstanceFollower};
+use crate::directory::{Directory, Known};
+use crate::duty::Duties;
+use crate::failover::Monitor;
+use crate::logging::RequestLog;
+use crate::metrics::Metrics;
+use crate::ports::{BackEndCodec, CallerCodec, CatalogCodec, Promoter};
+use crate::registry::{NodeRecord, OwnKeys, Registry};
+use crate::settings::{EngineSettings, SettingsError};
+use crate::{clock, listener, readiness, store_watch};
+
+/// Hedged reads per hundred reads.
+const HEDGE_PERCENT: u32 = 10;
+/// Saved hedged reads at most.
+const HEDGE_CEILING: u32 = 20;
+/// Between two batches of changes of instances' records.
+const INSTANCES_PACE: Duration = Duration::from_millis(400);
+/// Between two looks at instances that are gone, and at the shares.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Share of the grace period after which open transactions are ended.
+const TRANSACTION_GRACE_PERCENT: u64 = 45;
+/// Share of the grace period after which the process ends in any case.
+const LAST_GRACE_PERCENT: u64 = 85;
+/// Probes must have failed twice before sessions are closed.
+const PROBES_NOTICE: Duration = Duration::from_millis(2_200);
+/// Taken off the time in which a leaving leader is still used.
+const LEAVING_MARGIN_MS: u64 = 1_500;
+/// Connections opened ahead of need to a new instance.
+const WARM_CONNECTIONS: usize = 1;
+
+/// Where the life of the process stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Serving.
+    Running,
+    /// Stopping as planned, since this time.
+    Stopping(Instant),
+}
+
+/// What all sessions of a node share.
+pub struct Engine {
+    /// Settings of the node.
+    pub settings: EngineSettings,
+    /// What the node believes.
+    pub directory: Arc<Directory>,
+    /// Protocol towards callers.
+    pub caller_codec: Arc<dyn CallerCodec>,
+    /// Metrics of the node.
+    pub metrics: Metrics,
+    /// Limits lines about single requests.
+    pub request_log: RequestLog,
+    /// Reads that may be tried twice.
+    pub retry_budget: SharedBudget,
+    /// Life of the process.
+    pub phase: watch::Sender<Phase>,
+    /// The other nodes.
+    pub registry: Arc<Registry>,
+    pools: Pools,
+    monitor_wake: Notify,
+    sessions: AtomicUsize,
+}
+
+/// A retry budget shared by all sessions.
+#[derive(Debug)]
+pub struct SharedBudget(Mutex<RetryBudget>);
+
+impl SharedBudget {
+    /// Records a first attempt.
+    pub fn deposit(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).deposit();
+    }
+
+    /// Takes one retry if the budget holds one.
+    pub fn withdraw(&self) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).withdraw()
+    }
+}
+
+/// Counts an open session until it is dropped.
+pub struct SessionCount(Arc<Engine>);
+
+impl Drop for SessionCount {
+    fn drop(&mut self) {
+        self.0.sessions.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Engine {
+    /// Version of the configuration in force, zero before the first.
+    pub fn config_version(&self) -> u64 {
+        self.directory.config().map_or(0, |config| config.version)
+    }
+
+    /// Whether the node takes new callers.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Running && self.directory.is_complete()
+    }
+
+    /// Counts a new session; none when the limit is reached.
+    pub fn count_session(self: &Arc<Self>) -> Option<SessionCount> {
+        if self.sessions.load(Ordering::Relaxed) >= self.settings.maximum_clients {
+            return None;
+        }
+        self.sessions.fetch_add(1, Ordering::Relaxed);
+        self.metrics.sessions.inc();
+        Some(SessionCount(self.clone()))
+    }
+
+    /// Open sessions.
+    pub fn sessions(&self) -> usize {
+        self.sessions.load(Ordering::Relaxed)
+    }
+
+    /// The pool of an instance.
+    pub fn pool(&self, record: &InstanceRecord) -> Arc<Pool> {
+        self.pools.pool(record, self.share_of(record))
+    }
+
+    /// The protocol towards back ends.
+    pub fn backend_codec(&self) -> &Arc<dyn BackEndCodec> {
+        self.pools.codec()
+    }
+
+    /// This node's share of an instance's connections: an even part, less the
+    /// one kept for health checks.
+    fn share_of(&self, record: &InstanceRecord) -> usize {
+        let limit = self
+            .directory
+            .group_limits(&record.group)
+            .map_or(1, |limits| limits.connections as usize);
+        (limit / self.registry.count()).saturating_sub(1).max(1)
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn apply_config(&self, config: ConfigSnapshot, source: &str) {
+        if self.directory.apply_config(config, source) {
+            self.pools.set_shares(|record| self.share_of(record));
+        }
+    }
+
+    /// Takes in an instance's record.
+    pub fn apply_record(&self, record: InstanceRecord) {
+        let is_new = self
+            .directory
+            .instance(&record.name)
+            .is_none_or(|known| known.is_gone);
+        self.directory.apply_record(record.clone());
+        let is_configured = self.directory.group_limits(&record.group).is_some();
+        if is_new && is_configured && !record.is_leaving {
+            let share = self.share_of(&record);
+            self.pools.warm_up(&record, share, WARM_CONNECTIONS);
+        }
+    }
+
+    /// Whether a leader still takes new work: one that will end does for a
+    /// while, until another takes over.
+    pub fn takes_new_work(&self, known: &Known) -> bool {
+        let bound = self.settings.drain_bound_ms.saturating_sub(LEAVING_MARGIN_MS);
+        known
+            .leaving_since
+            .is_none_or(|since| clock::now().millis_since(since) < bound)
+    }
+
+    /// Asks the monitor to look at the groups now.
+    pub fn wake_monitor(&self) {
+        self.monitor_wake.notify_one();
+    }
+
+    /// Waits until the monitor is asked to look.
+    pub async fn monitor_woken(&self) {
+        self.monitor_wake.notified().await;
+    }
+
+    /// During a planned stop: waits until a resting session may be closed.
+    pub async fn may_close_session(&self, is_in_transaction: bool, resting: Duration) {
+        let Phase::Stopping(since) = *self.phase.borrow() else {
+            return std::future::pending().await;
+        };
+        let notice = if is_in_transaction {
+            Duration::from_millis(self.settings.grace_ms * TRANSACTION_GRACE_PERCENT / 100)
+        } else {
+            PROBES_NOTICE.min(Duration::from_millis(self.settings.grace_ms / 2))
+        };
+        let start = since.plus_millis(notice.as_millis() as u64);
+        tokio::time::sleep(clock::until(start).max(resting)).await;
+    }
+}
+
+/// Why a node did not start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// The settings are not usable.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// A listener's address cannot be used.
+    #[error("{field} {address}: {source}")]
+    Listen {
+        /// Field of the settings.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// The adapter's side of the ports.
+pub struct Ports<S> {
+    /// Protocol towards callers.
+    pub caller_codec: Arc<dyn CallerCodec>,
+    /// Protocol towards back ends.
+    pub backend_codec: Arc<dyn BackEndCodec>,
+    /// Documents in the store.
+    pub catalog_codec: Arc<dyn CatalogCodec>,
+    /// The promotion service.
+    pub promoter: Arc<dyn Promoter>,
+    /// The store.
+    pub store: Arc<S>,
+}
+
+/// A running node.
+pub struct Node {
+    /// What its sessions share.
+    pub engine: Arc<Engine>,
+}
+
+async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| NodeError::Listen {
+            field,
+            address,
+            source,
+        })
+}
+
+impl Node {
+    /// Starts a node; returns once its listeners accept.
+    pub async fn start<S: Store + 'static>(
+        settings: EngineSettings,
+        ports: Ports<S>,
+    ) -> Result<Node, NodeError> {
+        settings.check()?;
+        let clients = listen("client_address", settings.client_address).await?;
+        let probes = listen("ready_address", settings.ready_address).await?;
+        let metrics = listen("metrics_address", settings.metrics_address).await?;
+        let engine = new_engine(settings, &ports);
+        info!(
+            "event=node_started name={} zone={} clients={} peers={}",
+            engine.settings.name,
+            engine.settings.zone,
+            engine.settings.client_address,
+            engine.settings.peer_address
+        );
+        start_store_watches(&engine, ports);
+        tokio::spawn(readiness::serve_probes(probes, engine.clone()));
+        tokio::spawn(readiness::serve_metrics(metrics, engine.clone()));
+        tokio::spawn(listener::serve(clients, engine.clone()));
+        tokio::spawn(housekeeping(engine.clone()));
+        Ok(Node { engine })
+    }
+
+    /// Stops as planned: takes no new callers, lets open work end, closes
+    /// resting sessions; true when all had ended in time.
+    pub async fn stop(&self) -> bool {
+        let since = clock::now();
+        info!("event=stop_started sessions={}", self.engine.sessions());
+        self.engine.phase.send_replace(Phase::Stopping(since));
+        let last = since.plus_millis(self.engine.settings.grace_ms * LAST_GRACE_PERCENT / 100);
+        let first = since.plus_millis(PROBES_NOTICE.as_millis() as u64).min(last);
+        while clock::now() < last {
+            if clock::now() >= first && self.engine.sessions() == 0 {
+                info!("event=stop_finished ms={}", clock::now().millis_since(since));
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        warn!("event=stop_cut_short sessions={}", self.engine.sessions());
+        false
+    }
+}
+
+fn new_engine<S: Store + 'static>(settings: EngineSettings, ports: &Ports<S>) -> Arc<Engine> {
+    let nodes_prefix = format!("{}nodes/", ports.catalog_codec.own_prefix());
+    Arc::new(Engine {
+        directory: Arc::new(Directory::new(&settings.zone)),
+        caller_codec: ports.caller_codec.clone(),
+        metrics: Metrics::default(),
+        request_log: RequestLog::default(),
+        retry_budget: SharedBudget(Mutex::new(RetryBudget::new(HEDGE_PERCENT, HEDGE_CEILING))),
+        phase: watch::Sender::new(Phase::Running),
+        registry: Arc::new(Registry::new(nodes_prefix, settings.name.clone())),
+        pools: Pools::new(ports.backend_codec.clone()),
+        monitor_wake: Notify::new(),
+        sessions: AtomicUsize::new(0),
+        settings,
+    })
+}
+
+fn start_store_watches<S: Store + 'static>(engine: &Arc<Engine>, ports: Ports<S>) {
+    let catalog = &ports.catalog_codec;
+    let duties = Arc::new(Duties::new(
+        ports.store.clone(),
+        format!("{}duty/", catalog.own_prefix()),
+        engine.settings.name.clone(),
+    ));
+    let own = OwnKeys::new(vec![engine.registry.clone(), duties.clone()]);
+    let config = ConfigFollower::new(engine.clone(), catalog.clone());
+    let instances = InstanceFollower::new(engine.clone(), catalog.clone());
+    let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>, pace| {
+        let store = ports.store.clone();
+        tokio::spawn(store_watch::follow(store, prefix.to_owned(), follower, pace));
+    };
+    follow(catalog.config_key(), Arc::new(config), Duration::ZERO);
+    follow(catalog.instances_prefix(), Arc::new(instances), INSTANCES_PACE);
+    follow(catalog.own_prefix(), Arc::new(own), Duration::ZERO);
+    let record = NodeRecord {
+        peer_address: engine.settings.peer_address,
+        zone: engine.settings.zone.clone(),
+    };
+    let registry = engine.registry.clone();
+    let store = ports.store.clone();
+    tokio::spawn(async move { registry.register(&*store, record).await });
+    let monitor = Monitor::new(engine.clone(), duties, ports.promoter.clone());
+    tokio::spawn(monitor.run());
+}
+
+/// Retires pools of instances that are gone, and follows the number of nodes.
+async fn housekeeping(engine: Arc<Engine>) {
+    let mut nodes = 0;
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
+            engine.pools.retire(&instance);
+        }
+        let count = engine.registry.count();
+        if count != nodes {
+            nodes = count;
+            engine.pools.set_shares(|record| engine.share_of(record));
+        }
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/registry.rs
@@ -0,0 +1,170 @@
+//! The nodes of the deployment, each under a key of its own in the store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use log::{info, warn};
+use millwind_store::{Condition, Entry, Listing, Store, Swap, Write};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::store_watch::Follower;
+
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// What a node tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Where other nodes reach it.
+    pub peer_address: SocketAddr,
+    /// Zone it runs in.
+    pub zone: String,
+}
+
+/// All nodes that have registered.
+#[derive(Debug)]
+pub struct Registry {
+    prefix: String,
+    node: String,
+    nodes: Mutex<BTreeMap<String, (NodeRecord, u64)>>,
+}
+
+impl Registry {
+    /// Records under `prefix`, seen by `node`.
+    pub fn new(prefix: String, node: String) -> Self {
+        Registry {
+            prefix,
+            node,
+            nodes: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    fn nodes(&self) -> MutexGuard<'_, BTreeMap<String, (NodeRecord, u64)>> {
+        self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The other nodes.
+    pub fn peers(&self) -> Vec<(String, NodeRecord)> {
+        self.nodes()
+            .iter()
+            .filter(|(name, _)| **name != self.node)
+            .map(|(name, (record, _))| (name.clone(), record.clone()))
+            .collect()
+    }
+
+    /// Nodes known, this one included.
+    pub fn count(&self) -> usize {
+        let nodes = self.nodes();
+        nodes.len() + usize::from(!nodes.contains_key(&self.node))
+    }
+
+    /// How many of `candidates` come before this node for `key`, by
+    /// rendezvous hashing: spread evenly and agreed without a message.
+    pub fn rank<'a>(&self, key: &str, candidates: impl Iterator<Item = &'a str>) -> usize {
+        let weight = |node: &str| xxh3_64(format!("{key}/{node}").as_bytes());
+        let own = weight(&self.node);
+        candidates
+            .filter(|name| *name != self.node && weight(name) > own)
+            .count()
+    }
+
+    /// Writes this node's record, trying until the store has taken it.
+    pub async fn register<S: Store>(&self, store: &S, record: NodeRecord) {
+        let key = format!("{}{}", self.prefix, self.node);
+        loop {
+            let held = self.nodes().get(&self.node).cloned();
+            let revision = match held {
+                Some((same, _)) if same == record => return,
+                Some((_, revision)) => revision,
+                None => 0,
+            };
+            let write = Write {
+                key: key.clone(),
+                value: serde_json::to_vec(&record).unwrap_or_default(),
+            };
+            let condition = Condition {
+                key: key.clone(),
+                revision,
+            };
+            match store.swap(&[condition], &[write]).await {
+                Ok(Swap::Done { revision }) => {
+                    info!("event=node_registered revision={revision}");
+                    self.nodes().insert(self.node.clone(), (record, revision));
+                    return;
+                }
+                Ok(Swap::Conflict { current }) => self.apply(current),
+                Err(error) => {
+                    warn!("event=node_not_registered error={:?}", error.to_string());
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn apply(&self, entries: Vec<Entry>) {
+        let mut nodes = self.nodes();
+        for entry in entries {
+            let Some(name) = entry.key.strip_prefix(&self.prefix) else {
+                continue;
+            };
+            let record = entry
+                .value
+                .and_then(|value| serde_json::from_slice::<NodeRecord>(&value).ok());
+            match record {
+                Some(record) => {
+                    nodes.insert(name.to_owned(), (record, entry.revision));
+                }
+                None => {
+                    nodes.remove(name);
+                }
+            }
+        }
+    }
+}
+
+/// Follows the system's own keys on behalf of everything kept there.
+pub struct OwnKeys {
+    followers: Vec<Arc<dyn Follower>>,
+}
+
+impl OwnKeys {
+    /// Passes everything on to all of `followers`.
+    pub fn new(followers: Vec<Arc<dyn Follower>>) -> Self {
+        OwnKeys { followers }
+    }
+}
+
+impl Follower for OwnKeys {
+    fn name(&self) -> &'static str {
+        "own_keys"
+    }
+
+    fn listed(&self, listing: Listing) {
+        for follower in &self.followers {
+            follower.listed(listing.clone());
+        }
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        for follower in &self.followers {
+            follower.changed(entries.clone());
+        }
+    }
+}
+
+impl Follower for Registry {
+    fn name(&self) -> &'static str {
+        "nodes"
+    }
+
+    fn listed(&self, listing: Listing) {
+        self.nodes().clear();
+        self.apply(listing.entries);
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        self.apply(entries);
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -0,0 +1,374 @@
+//! A caller's session: reads its messages, keeps its values, prepared
+//! statements and transaction, and answers each statement exactly once.
+
+mod attempt;
+mod reads;
+mod transaction;
+mod writes;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use log::info;
+use millwind_core::Instant;
+use millwind_core::error_kind::ErrorKind;
+use millwind_core::ids::{GroupName, TenantName};
+use millwind_core::position::Position;
+use millwind_core::session_state::{Access, PreparedStatement, SessionState};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::answer::{Answer, Failure, Refusal, Success};
+use crate::catalog::EngineTenant;
+use crate::clock;
+use crate::node::{Engine, Phase};
+use crate::statement::{CallerMessage, Command, Request, Statement, TransactionState};
+use transaction::OpenTransaction;
+
+const READ_CAPACITY: usize = 2_048;
+/// Taken off a statement's time-out, so that the answer arrives within it, in
+/// milliseconds.
+const ANSWER_MARGIN_MS: u64 = 25;
+/// A session is closed during a planned stop once it has rested for this long.
+const RESTING: Duration = Duration::from_millis(250);
+
+/// One caller's session.
+pub struct Session {
+    engine: Arc<Engine>,
+    stream: TcpStream,
+    input: BytesMut,
+    tenant: TenantName,
+    state: Arc<SessionState>,
+    /// The session's last commit, with the group that holds it.
+    written: Option<(GroupName, Position)>,
+    transaction: Option<OpenTransaction>,
+}
+
+/// What ended the wait for a message.
+enum Event {
+    Message(CallerMessage),
+    Closed,
+    Malformed,
+    TransactionIdle,
+    Stop,
+}
+
+/// One statement on its way, with the terms it runs under.
+#[derive(Debug, Clone)]
+struct Operation {
+    tenant: Arc<EngineTenant>,
+    id: String,
+    text: String,
+    prepared: Option<(PreparedStatement, String)>,
+    access: Access,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+impl Operation {
+    fn command(&self) -> Command<'_> {
+        match &self.prepared {
+            Some((statement, arguments)) => Command::Execute { statement, arguments },
+            None => Command::Text(&self.text),
+        }
+    }
+
+    fn needed(&self) -> Option<&PreparedStatement> {
+        self.prepared.as_ref().map(|(statement, _)| statement)
+    }
+
+    fn group(&self) -> &GroupName {
+        &self.tenant.settings.group
+    }
+}
+
+impl Session {
+    /// Serves a caller until it leaves, or until the node stops.
+    pub async fn serve(engine: Arc<Engine>, stream: TcpStream) {
+        let mut session = Session {
+            engine,
+            stream,
+            input: BytesMut::with_capacity(READ_CAPACITY),
+            tenant: TenantName::from(""),
+            state: Arc::default(),
+            written: None,
+            transaction: None,
+        };
+        if session.start().await {
+            session.run().await;
+        }
+    }
+
+    /// Reads the startup message; true when the session is open.
+    async fn start(&mut self) -> bool {
+        let limit = Duration::from_secs(10);
+        let message = tokio::time::timeout(limit, self.next_message()).await;
+        let Ok(Event::Message(CallerMessage::Startup { tenant })) = message else {
+            return false;
+        };
+        self.tenant = TenantName(tenant);
+        let mut output = BytesMut::new();
+        let accepted = self.tenant_in_force();
+        match &accepted {
+            Ok(_) => self.engine.caller_codec.encode_welcome(&mut output),
+            Err(refusal) => {
+                info!(
+                    "event=session_refused tenant={} kind={} config_version={}",
+                    self.tenant,
+                    refusal.kind.name(),
+                    self.engine.config_version()
+                );
+                let answer = Err(Failure::Refused(refusal.clone()));
+                self.engine.caller_codec.encode_farewell(&mut output, &answer);
+            }
+        }
+        self.stream.write_all(&output).await.is_ok() && accepted.is_ok()
+    }
+
+    fn tenant_in_force(&self) -> Result<Arc<EngineTenant>, Refusal> {
+        let Some(config) = self.engine.directory.config() else {
+            return Err(Refusal::new(ErrorKind::NotServing, "no configuration yet"));
+        };
+        config
+            .tenants
+            .get(&self.tenant)
+            .cloned()
+            .ok_or_else(|| Refusal::new(ErrorKind::UnknownTenant, &self.tenant))
+    }
+
+    async fn run(&mut self) {
+        loop {
+            match self.next_event().await {
+                Event::Message(CallerMessage::Request(request)) => {
+                    let answer = self.handle(request).await;
+                    if self.send(&answer).await.is_err() {
+                        return;
+                    }
+                }
+                Event::TransactionIdle => self.abandon_transaction("transaction rested too long"),
+                Event::Message(_) | Event::Closed | Event::Malformed | Event::Stop => return,
+            }
+        }
+    }
+
+    /// The next message, the end of the connection, or the time to act.
+    async fn next_event(&mut self) -> Event {
+        let idle_limit = self.transaction_idle_limit();
+        let mut phase = self.engine.phase.subscribe();
+        let is_in_transaction = self.transaction.is_some();
+        if *phase.borrow_and_update() == Phase::Running {
+            tokio::select! {
+                event = self.next_message() => return event,
+                () = sleep_or_forever(idle_limit) => return Event::TransactionIdle,
+                _ = phase.changed() => {}
+            }
+        }
+        let engine = self.engine.clone();
+        tokio::select! {
+            biased;
+            event = self.next_message() => event,
+            () = sleep_or_forever(idle_limit) => Event::TransactionIdle,
+            () = engine.may_close_session(is_in_transaction, RESTING) => {
+                if is_in_transaction {
+                    Event::TransactionIdle
+                } else {
+                    Event::Stop
+                }
+            }
+        }
+    }
+
+    fn transaction_idle_limit(&self) -> Option<Duration> {
+        let open = self.transaction.as_ref()?;
+        if open.is_failed() {
+            return None;
+        }
+        let config = self.engine.directory.config()?;
+        Some(Duration::from_millis(config.transaction_idle_ms.max(1)))
+    }
+
+    async fn next_message(&mut self) -> Event {
+        loop {
+            match self.engine.caller_codec.decode(&mut self.input) {
+                Err(_) => return Event::Malformed,
+                Ok(Some(message)) => return Event::Message(message),
+                Ok(None) => {}
+            }
+            match self.stream.read_buf(&mut self.input).await {
+                Ok(0) | Err(_) => return Event::Closed,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    async fn send(&mut self, answer: &Answer) -> std::io::Result<()> {
+        let mut output = BytesMut::new();
+        let state = self.transaction_state();
+        self.engine.caller_codec.encode_answer(&mut output, answer, state);
+        self.stream.write_all(&output).await
+    }
+
+    fn transaction_state(&self) -> TransactionState {
+        match &self.transaction {
+            None => TransactionState::Idle,
+            Some(open) if open.is_failed() => TransactionState::Failed,
+            Some(_) => TransactionState::Open,
+        }
+    }
+
+    /// Answers one statement.
+    async fn handle(&mut self, request: Request) -> Answer {
+        let arrived = clock::now();
+        let name = request.statement.as_ref().map_or("malformed", statement_name);
+        let id = request.id.clone();
+        let answer = self.dispatch(request, arrived).await;
+        let micros = clock::now().0 - arrived.0;
+        let outcome = answer.as_ref().map_or_else(Failure::name, |_| "ok");
+        self.engine.metrics.answered(name, outcome, micros);
+        if let Err(failure) = &answer {
+            self.log_failure(&id, name, failure, micros);
+        }
+        answer
+    }
+
+    fn log_failure(&self, id: &str, name: &str, failure: &Failure, micros: u64) {
+        if !self.engine.request_log.admit() {
+            return;
+        }
+        let group = self.tenant_in_force().map(|tenant| tenant.settings.group.clone());
+        let leader = group
+            .ok()
+            .and_then(|group| self.engine.directory.leader(&group))
+            .map_or_else(|| "none".to_owned(), |leader| leader.instance.0);
+        info!(
+            "event=request_failed id={id} tenant={} statement={name} outcome={} micros={micros} leader={leader} config_version={} detail={:?}",
+            self.tenant,
+            failure.name(),
+            self.engine.config_version(),
+            failure.detail(),
+        );
+    }
+
+    async fn dispatch(&mut self, request: Request, arrived: Instant) -> Answer {
+        let malformed = || Refusal::new(ErrorKind::Unsupported, "statement cannot be read");
+        let Some(statement) = request.statement.clone() else {
+            return Err(malformed().into());
+        };
+        let is_failed = self.transaction.as_ref().is_some_and(OpenTransaction::is_failed);
+        if is_failed {
+            return self.in_failed_transaction(&statement);
+        }
+        match statement {
+            Statement::Begin { read_only } => self.begin(read_only),
+            Statement::Commit => self.commit(request, arrived).await,
+            Statement::Rollback => self.rollback(),
+            Statement::Run { access } => self.execute(request, access, None, arrived).await,
+            Statement::Execute { name, arguments } => {
+                let Some(prepared) = self.state.prepared.get(&name).cloned() else {
+                    return Err(Refusal::new(ErrorKind::Unsupported, "no such prepared statement").into());
+                };
+                let access = prepared.access;
+                self.execute(request, access, Some((prepared, arguments)), arrived)
+                    .await
+            }
+            local => self.change_state(local),
+        }
+    }
+
+    /// Statements that concern the session alone.
+    fn change_state(&mut self, statement: Statement) -> Answer {
+        let state = Arc::make_mut(&mut self.state);
+        match statement {
+            Statement::Set { name, value } => {
+                state.values.insert(name, value);
+            }
+            Statement::Prepare { name, statement } => {
+                state.prepared.insert(name, statement);
+            }
+            Statement::Deallocate { name } => {
+                if state.prepared.remove(&name).is_none() {
+                    return Err(Refusal::new(ErrorKind::Unsupported, "no such prepared statement").into());
+                }
+            }
+            _ => {}
+        }
+        Ok(Success::default())
+    }
+
+    async fn execute(
+        &mut self,
+        request: Request,
+        access: Access,
+        prepared: Option<(PreparedStatement, String)>,
+        arrived: Instant,
+    ) -> Answer {
+        if self.transaction.is_some() {
+            let operation = self.operation_in_transaction(request, access, prepared, arrived)?;
+            return self.run_in_transaction(operation).await;
+        }
+        let tenant = self.tenant_in_force()?;
+        let operation = operation(tenant, request, access, prepared, arrived);
+        match access {
+            Access::Read => self.single_read(operation).await,
+            Access::Write => self.single_write(operation).await,
+        }
+    }
+
+    /// The session's last commit in this group.
+    fn written_in(&self, group: &GroupName) -> Option<Position> {
+        self.written
+            .as_ref()
+            .filter(|(held, _)| held == group)
+            .map(|(_, position)| *position)
+    }
+
+    fn note_written(&mut self, group: &GroupName, position: Option<Position>) {
+        if let Some(position) = position {
+            self.written = Some((group.clone(), position));
+        }
+    }
+}
+
+fn operation(
+    tenant: Arc<EngineTenant>,
+    request: Request,
+    access: Access,
+    prepared: Option<(PreparedStatement, String)>,
+    arrived: Instant,
+) -> Operation {
+    let limit = tenant.settings.default_window_ms;
+    let margin = ANSWER_MARGIN_MS.min(limit / 4);
+    Operation {
+        deadline: arrived.plus_millis(limit - margin),
+        tenant,
+        id: request.id,
+        text: request.text,
+        prepared,
+        access,
+        arrived,
+    }
+}
+
+async fn sleep_or_forever(limit: Option<Duration>) {
+    match limit {
+        Some(limit) => tokio::time::sleep(limit).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn statement_name(statement: &Statement) -> &'static str {
+    match statement {
+        Statement::Begin { .. } => "begin",
+        Statement::Commit => "commit",
+        Statement::Rollback => "rollback",
+        Statement::Run { access: Access::Read } => "read",
+        Statement::Run {
+            access: Access::Write,
+        } => "write",
+        Statement::Set { .. } => "set",
+        Statement::Prepare { .. } => "prepare",
+        Statement::Execute { .. } => "execute",
+        Statement::Deallocate { .. } => "deallocate",
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -0,0 +1,272 @@
+//! Single reads: on any instance whose log provably holds enough, or on a
+//! leader that proves its lead in the same transaction.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use millwind_core::error_kind::ErrorKind;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::Position;
+use millwind_core::selection::{ReadCandidate, order_by_expected_time};
+use millwind_core::session_state::SessionState;
+
+use super::attempt::{self, AttemptError};
+use super::writes::{RETRY_PAUSE, pause_after, usable_leader};
+use super::{Operation, Session};
+use crate::answer::{Answer, Failure, Refusal};
+use crate::backend::LinkError;
+use crate::catalog::{Consistency, InstanceRecord};
+use crate::clock;
+use crate::node::Engine;
+use crate::statement::{BackEndErrorKind, Reply};
+
+/// A read is tried elsewhere as well after this many times its instance's
+/// mean latency.
+const HEDGE_FACTOR: u64 = 4;
+/// Never sooner than this.
+const HEDGE_LEAST: Duration = Duration::from_millis(150);
+/// Instances tried at the same time at most.
+const HEDGE_MOST: usize = 2;
+
+type Attempt = BoxFuture<'static, Result<Reply, AttemptError>>;
+
+impl Session {
+    /// Runs a read outside of a transaction.
+    pub(super) async fn single_read(&mut self, operation: Operation) -> Answer {
+        match operation.tenant.consistency {
+            Consistency::Primary => self.leader_read(operation).await,
+            Consistency::BoundedStaleness | Consistency::ReadYourWrites => self.floor_read(operation).await,
+        }
+    }
+
+    /// A read that must see every commit: inside a transaction of the engine's
+    /// own, which a former leader refuses.
+    async fn leader_read(&mut self, operation: Operation) -> Answer {
+        let engine = self.engine.clone();
+        engine.directory.used(operation.group(), None);
+        loop {
+            let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
+            match self.leader_read_on(&record, &operation).await {
+                Ok(reply) => return attempt::success(reply),
+                Err(error) => after_failed_read(error, &operation).await?,
+            }
+        }
+    }
+
+    async fn leader_read_on(
+        &self,
+        record: &InstanceRecord,
+        operation: &Operation,
+    ) -> Result<Reply, AttemptError> {
+        let mut connection =
+            attempt::begin(&self.engine, record, operation, &self.state, false, None).await?;
+        attempt::run(&self.engine, &mut connection, operation, &self.state, None, true).await
+    }
+
+    /// A read on any instance whose log holds the least position that proves
+    /// it safe.
+    async fn floor_read(&mut self, operation: Operation) -> Answer {
+        let engine = self.engine.clone();
+        let staleness = operation.tenant.settings.staleness_ms;
+        engine.directory.used(operation.group(), Some(staleness));
+        let operation = Arc::new(operation);
+        loop {
+            let floor = self.floor_for(&operation).await?;
+            match hedged_read(&engine, &self.state, &operation, floor).await {
+                Ok(reply) => return attempt::success(reply),
+                Err(error) => after_failed_read(error, &operation).await?,
+            }
+        }
+    }
+
+    /// The least position that proves a read of this operation safe.
+    pub(super) async fn floor_for(&self, operation: &Operation) -> Result<Position, Refusal> {
+        let written = match operation.tenant.consistency {
+            Consistency::BoundedStaleness => None,
+            _ => self.written_in(operation.group()),
+        };
+        let directory = &self.engine.directory;
+        let staleness = operation.tenant.settings.staleness_ms;
+        let known = directory.floor(operation.group(), operation.arrived, staleness, written);
+        if let Some(floor) = known {
+            return Ok(floor);
+        }
+        self.engine.wake_monitor();
+        directory
+            .await_floor(
+                operation.group(),
+                operation.arrived,
+                staleness,
+                written,
+                operation.deadline,
+            )
+            .await
+            .ok_or_else(|| Refusal::new(ErrorKind::NoPrimary, "no recent position of a leader"))
+    }
+}
+
+/// Returns where a read may be tried again, and fails where not.
+pub(super) async fn after_failed_read(error: AttemptError, operation: &Operation) -> Result<(), Failure> {
+    let has_run = matches!(&error, AttemptError::BackEnd(error)
+        if !error.kind.is_not_run());
+    if has_run || clock::now() >= operation.deadline {
+        return Err(read_failure(error));
+    }
+    pause_after(&error).await;
+    Ok(())
+}
+
+/// A read that ran without an answer has changed nothing.
+fn read_failure(error: AttemptError) -> Failure {
+    match error {
+        AttemptError::Link(error) => {
+            let kind = match error {
+                LinkError::Silent => ErrorKind::WindowTooShort,
+                _ => error.kind(),
+            };
+            Refusal::new(kind, error).into()
+        }
+        AttemptError::BackEnd(error) => Failure::BackEnd(error),
+    }
+}
+
+/// Instances of a group in the order in which a read tries them.
+pub(super) fn read_order(engine: &Engine, group: &GroupName) -> Vec<Arc<InstanceRecord>> {
+    let now = clock::now();
+    let leader = engine.directory.leader(group);
+    let known = engine.directory.instances_of(group);
+    let candidates: Vec<_> = known
+        .iter()
+        .map(|known| ReadCandidate {
+            instance: known.record.name.clone(),
+            latency_us: known.contact.latency_us,
+            outstanding: known.contact.outstanding,
+            slots: known.record.slots,
+            is_leader: leader
+                .as_ref()
+                .is_some_and(|leader| leader.instance == known.record.name),
+            is_avoided: known.contact.avoid_until > now || known.contact.failing_since.is_some(),
+            is_leaving: known.leaving_since.is_some(),
+        })
+        .collect();
+    let find = |name: InstanceName| {
+        known
+            .iter()
+            .find(|known| known.record.name == name)
+            .map(|known| known.record.clone())
+    };
+    order_by_expected_time(&candidates)
+        .into_iter()
+        .filter_map(find)
+        .collect()
+}
+
+/// Tries a read on the instances in order, and on a second one at the same
+/// time while the first is silent. Attempts that lose run to their end, so
+/// that their connections can be used again.
+async fn hedged_read(
+    engine: &Arc<Engine>,
+    session: &Arc<SessionState>,
+    operation: &Arc<Operation>,
+    floor: Position,
+) -> Result<Reply, AttemptError> {
+    let mut order = read_order(engine, operation.group()).into_iter();
+    let mut running: FuturesUnordered<Attempt> = FuturesUnordered::new();
+    let mut last = AttemptError::Link(LinkError::NoConnection);
+    let mut hedge_at = clock::now();
+    loop {
+        if running.is_empty() {
+            let Some(record) = order.next() else {
+                return Err(last);
+            };
+            hedge_at = hedge_time(engine, &record);
+            running.push(start(engine, session, operation, record, floor));
+        }
+        let may_hedge = running.len() < HEDGE_MOST && !order.as_slice().is_empty();
+        tokio::select! {
+            biased;
+            ended = running.next() => match ended {
+                Some(Ok(reply)) => {
+                    finish_in_background(running);
+                    return Ok(reply);
+                }
+                Some(Err(error)) => {
+                    let is_final = matches!(&error, AttemptError::BackEnd(error) if !error.kind.is_not_run());
+                    if is_final {
+                        finish_in_background(running);
+                        return Err(error);
+                    }
+                    last = error;
+                }
+                None => {}
+            },
+            () = tokio::time::sleep_until(clock::deadline(hedge_at)), if may_hedge => {
+                hedge_at = operation.deadline.plus_millis(1_000);
+                if engine.retry_budget.withdraw()
+                    && let Some(record) = order.next()
+                {
+                    engine.metrics.hedged.inc();
+                    running.push(start(engine, session, operation, record, floor));
+                }
+            }
+        }
+    }
+}
+
+fn hedge_time(engine: &Engine, record: &InstanceRecord) -> millwind_core::Instant {
+    let mean = engine
+        .directory
+        .instance(&record.name)
+        .map_or(0, |known| known.contact.latency_us);
+    let delay = Duration::from_micros(mean * HEDGE_FACTOR).max(HEDGE_LEAST);
+    engine.retry_budget.deposit();
+    clock::now().plus_millis(delay.as_millis() as u64)
+}
+
+fn finish_in_background(running: FuturesUnordered<Attempt>) {
+    if !running.is_empty() {
+        tokio::spawn(running.for_each(|_| std::future::ready(())));
+    }
+}
+
+fn start(
+    engine: &Arc<Engine>,
+    session: &Arc<SessionState>,
+    operation: &Arc<Operation>,
+    record: Arc<InstanceRecord>,
+    floor: Position,
+) -> Attempt {
+    let engine = engine.clone();
+    let session = session.clone();
+    let operation = operation.clone();
+    Box::pin(async move {
+        let mut connection = attempt::connect(&engine, &record, &operation, &session).await?;
+        attempt::run(&engine, &mut connection, &operation, &session, Some(floor), false).await
+    })
+}
+
+/// Begins a read-only transaction on an instance whose log holds `floor`.
+pub(super) async fn begin_at_floor(
+    engine: &Arc<Engine>,
+    session: &SessionState,
+    operation: &Operation,
+    floor: Position,
+) -> Result<crate::backend::pool::PooledConnection, AttemptError> {
+    let mut last = AttemptError::Link(LinkError::NoConnection);
+    for record in read_order(engine, operation.group()) {
+        match attempt::begin(engine, &record, operation, session, true, Some(floor)).await {
+            Ok(connection) => return Ok(connection),
+            Err(error) => last = error,
+        }
+        if clock::now() >= operation.deadline {
+            break;
+        }
+    }
+    if matches!(&last, AttemptError::BackEnd(error) if error.kind == BackEndErrorKind::Behind) {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Err(last)
+}
--- /dev/null
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -0,0 +1,309 @@
+//! Transactions: begun lazily on the instance that its first statement needs,
+//! then held on that one connection.
+
+use std::sync::Arc;
+
+use log::debug;
+use millwind_core::error_kind::ErrorKind;
+use millwind_core::session_state::{Access, PreparedStatement};
+
+use super::attempt::{self, AttemptError};
+use super::reads::begin_at_floor;
+use super::writes::{pause_after, usable_leader};
+use super::{Operation, Session, operation};
+use crate::answer::{Answer, Failure, Refusal, Success};
+use crate::backend::pool::PooledConnection;
+use crate::catalog::{Consistency, EngineTenant};
+use crate::clock;
+use crate::statement::{BackEndErrorKind, Reply, Request, Statement, TransactionState};
+
+/// An open transaction of a session.
+#[derive(Debug)]
+pub(super) struct OpenTransaction {
+    /// Terms in force when it began; a change binds the next transaction.
+    tenant: Arc<EngineTenant>,
+    read_only: bool,
+    /// The connection it runs on; none before its first statement.
+    connection: Option<PooledConnection>,
+    has_written: bool,
+    is_failed: bool,
+}
+
+impl OpenTransaction {
+    pub(super) fn is_failed(&self) -> bool {
+        self.is_failed
+    }
+
+    /// Whether it runs on a leader, so that each answer proves the lead.
+    fn is_on_leader(&self) -> bool {
+        !self.read_only || self.tenant.consistency == Consistency::Primary
+    }
+
+    /// Gives its connection back, which rolls it back, and keeps it as failed.
+    fn fail(&mut self) {
+        self.connection = None;
+        self.is_failed = true;
+    }
+}
+
+impl Session {
+    /// Begins a transaction; no instance hears of it before its first
+    /// statement.
+    pub(super) fn begin(&mut self, read_only: bool) -> Answer {
+        if self.transaction.is_some() {
+            return Err(Refusal::new(ErrorKind::Unsupported, "a transaction is open").into());
+        }
+        self.transaction = Some(OpenTransaction {
+            tenant: self.tenant_in_force()?,
+            read_only,
+            connection: None,
+            has_written: false,
+            is_failed: false,
+        });
+        Ok(Success::default())
+    }
+
+    /// Rolls the open transaction back.
+    pub(super) fn rollback(&mut self) -> Answer {
+        // Giving the connection back rolls back there.
+        self.transaction = None;
+        Ok(Success::default())
+    }
+
+    /// Ends an open transaction from this side; its caller is told with its
+    /// next statement.
+    pub(super) fn abandon_transaction(&mut self, reason: &str) {
+        if let Some(open) = &mut self.transaction
+            && !open.is_failed
+        {
+            debug!(
+                "event=transaction_abandoned tenant={} reason={reason:?}",
+                self.tenant
+            );
+            open.fail();
+            self.engine.metrics.transactions_abandoned.inc();
+        }
+    }
+
+    /// Answers a statement inside a transaction that has failed.
+    pub(super) fn in_failed_transaction(&mut self, statement: &Statement) -> Answer {
+        match statement {
+            Statement::Rollback => self.rollback(),
+            Statement::Commit => {
+                self.transaction = None;
+                Err(Refusal::new(ErrorKind::TransactionLost, "it was rolled back").into())
+            }
+            _ => Err(Refusal::new(
+                ErrorKind::TransactionLost,
+                "statements are refused until the transaction ends",
+            )
+            .into()),
+        }
+    }
+
+    pub(super) fn operation_in_transaction(
+        &self,
+        request: Request,
+        access: Access,
+        prepared: Option<(PreparedStatement, String)>,
+        arrived: millwind_core::Instant,
+    ) -> Result<Operation, Refusal> {
+        let open = self.transaction.as_ref();
+        let open = open.ok_or_else(|| Refusal::new(ErrorKind::Unsupported, "no transaction is open"))?;
+        Ok(operation(open.tenant.clone(), request, access, prepared, arrived))
+    }
+
+    /// Runs a statement inside the open transaction.
+    pub(super) async fn run_in_transaction(&mut self, operation: Operation) -> Answer {
+        let Some(mut open) = self.transaction.take() else {
+            return Err(Refusal::new(ErrorKind::Unsupported, "no transaction is open").into());
+        };
+        let result = if open.connection.is_some() {
+            self.next_statement(&mut open, &operation).await
+        } else {
+            self.first_statement(&mut open, &operation).await
+        };
+        if result.is_err() {
+            open.fail();
+        }
+        self.transaction = Some(open);
+        attempt::success(result?)
+    }
+
+    /// Begins on an instance and runs the first statement there; until that
+    /// has answered nothing is kept anywhere, so it may be tried again.
+    async fn first_statement(
+        &mut self,
+        open: &mut OpenTransaction,
+        operation: &Operation,
+    ) -> Result<Reply, Failure> {
+        let staleness = open.tenant.settings.staleness_ms;
+        let is_on_leader = open.is_on_leader();
+        let engine = self.engine.clone();
+        engine
+            .directory
+            .used(operation.group(), (!is_on_leader).then_some(staleness));
+        loop {
+            let error = match self.try_first(open, operation).await {
+                Ok(reply) => return Ok(reply),
+                Err(FirstError::Refused(refusal)) => return Err(refusal.into()),
+                Err(FirstError::Attempt(error)) => error,
+            };
+            open.connection = None;
+            let has_run = matches!(&error, AttemptError::BackEnd(error) if !error.kind.is_not_run());
+            if has_run || clock::now() >= operation.deadline {
+                return Err(failure_in_transaction(error));
+            }
+            pause_after(&error).await;
+        }
+    }
+
+    async fn try_first(
+        &mut self,
+        open: &mut OpenTransaction,
+        operation: &Operation,
+    ) -> Result<Reply, FirstError> {
+        let engine = self.engine.clone();
+        let state = self.state.clone();
+        let is_on_leader = open.is_on_leader();
+        let mut connection = if is_on_leader {
+            let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
+            attempt::begin(&engine, &record, operation, &state, false, None).await?
+        } else {
+            let floor = self.floor_for(operation).await?;
+            begin_at_floor(&engine, &state, operation, floor).await?
+        };
+        let reply = attempt::run(&engine, &mut connection, operation, &state, None, is_on_leader).await?;
+        open.has_written |= operation.access == Access::Write;
+        open.connection = Some(connection);
+        Ok(reply)
+    }
+
+    async fn next_statement(
+        &mut self,
+        open: &mut OpenTransaction,
+        operation: &Operation,
+    ) -> Result<Reply, Failure> {
+        let engine = self.engine.clone();
+        let state = self.state.clone();
+        let is_on_leader = open.is_on_leader();
+        open.has_written |= operation.access == Access::Write;
+        let Some(connection) = &mut open.connection else {
+            return Err(Refusal::new(ErrorKind::TransactionLost, "its connection is gone").into());
+        };
+        loop {
+            let attempted = attempt::run(&engine, connection, operation, &state, None, is_on_leader).await;
+            let error = match attempted {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            let may_ask_again = is_busy(&error)
+                && connection.transaction() == TransactionState::Open
+                && clock::now() < operation.deadline;
+            if !may_ask_again {
+                return Err(failure_in_transaction(error));
+            }
+            pause_after(&error).await;
+        }
+    }
+
+    /// Commits the open transaction.
+    pub(super) async fn commit(&mut self, request: Request, arrived: millwind_core::Instant) -> Answer {
+        let Some(mut open) = self.transaction.take() else {
+            return Err(Refusal::new(ErrorKind::Unsupported, "no transaction is open").into());
+        };
+        let operation = operation(open.tenant.clone(), request, Access::Write, None, arrived);
+        if open.connection.is_none() {
+            return self.commit_empty(&open, &operation).await;
+        }
+        let result = self.commit_on(&mut open, &operation).await;
+        let reply = match result {
+            Ok(reply) => reply,
+            Err(AttemptError::Link(error)) if open.has_written => {
+                return Err(Refusal::new(ErrorKind::OutcomeUnknown, error).into());
+            }
+            Err(error) => return Err(failure_in_transaction(error)),
+        };
+        if open.has_written {
+            self.note_written(operation.group(), reply.position);
+        }
+        attempt::success(reply)
+    }
+
+    async fn commit_on(
+        &mut self,
+        open: &mut OpenTransaction,
+        operation: &Operation,
+    ) -> Result<Reply, AttemptError> {
+        let engine = self.engine.clone();
+        let state = self.state.clone();
+        let proves_leader = open.has_written;
+        let Some(connection) = &mut open.connection else {
+            return Err(AttemptError::Link(crate::backend::LinkError::Retired));
+        };
+        loop {
+            let attempted = attempt::run(&engine, connection, operation, &state, None, proves_leader).await;
+            let error = match attempted {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            let may_ask_again = is_busy(&error)
+                && connection.transaction() == TransactionState::Open
+                && clock::now() < operation.deadline;
+            if !may_ask_again {
+                return Err(error);
+            }
+            pause_after(&error).await;
+        }
+    }
+
+    /// A commit without statements still needs an instance's signature.
+    async fn commit_empty(&mut self, open: &OpenTransaction, operation: &Operation) -> Answer {
+        let engine = self.engine.clone();
+        let state = self.state.clone();
+        let mut connection = if open.is_on_leader() {
+            let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
+            attempt::begin(&engine, &record, operation, &state, false, None).await
+        } else {
+            let floor = self.floor_for(operation).await?;
+            begin_at_floor(&engine, &state, operation, floor).await
+        }
+        .map_err(failure_in_transaction)?;
+        let reply = attempt::run(&engine, &mut connection, operation, &state, None, false).await;
+        attempt::success(reply.map_err(failure_in_transaction)?)
+    }
+}
+
+/// Why a first statement was not answered.
+enum FirstError {
+    Refused(Refusal),
+    Attempt(AttemptError),
+}
+
+impl From<Refusal> for FirstError {
+    fn from(refusal: Refusal) -> Self {
+        FirstError::Refused(refusal)
+    }
+}
+
+impl From<AttemptError> for FirstError {
+    fn from(error: AttemptError) -> Self {
+        FirstError::Attempt(error)
+    }
+}
+
+fn is_busy(error: &AttemptError) -> bool {
+    matches!(error, AttemptError::BackEnd(error) if error.kind == BackEndErrorKind::Busy)
+}
+
+/// Before its commit was sent, a transaction that lost its connection is
+/// rolled back by the instance.
+fn failure_in_transaction(error: AttemptError) -> Failure {
+    if error.is_not_run() {
+        return error.into_failure();
+    }
+    match error {
+        AttemptError::Link(error) => Refusal::new(ErrorKind::TransactionLost, error).into(),
+        AttemptError::BackEnd(error) => Failure::BackEnd(error),
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/settings.rs
@@ -0,0 +1,90 @@
+//! Checked settings of an engine node.
+
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+/// Settings of a node, from whatever file the adapter read them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineSettings {
+    /// Name, unique over the deployment.
+    pub name: String,
+    /// Zone it runs in.
+    pub zone: String,
+    /// Listener for callers.
+    pub client_address: SocketAddr,
+    /// Listener for readiness probes.
+    pub ready_address: SocketAddr,
+    /// Listener for metrics.
+    pub metrics_address: SocketAddr,
+    /// Listener for other nodes.
+    pub peer_address: SocketAddr,
+    /// Peer addresses to ask first; may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Interval of the instances' heartbeats in the store, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Longest time a planned stop may take, in milliseconds.
+    pub grace_ms: u64,
+    /// Callers accepted at the same time.
+    pub maximum_clients: usize,
+    /// Two holders of the promotion duty must not act within this time of
+    /// each other, in milliseconds; zero where fencing alone decides.
+    pub duty_lease_ms: u64,
+    /// An instance that announced its end must get nothing new after this
+    /// time, in milliseconds.
+    pub drain_bound_ms: u64,
+    /// Time within which a configuration must be in force, in milliseconds.
+    pub config_bound_ms: u64,
+}
+
+/// Why settings are refused.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("{field} is {value}, must be {allowed}")]
+pub struct SettingsError {
+    /// Field at fault.
+    pub field: &'static str,
+    /// Its value.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: &'static str,
+}
+
+impl EngineSettings {
+    /// Checks every field against its range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        check_text("name", &self.name)?;
+        check_text("zone", &self.zone)?;
+        check_range("heartbeat_ms", self.heartbeat_ms, 50, 600_000, "50 to 600000 ms")?;
+        check_range("grace_ms", self.grace_ms, 100, 600_000, "100 to 600000 ms")?;
+        let clients = self.maximum_clients as u64;
+        check_range("maximum_clients", clients, 1, 1_000_000, "1 to 1000000")
+    }
+}
+
+fn check_text(field: &'static str, value: &str) -> Result<(), SettingsError> {
+    if value.is_empty() || value.len() > 200 {
+        return Err(SettingsError {
+            field,
+            value: format!("{value:?}"),
+            allowed: "1 to 200 characters",
+        });
+    }
+    Ok(())
+}
+
+fn check_range(
+    field: &'static str,
+    value: u64,
+    minimum: u64,
+    maximum: u64,
+    allowed: &'static str,
+) -> Result<(), SettingsError> {
+    if value < minimum || value > maximum {
+        return Err(SettingsError {
+            field,
+            value: value.to_string(),
+            allowed,
+        });
+    }
+    Ok(())
+}
--- a/crates/millwind-lab/src/cluster.rs
+++ b/crates/millwind-lab/src/cluster.rs
@@ -14,8 +14,8 @@
 use millwind_node::NodeSettings;
 use millwind_node::admin::{ChangeBody, StandingsReport, StatusReport, StoredBody};
 use millwind_node::config_watch::KeySpace;
-use millwind_platform::etcd::EtcdStore;
-use millwind_platform::{Store, Write};
+use millwind_store::etcd::EtcdStore;
+use millwind_store::{Store, Write};
 use thiserror::Error;
 
 use crate::deployment::Deployment;
@@ -45,7 +45,7 @@
     Http(#[from] HttpError),
     /// The store failed.
     #[error("{0}")]
-    Store(#[from] millwind_platform::StoreError),
+    Store(#[from] millwind_store::StoreError),
     /// Something did not come about in time.
     #[error("timed out waiting for {0}")]
     Timeout(String),
--- a/crates/millwind-lab/src/platform.rs
+++ b/crates/millwind-lab/src/platform.rs
@@ -9,13 +9,13 @@
 use axum::extract::State;
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use millwind_platform::messages::{
+use millwind_store::messages::{
     Compare, CompareOperand, CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Event,
     EventType, KeyValue, PutRequest, PutResponse, RangeRequest, RangeResponse, RequestOp, RequestOpKind,
     ResponseHeader, ResponseOp, ResponseOpKind, TxnRequest, TxnResponse, WatchCreateRequest, WatchRequest,
     WatchRequestKind, WatchResponse,
 };
-use millwind_platform::service::{KeyValueServer, KeyValueService, WatchServer, WatchStream};
+use millwind_store::service::{KeyValueServer, KeyValueService, WatchServer, WatchStream};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
--- a/crates/millwind-node/src/admin.rs
+++ b/crates/millwind-node/src/admin.rs
@@ -14,7 +14,7 @@
 use millwind_core::config_state::DocumentKind;
 use millwind_core::control::Standing;
 use millwind_core::routing::ReadPolicy;
-use millwind_platform::Store;
+use millwind_store::Store;
 use millwind_wire::control::Liveness;
 use serde::{Deserialize, Serialize};
 
--- a/crates/millwind-node/src/admin_change.rs
+++ b/crates/millwind-node/src/admin_change.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use millwind_core::config_state::{ConfigState, DocumentError};
-use millwind_platform::pacing::Backoff;
-use millwind_platform::{Condition, Store, StoreError, Swap, Write};
+use millwind_store::pacing::Backoff;
+use millwind_store::{Condition, Store, StoreError, Swap, Write};
 use millwind_wire::control::WireDocument;
 use thiserror::Error;
 
--- a/crates/millwind-node/src/config_watch.rs
+++ b/crates/millwind-node/src/config_watch.rs
@@ -3,8 +3,8 @@
 
 use log::{info, warn};
 use millwind_core::config_state::DocumentKind;
-use millwind_platform::pacing::Backoff;
-use millwind_platform::{Entry, Store, StoreError, Watch};
+use millwind_store::pacing::Backoff;
+use millwind_store::{Entry, Store, StoreError, Watch};
 use millwind_wire::control::WireDocument;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/millwind-node/src/logging.rs
+++ b/crates/millwind-node/src/logging.rs
@@ -15,7 +15,7 @@
         })
         .level(LevelFilter::Warn)
         .level_for("millwind_node", level)
-        .level_for("millwind_platform", level)
+        .level_for("millwind_store", level)
         .level_for("millwindd", level)
         .level_for("millwind_lab", level)
         .chain(std::io::stderr())
--- a/crates/millwind-node/tests/changes.rs
+++ b/crates/millwind-node/tests/changes.rs
@@ -6,7 +6,7 @@
 
 use millwind_node::admin_change::{Change, ChangeError, change};
 use millwind_node::config_watch::KeySpace;
-use millwind_platform::{Condition, Entry, Listing, Store, StoreError, Swap, Watch, WatchReport, Write};
+use millwind_store::{Condition, Entry, Listing, Store, StoreError, Swap, Watch, WatchReport, Write};
 
 const TEMPLATE: &str = "name = \"t\"\n[parameters.weight]\ndefault = 1\nminimum = 1\nmaximum = 10\n";
 
