Hold the promotion duty ahead, and accept callers once enough is known

Ruled out: detection, which had judged within 0.6 s. Change: the first node in a group's order takes the duty in advance; its first order goes out under the token it holds. Callers that arrive before the first configuration wait instead of being refused.

--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -79,6 +79,9 @@
 
     /// Opens connections of a pool ahead of need, in the background.
     pub fn warm_up(&self, record: &InstanceRecord, share: usize, count: usize) {
-        tokio::spawn(open_ahead(self.pool(record, share), count, OPEN_PACE));
+        let pool = self.pool(record, share);
+        if pool.load().0 < count {
+            tokio::spawn(open_ahead(pool, count, OPEN_PACE));
+        }
     }
 }
--- a/crates/millwind-engine/src/directory.rs
+++ b/crates/millwind-engine/src/directory.rs
@@ -9,7 +9,7 @@
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
 use crate::clock;
@@ -93,7 +93,7 @@
     state: Mutex<State>,
     leaders_changed: Notify,
     observed: Notify,
-    config_version: watch::Sender<u64>,
+    completed: Notify,
 }
 
 impl Directory {
@@ -104,7 +104,7 @@
             state: Mutex::new(State::default()),
             leaders_changed: Notify::new(),
             observed: Notify::new(),
-            config_version: watch::Sender::new(0),
+            completed: Notify::new(),
         }
     }
 
@@ -134,7 +134,7 @@
             );
             state.config = Some(Arc::new(config));
         }
-        self.config_version.send_replace(version);
+        self.completed.notify_waiters();
         true
     }
 
@@ -144,6 +144,15 @@
         state.config.is_some() && state.has_listing
     }
 
+    /// Waits until more is known of the configuration or the instances, or
+    /// until `deadline`.
+    pub async fn completed(&self, deadline: Instant) {
+        let completed = self.completed.notified();
+        if !self.is_complete() {
+            let _ = tokio::time::timeout_at(clock::deadline(deadline), completed).await;
+        }
+    }
+
     /// Limits of a group; none if it is not configured.
     pub fn group_limits(&self, group: &GroupName) -> Option<GroupLimits> {
         let config = self.config()?;
@@ -241,6 +250,7 @@
         for instance in &missing {
             self.remove_record(instance);
         }
+        self.completed.notify_waiters();
         missing
     }
 
--- a/crates/millwind-engine/src/duty.rs
+++ b/crates/millwind-engine/src/duty.rs
@@ -8,6 +8,7 @@
 //! holder that is carried out late is turned away by its token.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use log::{info, warn};
@@ -58,6 +59,7 @@
     prefix: String,
     node: String,
     seen: Mutex<HashMap<GroupName, SeenDuty>>,
+    is_listed: AtomicBool,
 }
 
 impl<S> std::fmt::Debug for Duties<S> {
@@ -74,6 +76,7 @@
             prefix,
             node,
             seen: Mutex::new(HashMap::new()),
+            is_listed: AtomicBool::new(false),
         }
     }
 
@@ -86,11 +89,25 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes the duty for `group` unless somebody holds it, so that there is a
+    /// token to act with while the store is out.
+    pub async fn hold_ahead(&self, group: &GroupName) {
+        if self.get(group).is_none() {
+            // Whoever writes first holds it; the others see the record.
+            let _ = self.take(group, None).await;
+        }
+    }
+
     /// The record of `group` as last seen.
     pub fn get(&self, group: &GroupName) -> Option<SeenDuty> {
         self.seen().get(group).cloned()
     }
 
+    /// Whether the store has told of all records once.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Relaxed)
+    }
+
     /// Whether another node's recent order should be left to take effect.
     pub fn is_ordered_by_other(&self, group: &GroupName) -> bool {
         self.get(group).is_some_and(|duty| {
@@ -177,6 +194,7 @@
 
     fn listed(&self, listing: Listing) {
         self.apply(listing.entries);
+        self.is_listed.store(true, Ordering::Relaxed);
     }
 
     fn changed(&self, entries: Vec<Entry>) {
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -28,6 +28,8 @@
 /// Heartbeats are judged only if the store was heard within this time, in
 /// milliseconds.
 const STORE_RECENT_MS: u64 = 2_500;
+/// Between two tries to take a duty that nobody holds.
+const DUTY_PAUSE: Duration = Duration::from_millis(500);
 /// Age of a peer's report beyond which it says nothing, in milliseconds.
 const REPORT_MS: u64 = 1_500;
 
@@ -38,6 +40,7 @@
     promoter: Arc<dyn Promoter>,
     busy: Mutex<HashSet<GroupName>>,
     replacing: Mutex<HashSet<GroupName>>,
+    taking: Mutex<HashSet<GroupName>>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
 }
 
@@ -50,6 +53,7 @@
             promoter,
             busy: Mutex::new(HashSet::new()),
             replacing: Mutex::new(HashSet::new()),
+            taking: Mutex::new(HashSet::new()),
             leaderless: Mutex::new(HashMap::new()),
         })
     }
@@ -79,6 +83,7 @@
 
     /// Checks the health of one group, and starts a replacement if needed.
     async fn look_at(self: &Arc<Self>, group: &GroupName) {
+        self.hold_duty_ahead(group);
         health::check(&self.engine, group).await;
         let leader = self.engine.directory.leader(group).map(|leader| leader.instance);
         let evidence = self.evidence(group, leader.as_ref());
@@ -97,6 +102,21 @@
         });
     }
 
+    /// The first node in the group's order takes a duty that nobody holds.
+    fn hold_duty_ahead(self: &Arc<Self>, group: &GroupName) {
+        let is_open = self.duties.is_listed() && self.duties.get(group).is_none();
+        if !is_open || self.rank(group) > 0 || !enter(&self.taking, group) {
+            return;
+        }
+        let monitor = self.clone();
+        let group = group.clone();
+        tokio::spawn(async move {
+            monitor.duties.hold_ahead(&group).await;
+            tokio::time::sleep(DUTY_PAUSE).await;
+            leave(&monitor.taking, &group);
+        });
+    }
+
     fn times(&self) -> FailoverTimes {
         FailoverTimes {
             suspect_ms: SUSPECT_MS,
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -64,11 +64,12 @@
         tokio::time::sleep(RANK_STEP * rank as u32).await;
         let started = clock::now();
         let mut excluded = HashSet::new();
-        for _ in 0..MOST_ORDERS {
+        for attempt in 0..MOST_ORDERS {
             if self.is_settled(group, lost.as_ref()) {
                 return;
             }
-            match self.order(group, lost.as_ref(), &excluded).await {
+            let ended = self.order(group, lost.as_ref(), &excluded, attempt == 0).await;
+            match ended {
                 Ended::Replaced => {
                     info!(
                         "event=leader_replaced group={group} lost={lost_name} ms={}",
@@ -87,7 +88,7 @@
     }
 
     /// The holder of the duty goes first; others follow in an agreed order.
-    fn rank(&self, group: &GroupName) -> usize {
+    pub(super) fn rank(&self, group: &GroupName) -> usize {
         if self.duties.held_token(group).is_some() {
             return 0;
         }
@@ -116,21 +117,18 @@
     }
 
     async fn order(
-        &self,
+        self: &Arc<Self>,
         group: &GroupName,
         lost: Option<&InstanceName>,
         excluded: &HashSet<InstanceName>,
+        is_first: bool,
     ) -> Ended {
         let Some(chosen) = self.choose(group, lost, excluded).await else {
             return Ended::Again;
         };
-        let token = match self.duties.take(group, Some(chosen.clone())).await {
+        let token = match self.token(group, &chosen, is_first).await {
             Ok(token) => token,
-            Err(DutyError::Taken) => return Ended::Yield,
-            Err(DutyError::Store(_)) => match self.duties.held_token(group) {
-                Some(token) => token,
-                None => return Ended::Again,
-            },
+            Err(ended) => return ended,
         };
         let order = PromotionOrder {
             group: group.clone(),
@@ -148,6 +146,30 @@
         }
     }
 
+    /// The fencing token of an order. The first order of a holder goes out
+    /// under the token it has, also while the store is out; a later one needs
+    /// a higher token, so that an earlier order carried out late is refused.
+    async fn token(
+        self: &Arc<Self>,
+        group: &GroupName,
+        chosen: &InstanceName,
+        is_first: bool,
+    ) -> Result<u64, Ended> {
+        let held = self.duties.held_token(group);
+        if let (Some(token), true) = (held, is_first) {
+            let monitor = self.clone();
+            let group = group.clone();
+            let chosen = chosen.clone();
+            tokio::spawn(async move { monitor.duties.take(&group, Some(chosen)).await });
+            return Ok(token);
+        }
+        match self.duties.take(group, Some(chosen.clone())).await {
+            Ok(token) => Ok(token),
+            Err(DutyError::Taken) => Err(Ended::Yield),
+            Err(DutyError::Store(_)) => held.ok_or(Ended::Again),
+        }
+    }
+
     /// Waits until the chosen replica has proved its lead.
     async fn await_take_over(&self, group: &GroupName, chosen: &InstanceName) -> Ended {
         let deadline = clock::now().plus_millis(TAKE_OVER_MS);
--- a/crates/millwind-engine/src/listener.rs
+++ b/crates/millwind-engine/src/listener.rs
@@ -12,8 +12,12 @@
 /// Pause after a failed accept, for example when descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Callers that come before the node knows enough wait for this long at most.
+const COMPLETE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Serves callers for the life of the process.
 pub async fn serve(listener: TcpListener, engine: Arc<Engine>) {
+    engine.await_complete(COMPLETE_LIMIT).await;
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -152,6 +152,19 @@
     pub fn apply_config(&self, config: ConfigSnapshot, source: &str) {
         if self.directory.apply_config(config, source) {
             self.pools.set_shares(|record| self.share_of(record));
+            for known in self.directory.instances() {
+                self.warm_up(&known.record);
+            }
+            self.wake_monitor();
+        }
+    }
+
+    /// Opens connections to an instance of a configured group ahead of need.
+    fn warm_up(&self, record: &InstanceRecord) {
+        let is_configured = self.directory.group_limits(&record.group).is_some();
+        if is_configured && !record.is_leaving {
+            let share = self.share_of(record);
+            self.pools.warm_up(record, share, WARM_CONNECTIONS);
         }
     }
 
@@ -162,10 +175,16 @@
             .instance(&record.name)
             .is_none_or(|known| known.is_gone);
         self.directory.apply_record(record.clone());
-        let is_configured = self.directory.group_limits(&record.group).is_some();
-        if is_new && is_configured && !record.is_leaving {
-            let share = self.share_of(&record);
-            self.pools.warm_up(&record, share, WARM_CONNECTIONS);
+        if is_new {
+            self.warm_up(&record);
+        }
+    }
+
+    /// Waits until enough is known to serve callers, for `limit` at most.
+    pub async fn await_complete(&self, limit: Duration) {
+        let deadline = clock::now().plus_millis(limit.as_millis() as u64);
+        while !self.directory.is_complete() && clock::now() < deadline {
+            self.directory.completed(deadline).await;
         }
     }
 
