Nodes tell each other the catalog and whether they reach a leader

Cause: a node that starts while the store is out, or that the store drops, knew nothing; a suspicion was confirmed only by a refused connection, a missed heartbeat or 1.2 s of being alone.

--- /dev/null
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -0,0 +1,107 @@
+//! The catalog's documents as they were read, for peers that cannot read them
+//! from the store.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use millwind_wire::exchange::{ExchangeReply, StoredDocument};
+
+use crate::node::Engine;
+
+#[derive(Debug, Default)]
+struct State {
+    config: Option<(u64, StoredDocument)>,
+    instances: BTreeMap<String, StoredDocument>,
+    instances_revision: u64,
+}
+
+/// Documents with the revision of their last change that matters: an
+/// instance's heartbeat alone is none.
+#[derive(Debug, Default)]
+pub struct CatalogCache {
+    state: Mutex<State>,
+}
+
+impl CatalogCache {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps the configuration of `version`.
+    pub fn keep_config(&self, version: u64, value: &[u8]) {
+        let document = StoredDocument {
+            key: String::new(),
+            revision: version,
+            removed: 0,
+            value: value.to_vec(),
+        };
+        self.state().config = Some((version, document));
+    }
+
+    /// Keeps an instance's document, or that it was removed.
+    pub fn keep_instance(&self, key: &str, value: Option<&[u8]>, revision: u64) {
+        let mut state = self.state();
+        let document = StoredDocument {
+            key: key.to_owned(),
+            revision,
+            removed: u8::from(value.is_none()),
+            value: value.unwrap_or_default().to_vec(),
+        };
+        state.instances_revision = state.instances_revision.max(revision);
+        state.instances.insert(key.to_owned(), document);
+    }
+
+    /// Revision of an instance's document; zero if there is none.
+    pub fn instance_revision(&self, key: &str) -> u64 {
+        self.state()
+            .instances
+            .get(key)
+            .map_or(0, |document| document.revision)
+    }
+
+    /// Newest revision of any instance's document.
+    pub fn instances_revision(&self) -> u64 {
+        self.state().instances_revision
+    }
+
+    /// Keys of instances that are not removed.
+    pub fn present_keys(&self) -> Vec<String> {
+        let state = self.state();
+        let present = state.instances.values().filter(|document| document.removed == 0);
+        present.map(|document| document.key.clone()).collect()
+    }
+
+    /// What a peer with these versions lacks.
+    pub fn newer_than(
+        &self,
+        config_version: u64,
+        instances_revision: u64,
+        nodes: u32,
+        engine: &Engine,
+    ) -> ExchangeReply {
+        let state = self.state();
+        let config = state
+            .config
+            .iter()
+            .filter(|(version, _)| *version > config_version)
+            .map(|(_, document)| document.clone())
+            .collect();
+        let instances = state
+            .instances
+            .values()
+            .filter(|document| document.revision > instances_revision)
+            .cloned()
+            .collect();
+        let lacks_nodes = (nodes as usize) < engine.registry.count();
+        ExchangeReply::Catalog {
+            config,
+            instances,
+            nodes: if lacks_nodes {
+                engine.registry.documents()
+            } else {
+                Vec::new()
+            },
+            complete: u8::from(engine.directory.is_complete()),
+        }
+    }
+}
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -3,7 +3,6 @@
 
 use std::sync::Arc;
 
-use log::warn;
 use millwind_store::{Entry, Listing};
 
 use crate::node::Engine;
@@ -28,16 +27,7 @@
             if entry.key != self.codec.config_key() {
                 continue;
             }
-            match self.codec.read_config(&value) {
-                Ok(config) => self.engine.apply_config(config, "store"),
-                Err(error) => {
-                    warn!(
-                        "event=config_refused revision={} error={:?}",
-                        entry.revision,
-                        error.to_string()
-                    );
-                }
-            }
+            self.engine.take_config(&*self.codec, &value, "store");
         }
     }
 }
@@ -71,19 +61,9 @@
     fn apply(&self, entry: &Entry) -> Option<millwind_core::ids::InstanceName> {
         let name = entry.key.strip_prefix(self.codec.instances_prefix())?;
         let name = millwind_core::ids::InstanceName::from(name);
-        let Some(value) = &entry.value else {
-            self.engine.directory.remove_record(&name);
-            return None;
-        };
-        match self.codec.read_instance(&entry.key, value) {
-            Ok(record) => self.engine.apply_record(record),
-            Err(error) => {
-                warn!(
-                    "event=instance_refused instance={name} error={:?}",
-                    error.to_string()
-                );
-            }
-        }
+        self.engine
+            .take_instance(&*self.codec, &entry.key, entry.value.as_deref(), entry.revision);
+        entry.value.as_ref()?;
         Some(name)
     }
 }
@@ -99,7 +79,12 @@
             .iter()
             .filter_map(|entry| self.apply(entry))
             .collect();
-        self.engine.directory.listing_applied(&present);
+        for missing in self.engine.directory.listing_applied(&present) {
+            let key = format!("{}{missing}", self.codec.instances_prefix());
+            self.engine
+                .catalog_cache
+                .keep_instance(&key, None, listing.revision);
+        }
         self.engine.directory.store_heard();
     }
 
--- a/crates/millwind-engine/src/directory.rs
+++ b/crates/millwind-engine/src/directory.rs
@@ -13,6 +13,7 @@
 
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
 use crate::clock;
+use crate::peers::Testimony;
 
 /// Weight of a new sample in the mean latency, as one part in so many.
 const LATENCY_WEIGHT: u64 = 8;
@@ -56,6 +57,8 @@
     pub is_gone: bool,
     /// How it has answered.
     pub contact: Contact,
+    /// What peers said of it, and when.
+    pub testimony: Option<(Instant, Testimony)>,
 }
 
 /// Who is believed to lead a group.
@@ -159,21 +162,24 @@
         config.groups.get(group).copied()
     }
 
-    /// Takes in an instance's record as the store holds it now.
-    pub fn apply_record(&self, record: InstanceRecord) {
+    /// Takes in an instance's record as the store holds it now; true if more
+    /// than its heartbeat changed.
+    pub fn apply_record(&self, record: InstanceRecord) -> bool {
         let now = clock::now();
         let mut state = self.state();
         let previous = state.instances.get(&record.name);
         let claimed_before = previous.is_some_and(|known| known.record.claims_lead && !known.is_gone);
         let leaving_before = previous.and_then(|known| known.leaving_since);
         let is_new = previous.is_none_or(|known| known.is_gone);
-        if is_new || previous.is_some_and(|known| *known.record != record) {
+        let has_changed = is_new || previous.is_some_and(|known| *known.record != record);
+        if has_changed {
             info!(
                 "event=instance_seen instance={} group={} address={} zone={} leaving={} claims_lead={}",
                 record.name, record.group, record.address, record.zone, record.is_leaving, record.claims_lead
             );
         }
         let contact = previous.map_or_else(|| self.new_contact(&record), |known| known.contact);
+        let testimony = previous.and_then(|known| known.testimony);
         let newly_claims = record.claims_lead && !claimed_before;
         let name = record.name.clone();
         let group = record.group.clone();
@@ -188,6 +194,7 @@
             leaving_since,
             is_gone: false,
             contact,
+            testimony,
         };
         state.instances.insert(name.clone(), known);
         if newly_claims {
@@ -195,6 +202,7 @@
         } else if claimed_before {
             demoted_by_record(&mut state, &group, &name);
         }
+        has_changed
     }
 
     /// An instance newly says that it leads: believed unless another one has
@@ -264,6 +272,12 @@
         self.state().store_heard
     }
 
+    /// All instances are known, from a peer.
+    pub fn listing_known(&self) {
+        self.state().has_listing = true;
+        self.completed.notify_waiters();
+    }
+
     /// Forgets instances that have been gone for `bound_ms`.
     pub fn forget_gone(&self, bound_ms: u64) -> Vec<InstanceName> {
         let now = clock::now();
@@ -429,6 +443,20 @@
         }
     }
 
+    /// Peers said this of an instance.
+    pub fn heard_of(&self, instance: &InstanceName, testimony: Testimony) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.testimony = Some((clock::now(), testimony));
+        }
+    }
+
+    /// What peers said of an instance within the last `most_ms`.
+    pub fn testimony(&self, instance: &InstanceName, most_ms: u64) -> Option<Testimony> {
+        let state = self.state();
+        let (heard, testimony) = state.instances.get(instance)?.testimony?;
+        (clock::now().millis_since(heard) <= most_ms).then_some(testimony)
+    }
+
     /// Whether the last contacts with an instance have all failed.
     pub fn is_failing(&self, instance: &InstanceName) -> bool {
         let state = self.state();
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use log::info;
 use millwind_core::Instant;
 use millwind_core::failover::{FailoverTimes, LeaderEvidence, LeaderVerdict, judge_leader};
 use millwind_core::ids::{GroupName, InstanceName};
@@ -15,6 +16,7 @@
 use crate::clock;
 use crate::duty::Duties;
 use crate::node::Engine;
+use crate::peers;
 use crate::ports::Promoter;
 
 /// Between two looks at the groups.
@@ -41,6 +43,7 @@
     busy: Mutex<HashSet<GroupName>>,
     replacing: Mutex<HashSet<GroupName>>,
     taking: Mutex<HashSet<GroupName>>,
+    asking: Mutex<HashSet<GroupName>>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
 }
 
@@ -54,6 +57,7 @@
             busy: Mutex::new(HashSet::new()),
             replacing: Mutex::new(HashSet::new()),
             taking: Mutex::new(HashSet::new()),
+            asking: Mutex::new(HashSet::new()),
             leaderless: Mutex::new(HashMap::new()),
         })
     }
@@ -88,8 +92,10 @@
         let leader = self.engine.directory.leader(group).map(|leader| leader.instance);
         let evidence = self.evidence(group, leader.as_ref());
         let verdict = judge_leader(clock::now(), &evidence, &self.times());
-        let LeaderVerdict::Replace(reason) = verdict else {
-            return;
+        let reason = match verdict {
+            LeaderVerdict::Healthy => return,
+            LeaderVerdict::Suspected => return self.ask_peers(group, leader),
+            LeaderVerdict::Replace(reason) => reason,
         };
         if self.duties.is_ordered_by_other(group) || !enter(&self.replacing, group) {
             return;
@@ -117,6 +123,26 @@
         });
     }
 
+    /// Asks peers about a suspected leader, in the background.
+    fn ask_peers(self: &Arc<Self>, group: &GroupName, leader: Option<InstanceName>) {
+        let Some(leader) = leader else { return };
+        if !enter(&self.asking, group) {
+            return;
+        }
+        let monitor = self.clone();
+        let group = group.clone();
+        tokio::spawn(async move {
+            let testimony = peers::ask_witnesses(&monitor.engine, &leader).await;
+            info!(
+                "event=leader_suspected group={group} instance={leader} peers_reaching={} peers_failing={}",
+                testimony.reaching, testimony.failing
+            );
+            monitor.engine.directory.heard_of(&leader, testimony);
+            leave(&monitor.asking, &group);
+            monitor.engine.wake_monitor();
+        });
+    }
+
     fn times(&self) -> FailoverTimes {
         FailoverTimes {
             suspect_ms: SUSPECT_MS,
@@ -153,6 +179,10 @@
         evidence.failing_since = known.contact.failing_since;
         evidence.is_refusing = known.contact.is_refusing;
         evidence.is_leaving = known.leaving_since.is_some();
+        if let Some(testimony) = directory.testimony(&known.record.name, REPORT_MS) {
+            evidence.peers_reaching = testimony.reaching;
+            evidence.peers_failing = testimony.failing;
+        }
         evidence.heartbeat_age_ms = store_is_recent.then(|| now.millis_since(known.heard));
         evidence
     }
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -199,6 +199,7 @@
             .iter()
             .filter(|known| Some(&known.record.name) != lost)
             .filter(|known| !excluded.contains(&known.record.name))
+            .filter(|known| !known.is_gone)
             .collect();
         let pause = self.pause_command(group, sync_replicas);
         let questions = replicas
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod backend;
 pub mod catalog;
+pub mod catalog_cache;
 pub mod catalog_watch;
 pub mod clock;
 pub mod directory;
@@ -18,6 +19,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 pub mod ports;
 pub mod readiness;
 pub mod registry;
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -7,6 +7,7 @@
 
 use log::{info, warn};
 use millwind_core::Instant;
+use millwind_core::ids::InstanceName;
 use millwind_core::retry::RetryBudget;
 use millwind_store::Store;
 use thiserror::Error;
@@ -15,12 +16,14 @@
 
 use crate::backend::{Pool, Pools};
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
+use crate::catalog_cache::CatalogCache;
 use crate::catalog_watch::{ConfigFollower, InstanceFollower};
 use crate::directory::{Directory, Known};
 use crate::duty::Duties;
 use crate::failover::Monitor;
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
+use crate::peers::{self, Exchange, PeerClient};
 use crate::ports::{BackEndCodec, CallerCodec, CatalogCodec, Promoter};
 use crate::registry::{NodeRecord, OwnKeys, Registry};
 use crate::settings::{EngineSettings, SettingsError};
@@ -72,6 +75,10 @@
     pub phase: watch::Sender<Phase>,
     /// The other nodes.
     pub registry: Arc<Registry>,
+    /// Connections to the other nodes.
+    pub peers: PeerClient,
+    /// Documents for peers that cannot read the store.
+    pub catalog_cache: CatalogCache,
     pools: Pools,
     monitor_wake: Notify,
     sessions: AtomicUsize,
@@ -168,16 +175,73 @@
         }
     }
 
-    /// Takes in an instance's record.
-    pub fn apply_record(&self, record: InstanceRecord) {
+    /// Takes in a configuration's document.
+    pub fn take_config(&self, codec: &dyn CatalogCodec, value: &[u8], source: &str) {
+        match codec.read_config(value) {
+            Ok(config) => {
+                let version = config.version;
+                if version > self.config_version() {
+                    self.catalog_cache.keep_config(version, value);
+                    self.apply_config(config, source);
+                }
+            }
+            Err(error) => warn!(
+                "event=config_refused source={source} error={:?}",
+                error.to_string()
+            ),
+        }
+    }
+
+    /// Takes in an instance's document of `revision`, or that it was removed,
+    /// unless a newer one is known.
+    pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
+        if revision < self.catalog_cache.instance_revision(key) {
+            return;
+        }
+        let Some(value) = value else {
+            let name = key.strip_prefix(codec.instances_prefix()).unwrap_or(key);
+            if self.directory.remove_record(&InstanceName::from(name)) {
+                self.catalog_cache.keep_instance(key, None, revision);
+            }
+            return;
+        };
+        match codec.read_instance(key, value) {
+            Ok(record) => {
+                if self.apply_record(record) {
+                    self.catalog_cache.keep_instance(key, Some(value), revision);
+                }
+            }
+            Err(error) => warn!("event=instance_refused key={key} error={:?}", error.to_string()),
+        }
+    }
+
+    /// Takes in an instance's record; true if more than its heartbeat changed.
+    fn apply_record(&self, record: InstanceRecord) -> bool {
         let is_new = self
             .directory
             .instance(&record.name)
             .is_none_or(|known| known.is_gone);
-        self.directory.apply_record(record.clone());
+        let has_changed = self.directory.apply_record(record.clone());
         if is_new {
             self.warm_up(&record);
         }
+        has_changed
+    }
+
+    /// Addresses of the other nodes, or of seeds while none is known.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let own = self.settings.peer_address;
+        let known = self
+            .registry
+            .peers()
+            .into_iter()
+            .map(|(_, record)| record.peer_address);
+        let peers: Vec<_> = known.filter(|address| *address != own).collect();
+        if !peers.is_empty() {
+            return peers;
+        }
+        let seeds = self.settings.seeds.iter().copied();
+        seeds.filter(|address| *address != own).collect()
     }
 
     /// Waits until enough is known to serve callers, for `limit` at most.
@@ -279,6 +343,7 @@
         settings.check()?;
         let clients = listen("client_address", settings.client_address).await?;
         let probes = listen("ready_address", settings.ready_address).await?;
+        let peers = listen("peer_address", settings.peer_address).await?;
         let metrics = listen("metrics_address", settings.metrics_address).await?;
         let engine = new_engine(settings, &ports);
         info!(
@@ -288,7 +353,10 @@
             engine.settings.client_address,
             engine.settings.peer_address
         );
+        let exchange = Exchange::new(engine.clone(), ports.catalog_codec.clone());
         start_store_watches(&engine, ports);
+        tokio::spawn(exchange.run());
+        tokio::spawn(peers::serve(peers, engine.clone()));
         tokio::spawn(readiness::serve_probes(probes, engine.clone()));
         tokio::spawn(readiness::serve_metrics(metrics, engine.clone()));
         tokio::spawn(listener::serve(clients, engine.clone()));
@@ -326,6 +394,8 @@
         retry_budget: SharedBudget(Mutex::new(RetryBudget::new(HEDGE_PERCENT, HEDGE_CEILING))),
         phase: watch::Sender::new(Phase::Running),
         registry: Arc::new(Registry::new(nodes_prefix, settings.name.clone())),
+        peers: PeerClient::default(),
+        catalog_cache: CatalogCache::default(),
         pools: Pools::new(ports.backend_codec.clone()),
         monitor_wake: Notify::new(),
         sessions: AtomicUsize::new(0),
--- /dev/null
+++ b/crates/millwind-engine/src/peers/mod.rs
@@ -0,0 +1,26 @@
+//! What nodes tell each other: the catalog where the store is not heard,
+//! whether a leader is reached, and a path to an instance around a cut.
+
+mod client;
+mod exchange;
+mod server;
+
+use std::time::Duration;
+
+use tokio_util::codec::LengthDelimitedCodec;
+
+pub use client::PeerClient;
+pub(crate) use exchange::ask_witnesses;
+pub use exchange::{Exchange, Testimony};
+pub use server::serve;
+
+/// Longest message in bytes.
+const MESSAGE_LIMIT: usize = 64 * 1024 * 1024;
+/// A peer answers within this time.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+fn frames() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MESSAGE_LIMIT)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -0,0 +1,122 @@
+//! Answers other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use log::{debug, warn};
+use millwind_core::ids::InstanceName;
+use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, Reach, decode_exchange, encode_exchange};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Framed;
+
+use super::{ANSWER_LIMIT, frames};
+use crate::clock;
+use crate::node::Engine;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// An instance that answered within this time is reached, in milliseconds.
+const REACHED_MS: u64 = 700;
+
+/// Answers peers for the life of the process.
+pub async fn serve(listener: TcpListener, engine: Arc<Engine>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(serve_link(stream, engine.clone()));
+            }
+            Err(error) => {
+                warn!("event=peer_accept_failed error={:?}", error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, engine: Arc<Engine>) {
+    let mut link = Framed::new(stream, frames());
+    while let Some(Ok(message)) = link.next().await {
+        let Ok(request) = decode_exchange::<ExchangeRequest>(&message) else {
+            debug!("event=peer_message_refused bytes={}", message.len());
+            return;
+        };
+        if let ExchangeRequest::Relay { instance } = &request {
+            let instance = InstanceName::from(instance.as_str());
+            return relay(link, &engine, &instance).await;
+        }
+        let reply = answer(&engine, &request);
+        let Ok(bytes) = encode_exchange(&reply) else {
+            return;
+        };
+        if link.send(Bytes::from(bytes)).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(engine: &Engine, request: &ExchangeRequest) -> ExchangeReply {
+    match request {
+        ExchangeRequest::Catalog {
+            config_version,
+            instances_revision,
+            nodes,
+        } => engine
+            .catalog_cache
+            .newer_than(*config_version, *instances_revision, *nodes, engine),
+        ExchangeRequest::Reach { instance } => {
+            ExchangeReply::Reach(reach(engine, &InstanceName::from(instance.as_str())))
+        }
+        ExchangeRequest::Relay { .. } => ExchangeReply::Relay { open: 0 },
+    }
+}
+
+fn reach(engine: &Engine, instance: &InstanceName) -> Reach {
+    let Some(known) = engine.directory.instance(instance) else {
+        return Reach::Unknown;
+    };
+    if known.contact.failing_since.is_some() {
+        return Reach::Failing;
+    }
+    let is_recent = known
+        .contact
+        .last_success
+        .is_some_and(|success| clock::now().millis_since(success) < REACHED_MS);
+    if is_recent { Reach::Reached } else { Reach::Unknown }
+}
+
+/// Joins a peer's connection with one to the instance.
+async fn relay(
+    mut link: Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
+    engine: &Engine,
+    instance: &InstanceName,
+) {
+    let target = match engine.directory.instance(instance) {
+        Some(known) if !known.is_gone => connect(known.record.address).await,
+        _ => None,
+    };
+    let reply = ExchangeReply::Relay {
+        open: u8::from(target.is_some()),
+    };
+    let Ok(bytes) = encode_exchange(&reply) else {
+        return;
+    };
+    if link.send(Bytes::from(bytes)).await.is_err() {
+        return;
+    }
+    if let Some(mut target) = target {
+        let mut stream = link.into_inner();
+        engine.metrics.relayed.inc();
+        // Ends when either side closes.
+        let _ = tokio::io::copy_bidirectional(&mut stream, &mut target).await;
+    }
+}
+
+async fn connect(address: std::net::SocketAddr) -> Option<TcpStream> {
+    let connecting = tokio::time::timeout(ANSWER_LIMIT / 2, TcpStream::connect(address));
+    let stream = connecting.await.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    Some(stream)
+}
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -7,6 +7,7 @@
 
 use log::{info, warn};
 use millwind_store::{Condition, Entry, Listing, Store, Swap, Write};
+use millwind_wire::exchange::StoredDocument;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -70,6 +71,32 @@
             .count()
     }
 
+    /// All records as documents, for a peer.
+    pub fn documents(&self) -> Vec<StoredDocument> {
+        let nodes = self.nodes();
+        let document = |(name, (record, revision)): (&String, &(NodeRecord, u64))| StoredDocument {
+            key: name.clone(),
+            revision: *revision,
+            removed: 0,
+            value: serde_json::to_vec(record).unwrap_or_default(),
+        };
+        nodes.iter().map(document).collect()
+    }
+
+    /// Takes in records that a peer told of.
+    pub fn learn(&self, documents: &[StoredDocument]) {
+        let mut nodes = self.nodes();
+        for document in documents {
+            let held = nodes.get(&document.key).map_or(0, |(_, revision)| *revision);
+            if document.revision <= held {
+                continue;
+            }
+            if let Ok(record) = serde_json::from_slice(&document.value) {
+                nodes.insert(document.key.clone(), (record, document.revision));
+            }
+        }
+    }
+
     /// Writes this node's record, trying until the store has taken it.
     pub async fn register<S: Store>(&self, store: &S, record: NodeRecord) {
         let key = format!("{}{}", self.prefix, self.node);
--- /dev/null
+++ b/crates/millwind-wire/src/exchange.rs
@@ -0,0 +1,136 @@
+//! What engine nodes ask each other: the catalog when the store is not heard,
+//! whether a leader is reached, and a path to an instance.
+
+use std::io::Cursor;
+
+use binrw::{BinRead, BinWrite, binrw};
+
+use crate::text;
+
+/// Version of this protocol; the first byte of every message.
+pub const EXCHANGE_VERSION: u8 = 1;
+
+/// One document of the store.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredDocument {
+    /// Its key.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub key: String,
+    /// Store revision of its last change that matters.
+    pub revision: u64,
+    /// One if it was removed; its value is then empty.
+    pub removed: u8,
+    /// Its value.
+    #[br(parse_with = text::read_bytes)]
+    #[bw(write_with = text::write_bytes)]
+    pub value: Vec<u8>,
+}
+
+/// A question of one node to another.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ExchangeRequest {
+    /// Everything newer than what the asking node has.
+    #[brw(magic = 1u8)]
+    Catalog {
+        /// Version of its configuration, zero for none.
+        config_version: u64,
+        /// Store revision up to which it knows the instances, zero for none.
+        instances_revision: u64,
+        /// Nodes it knows.
+        nodes: u32,
+    },
+    /// Whether the node reaches an instance.
+    #[brw(magic = 2u8)]
+    Reach {
+        /// The instance.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        instance: String,
+    },
+    /// A path to an instance: after the answer the connection carries the
+    /// instance's bytes.
+    #[brw(magic = 3u8)]
+    Relay {
+        /// The instance.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        instance: String,
+    },
+}
+
+/// Whether a node reaches an instance.
+#[binrw]
+#[brw(big, repr = u8)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It answered a moment ago.
+    Reached = 1,
+    /// It does not answer.
+    Failing = 2,
+    /// It was not asked lately.
+    Unknown = 3,
+}
+
+/// The answer to a question.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ExchangeReply {
+    /// Documents newer than what was asked for.
+    #[brw(magic = 1u8)]
+    Catalog {
+        /// The configuration, if it is newer: at most one document.
+        #[br(parse_with = text::read_list)]
+        #[bw(write_with = text::write_list)]
+        config: Vec<StoredDocument>,
+        /// Instances that changed since.
+        #[br(parse_with = text::read_list)]
+        #[bw(write_with = text::write_list)]
+        instances: Vec<StoredDocument>,
+        /// Nodes, if the asking node knows fewer.
+        #[br(parse_with = text::read_list)]
+        #[bw(write_with = text::write_list)]
+        nodes: Vec<StoredDocument>,
+        /// One if the answering node knows all instances.
+        complete: u8,
+    },
+    /// Whether the instance is reached.
+    #[brw(magic = 2u8)]
+    Reach(Reach),
+    /// Whether the path is open.
+    #[brw(magic = 3u8)]
+    Relay {
+        /// One if the instance's connection is open.
+        open: u8,
+    },
+}
+
+/// Writes a message with its version.
+pub fn encode_exchange<T>(message: &T) -> Result<Vec<u8>, binrw::Error>
+where
+    T: for<'a> BinWrite<Args<'a> = ()>,
+{
+    let mut output = Cursor::new(vec![EXCHANGE_VERSION]);
+    output.set_position(1);
+    message.write_be(&mut output)?;
+    Ok(output.into_inner())
+}
+
+/// Reads a message with its version.
+pub fn decode_exchange<T>(bytes: &[u8]) -> Result<T, binrw::Error>
+where
+    T: for<'a> BinRead<Args<'a> = ()>,
+{
+    let Some((&EXCHANGE_VERSION, body)) = bytes.split_first() else {
+        return Err(binrw::Error::AssertFail {
+            pos: 0,
+            message: "unknown protocol version".to_owned(),
+        });
+    };
+    T::read_be(&mut Cursor::new(body))
+}
--- a/crates/millwind-wire/src/lib.rs
+++ b/crates/millwind-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! damaged or hostile frame costs an error and no memory.
 
 pub mod control;
+pub mod exchange;
 pub mod request;
 mod text;
 
