Close resting connections to instances

Cause: after a power loss of all nodes the instances still counted their connections for 3 s; the log showed 'no connection became free in time' for 76 statements. Ruled out: the restart itself (nodes served 0.1 s after starting).

--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -53,6 +53,11 @@
     Open(Permit),
 }
 
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
 struct Waiter {
     priority: u8,
     grant: oneshot::Sender<Grant>,
@@ -60,7 +65,8 @@
 
 #[derive(Default)]
 struct PoolState {
-    idle: Vec<Connection>,
+    /// Least recently used first.
+    idle: Vec<Idle>,
     open: usize,
     share: usize,
     waiters: VecDeque<Waiter>,
@@ -129,6 +135,21 @@
         drop(waiters);
     }
 
+    /// Closes connections that have not been used for `rest_ms`, but for the
+    /// last `keep`: what one node does not need is there for others, also
+    /// while an instance still counts those of a node that lost its power.
+    pub fn trim(&self, rest_ms: u64, keep: usize) {
+        let now = clock::now();
+        let resting = {
+            let mut state = self.state();
+            let spare = state.idle.len().saturating_sub(keep);
+            let is_resting = |idle: &&Idle| now.millis_since(idle.since) > rest_ms;
+            let count = state.idle.iter().take(spare).take_while(is_resting).count();
+            state.idle.drain(..count).collect::<Vec<_>>()
+        };
+        drop(resting);
+    }
+
     /// Open connections, and statements waiting for one.
     pub fn load(&self) -> (usize, usize) {
         let state = self.state();
@@ -197,10 +218,10 @@
                     .iter()
                     .enumerate()
                     .rev()
-                    .min_by_key(|(_, connection)| connection.steps_to(session, needed))
+                    .min_by_key(|(_, idle)| idle.connection.steps_to(session, needed))
                     .map(|(index, _)| index);
                 let Some(index) = best else { break None };
-                let connection = state.idle.remove(index);
+                let connection = state.idle.remove(index).connection;
                 if connection.is_alive() {
                     break Some(connection);
                 }
@@ -272,7 +293,10 @@
                     Some(waiter)
                 } else {
                     if let Grant::Idle(connection) = grant {
-                        state.idle.push(*connection);
+                        state.idle.push(Idle {
+                            connection: *connection,
+                            since: clock::now(),
+                        });
                     }
                     return;
                 }
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -12,6 +12,11 @@
 
 /// Between two connections that are opened ahead of need.
 const OPEN_PACE: Duration = Duration::from_millis(20);
+/// A connection that has not been used for this time is closed, in
+/// milliseconds.
+const REST_MS: u64 = 2_000;
+/// Idle connections kept to each instance in any case.
+const KEPT_IDLE: usize = 1;
 
 /// Pools by instance.
 pub struct Pools {
@@ -54,13 +59,21 @@
         pool
     }
 
+    fn all(&self) -> Vec<Arc<Pool>> {
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.values().cloned().collect()
+    }
+
+    /// Closes connections that nobody needs.
+    pub fn trim(&self) {
+        for pool in self.all() {
+            pool.trim(REST_MS, KEPT_IDLE);
+        }
+    }
+
     /// Gives all pools their share of the instances' connections.
     pub fn set_shares(&self, share_of: impl Fn(&InstanceRecord) -> usize) {
-        let pools: Vec<_> = {
-            let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-            pools.values().cloned().collect()
-        };
-        for pool in pools {
+        for pool in self.all() {
             pool.set_share(share_of(pool.record()));
         }
     }
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -436,6 +436,7 @@
     let mut nodes = 0;
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
+        engine.pools.trim();
         for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
         }
