Positions that a promotion rolled back bind nobody; fewer calls to the store

Cause: after a promotion the new leader's log still ends in the old term until its first write, so observations of the old leader with higher positions stayed in use (log: leader_proved term=1 position=173 by the new leader) and reads at them met LAGGING. Change: an observation drops earlier ones of a higher position; a session's own commit that a later leader lacks no longer binds.

--- a/crates/millwind-core/src/leader_observation.rs
+++ b/crates/millwind-core/src/leader_observation.rs
@@ -38,7 +38,9 @@
     /// Records what the leader answered to a question sent at `asked`.
     ///
     /// Observations of older terms are dropped, since a position of a later
-    /// term covers everything of an earlier one that survived.
+    /// term covers everything of an earlier one that survived. So are earlier
+    /// observations of a higher position: what a later leader lacks has been
+    /// rolled back for everyone.
     pub fn record(&mut self, asked: Instant, position: Position) {
         if position.term < self.newest_term {
             return;
@@ -48,35 +50,24 @@
             self.newest_term = position.term;
         }
         self.expire(asked);
-        if self
-            .entries
-            .back()
-            .is_some_and(|last| asked < last.asked.plus_millis(RESOLUTION_MS) && self.entries.len() > 1)
-        {
-            // Between two kept entries nothing is lost: the newest moves on.
-            self.replace_newest(asked, position);
-            return;
-        }
+        self.entries
+            .retain(|entry| entry.asked > asked || entry.position <= position);
+        self.thin_out(asked);
         let index = self.entries.partition_point(|entry| entry.asked <= asked);
         self.entries.insert(index, LeaderObservation { asked, position });
     }
 
-    fn replace_newest(&mut self, asked: Instant, position: Position) {
-        let previous = self
-            .entries
-            .len()
-            .checked_sub(2)
-            .map(|index| self.entries[index].asked);
-        let keeps_spacing = previous.is_some_and(|previous| asked < previous.plus_millis(RESOLUTION_MS));
-        if let Some(last) = self.entries.back_mut()
-            && asked >= last.asked
-            && keeps_spacing
-        {
-            *last = LeaderObservation { asked, position };
+    /// Drops the newest entry if it lies close to the one before it and to
+    /// `asked`: the ones around it serve as well.
+    fn thin_out(&mut self, asked: Instant) {
+        let count = self.entries.len();
+        if count < 2 {
             return;
         }
-        let index = self.entries.partition_point(|entry| entry.asked <= asked);
-        self.entries.insert(index, LeaderObservation { asked, position });
+        let (before, last) = (self.entries[count - 2].asked, self.entries[count - 1].asked);
+        if last <= asked && asked < before.plus_millis(RESOLUTION_MS) {
+            self.entries.pop_back();
+        }
     }
 
     fn expire(&mut self, now: Instant) {
@@ -101,13 +92,22 @@
         self.entries.back().copied()
     }
 
-    /// The least position that covers `written`, a commit of some session: the
-    /// position itself, or any of a later term, in which the commit either
-    /// survived or was rolled back for everyone.
-    pub fn covering(&self, written: Position) -> Position {
-        match self.entries.front() {
-            Some(entry) if entry.position.term > written.term => entry.position,
-            _ => written,
-        }
+    /// The least position that covers `written`, a commit of some session that
+    /// was acknowledged before `acknowledged`: the position itself, or that of
+    /// a later leader in which the commit either survived or was rolled back
+    /// for everyone.
+    pub fn covering(&self, written: Position, acknowledged: Instant) -> Position {
+        let later = self
+            .entries
+            .iter()
+            .find(|entry| is_later_history(entry, written, acknowledged));
+        later.map_or(written, |entry| entry.position)
     }
 }
+
+/// Whether the leader of `entry` must hold `written` unless it was rolled back,
+/// and its position alone does not say which.
+fn is_later_history(entry: &LeaderObservation, written: Position, acknowledged: Instant) -> bool {
+    let lacks_it = entry.asked >= acknowledged && entry.position < written;
+    entry.position.term > written.term || lacks_it
+}
--- a/crates/millwind-engine/src/directory.rs
+++ b/crates/millwind-engine/src/directory.rs
@@ -70,6 +70,15 @@
     pub term: Option<Term>,
 }
 
+/// The last commit of a session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Written {
+    /// Its position.
+    pub position: Position,
+    /// A time after it was acknowledged.
+    pub acknowledged: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Group {
     leader: Option<Leader>,
@@ -413,13 +422,13 @@
         group: &GroupName,
         arrived: Instant,
         staleness_ms: u64,
-        written: Option<Position>,
+        written: Option<Written>,
     ) -> Option<Position> {
         let not_before = clock::minus_millis(arrived, staleness_ms);
         let state = self.state();
         let observations = &state.groups.get(group)?.observations;
         let floor = observations.floor(not_before)?;
-        let own = written.map(|position| observations.covering(position));
+        let own = written.map(|written| observations.covering(written.position, written.acknowledged));
         Some(own.map_or(floor, |own| own.max(floor)))
     }
 
@@ -429,7 +438,7 @@
         group: &GroupName,
         arrived: Instant,
         staleness_ms: u64,
-        written: Option<Position>,
+        written: Option<Written>,
         deadline: Instant,
     ) -> Option<Position> {
         loop {
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -34,7 +34,7 @@
 /// Saved hedged reads at most.
 const HEDGE_CEILING: u32 = 20;
 /// Between two batches of changes of instances' records.
-const INSTANCES_PACE: Duration = Duration::from_millis(400);
+const INSTANCES_PACE: Duration = Duration::from_millis(1_000);
 /// Between two looks at instances that are gone, and at the shares.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 /// Share of the grace period after which open transactions are ended.
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -22,6 +22,7 @@
 use crate::answer::{Answer, Failure, Refusal, Success};
 use crate::catalog::EngineTenant;
 use crate::clock;
+use crate::directory::Written;
 use crate::node::{Engine, Phase};
 use crate::statement::{CallerMessage, Command, Request, Statement, TransactionState};
 use transaction::OpenTransaction;
@@ -41,7 +42,7 @@
     tenant: TenantName,
     state: Arc<SessionState>,
     /// The session's last commit, with the group that holds it.
-    written: Option<(GroupName, Position)>,
+    written: Option<(GroupName, Written)>,
     transaction: Option<OpenTransaction>,
 }
 
@@ -316,16 +317,20 @@
     }
 
     /// The session's last commit in this group.
-    fn written_in(&self, group: &GroupName) -> Option<Position> {
+    fn written_in(&self, group: &GroupName) -> Option<Written> {
         self.written
             .as_ref()
             .filter(|(held, _)| held == group)
-            .map(|(_, position)| *position)
+            .map(|(_, written)| *written)
     }
 
     fn note_written(&mut self, group: &GroupName, position: Option<Position>) {
         if let Some(position) = position {
-            self.written = Some((group.clone(), position));
+            let written = Written {
+                position,
+                acknowledged: clock::now(),
+            };
+            self.written = Some((group.clone(), written));
         }
     }
 }
