--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -73,7 +73,7 @@
                 continue;
             };
             for group in config.groups.keys() {
-                if enter(&self.busy, group) {
+                if self.engine.watches(group) && enter(&self.busy, group) {
                     let monitor = self.clone();
                     let group = group.clone();
                     tokio::spawn(async move {
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -7,7 +7,7 @@
 
 use log::{info, warn};
 use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
+use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::retry::RetryBudget;
 use millwind_store::Store;
 use thiserror::Error;
@@ -45,6 +45,12 @@
 const PROBES_NOTICE: Duration = Duration::from_millis(2_200);
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
+/// Connections to an instance per node from which on none is scarce.
+const AMPLE_SHARE: usize = 2;
+/// Nodes that watch a group whether they use it or not.
+const WATCHERS: usize = 3;
+/// A group counts as used for this time, in milliseconds.
+const USED_MS: u64 = 10_000;
 /// Connections opened ahead of need to a new instance.
 const WARM_CONNECTIONS: usize = 1;
 
@@ -169,8 +175,8 @@
     /// Opens connections to an instance of a configured group ahead of need.
     fn warm_up(&self, record: &InstanceRecord) {
         let is_configured = self.directory.group_limits(&record.group).is_some();
-        if is_configured && !record.is_leaving {
-            let share = self.share_of(record);
+        let share = self.share_of(record);
+        if is_configured && !record.is_leaving && share >= AMPLE_SHARE {
             self.pools.warm_up(record, share, WARM_CONNECTIONS);
         }
     }
@@ -244,6 +250,27 @@
         seeds.filter(|address| *address != own).collect()
     }
 
+    /// Whether this node keeps an eye on a group: one that it uses, one that it
+    /// is among the first to replace the leader of, and every group while
+    /// connections are plenty. With many nodes before many groups each group
+    /// is watched by a few.
+    pub fn watches(&self, group: &GroupName) -> bool {
+        let connections = self
+            .directory
+            .group_limits(group)
+            .map_or(0, |limits| limits.connections);
+        if connections as usize / self.registry.count() > AMPLE_SHARE {
+            return true;
+        }
+        let (last_use, _) = self.directory.usage(group);
+        if last_use.is_some_and(|used| clock::now().millis_since(used) < USED_MS) {
+            return true;
+        }
+        let peers = self.registry.peers();
+        let names = peers.iter().map(|(name, _)| name.as_str());
+        self.registry.rank(group.as_str(), names) < WATCHERS
+    }
+
     /// Waits until enough is known to serve callers, for `limit` at most.
     pub async fn await_complete(&self, limit: Duration) {
         let deadline = clock::now().plus_millis(limit.as_millis() as u64);
