--- /dev/null
+++ b/crates/millwind-core/tests/session_state.rs
@@ -0,0 +1,60 @@
+//! Shared connections are brought to a session's state, and never keep
+//! another's.
+
+use std::collections::BTreeMap;
+
+use millwind_core::session_state::{
+    Access, ConnectionState, PreparationStep, PreparedStatement, SessionState,
+};
+use proptest::prelude::*;
+
+fn statement(shape: &str) -> PreparedStatement {
+    PreparedStatement {
+        access: Access::Read,
+        shape: shape.to_owned(),
+    }
+}
+
+#[test]
+fn names_come_from_the_meaning() {
+    let read = statement("q1");
+    let write = PreparedStatement {
+        access: Access::Write,
+        ..read.clone()
+    };
+    assert_eq!(read.shared_name(), statement("q1").shared_name());
+    assert_ne!(read.shared_name(), write.shared_name());
+}
+
+#[test]
+fn a_connection_in_the_right_state_needs_no_step() {
+    let mut connection = ConnectionState::default();
+    let session = SessionState::default();
+    let needed = statement("q1");
+    let steps = connection.steps_to(&session, Some(&needed));
+    assert_eq!(steps, [PreparationStep::Prepare(needed.clone())]);
+    connection.apply(&steps[0]);
+    assert!(connection.steps_to(&session, Some(&needed)).is_empty());
+}
+
+fn values() -> impl Strategy<Value = BTreeMap<String, String>> {
+    proptest::collection::btree_map("[a-c]", "[0-2]", 0..4)
+}
+
+proptest! {
+    #[test]
+    fn after_its_steps_a_connection_holds_exactly_the_sessions_values(
+        sessions in proptest::collection::vec((values(), "[x-z]"), 1..12),
+    ) {
+        let mut connection = ConnectionState::default();
+        for (values, shape) in sessions {
+            let session = SessionState { values, ..SessionState::default() };
+            let needed = statement(&shape);
+            for step in connection.steps_to(&session, Some(&needed)) {
+                connection.apply(&step);
+            }
+            prop_assert_eq!(&connection.values, &session.values);
+            prop_assert!(connection.prepared.contains(&needed));
+        }
+    }
+}
