Records that the store lost count as leaving only after a grace

Change: a record that goes without an announcement counts as leaving after two heartbeats, a third of the drain bound at most.

--- a/crates/millwind-engine/src/directory.rs
+++ b/crates/millwind-engine/src/directory.rs
@@ -55,6 +55,9 @@
     pub leaving_since: Option<Instant>,
     /// Its record is gone from the store.
     pub is_gone: bool,
+    /// It gets no new work: it announced its end, or its record has been gone
+    /// for longer than one that merely missed its heartbeats.
+    pub is_leaving: bool,
     /// How it has answered.
     pub contact: Contact,
     /// What peers said of it, and when.
@@ -102,6 +105,7 @@
 #[derive(Debug)]
 pub struct Directory {
     zone: String,
+    gone_grace_ms: u64,
     state: Mutex<State>,
     leaders_changed: Notify,
     observed: Notify,
@@ -110,9 +114,14 @@
 
 impl Directory {
     /// Nothing is known yet.
-    pub fn new(zone: &str) -> Self {
+    ///
+    /// A record that goes without an announcement counts as leaving after
+    /// `gone_grace_ms`: a store that was out takes records back that are
+    /// written again with the next heartbeat.
+    pub fn new(zone: &str, gone_grace_ms: u64) -> Self {
         Directory {
             zone: zone.to_owned(),
+            gone_grace_ms,
             state: Mutex::new(State::default()),
             leaders_changed: Notify::new(),
             observed: Notify::new(),
@@ -202,6 +211,7 @@
             heard: now,
             leaving_since,
             is_gone: false,
+            is_leaving: false,
             contact,
             testimony,
         };
@@ -310,7 +320,17 @@
 
     /// An instance with what is known of it.
     pub fn instance(&self, instance: &InstanceName) -> Option<Known> {
-        self.state().instances.get(instance).cloned()
+        let state = self.state();
+        state.instances.get(instance).map(|known| self.as_of_now(known))
+    }
+
+    fn as_of_now(&self, known: &Known) -> Known {
+        let is_announced = known.record.is_leaving;
+        let is_over = |since: Instant| clock::now().millis_since(since) >= self.gone_grace_ms;
+        Known {
+            is_leaving: is_announced || (known.is_gone && known.leaving_since.is_some_and(is_over)),
+            ..known.clone()
+        }
     }
 
     /// The instances of a group.
@@ -320,13 +340,18 @@
             .instances
             .values()
             .filter(|known| known.record.group == *group)
-            .cloned()
+            .map(|known| self.as_of_now(known))
             .collect()
     }
 
     /// All instances.
     pub fn instances(&self) -> Vec<Known> {
-        self.state().instances.values().cloned().collect()
+        let state = self.state();
+        state
+            .instances
+            .values()
+            .map(|known| self.as_of_now(known))
+            .collect()
     }
 
     /// Who is believed to lead a group.
--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -67,7 +67,7 @@
     let known = engine.directory.instances_of(group);
     let questions = known
         .iter()
-        .filter(|known| !known.is_gone)
+        .filter(|known| !(known.is_gone && known.is_leaving))
         .map(|known| ask(engine, &known.record));
     join_all(questions).await;
 }
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -160,7 +160,7 @@
             .instances_of(group)
             .iter()
             .filter(|known| Some(&known.record.name) != leader)
-            .filter(|known| !known.is_gone && !known.record.is_leaving)
+            .filter(|known| !known.is_gone && !known.is_leaving)
             .filter(|known| known.contact.failing_since.is_none())
             .count();
         let known = leader.and_then(|leader| directory.instance(leader));
@@ -178,7 +178,7 @@
             .is_some_and(|heard| now.millis_since(heard) < STORE_RECENT_MS);
         evidence.failing_since = known.contact.failing_since;
         evidence.is_refusing = known.contact.is_refusing;
-        evidence.is_leaving = known.leaving_since.is_some();
+        evidence.is_leaving = known.is_leaving;
         if let Some(testimony) = directory.testimony(&known.record.name, REPORT_MS) {
             evidence.peers_reaching = testimony.reaching;
             evidence.peers_failing = testimony.failing;
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -113,7 +113,7 @@
         }
         directory
             .instance(&leader.instance)
-            .is_some_and(|known| known.contact.failing_since.is_none() && known.leaving_since.is_none())
+            .is_some_and(|known| known.contact.failing_since.is_none() && !known.is_leaving)
     }
 
     async fn order(
@@ -213,7 +213,7 @@
             .map(|(known, status)| Successor {
                 instance: known.record.name.clone(),
                 received: status.received,
-                is_leaving: known.leaving_since.is_some(),
+                is_leaving: known.is_leaving,
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
             .collect();
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -411,10 +411,16 @@
     }
 }
 
+/// Two missed heartbeats, but a third of the time in which an instance that
+/// left must get nothing new at most.
+fn gone_grace_ms(settings: &EngineSettings) -> u64 {
+    (settings.heartbeat_ms * 2).min(settings.drain_bound_ms / 3)
+}
+
 fn new_engine<S: Store + 'static>(settings: EngineSettings, ports: &Ports<S>) -> Arc<Engine> {
     let nodes_prefix = format!("{}nodes/", ports.catalog_codec.own_prefix());
     Arc::new(Engine {
-        directory: Arc::new(Directory::new(&settings.zone)),
+        directory: Arc::new(Directory::new(&settings.zone, gone_grace_ms(&settings))),
         caller_codec: ports.caller_codec.clone(),
         metrics: Metrics::default(),
         request_log: RequestLog::default(),
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -94,7 +94,7 @@
     instance: &InstanceName,
 ) {
     let target = match engine.directory.instance(instance) {
-        Some(known) if !known.is_gone => connect(known.record.address).await,
+        Some(known) if !known.is_leaving => connect(known.record.address).await,
         _ => None,
     };
     let reply = ExchangeReply::Relay {
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -287,10 +287,8 @@
             Statement::Prepare { name, statement } => {
                 state.prepared.insert(name, statement);
             }
-            Statement::Deallocate { name } => {
-                if state.prepared.remove(&name).is_none() {
-                    return Err(Refusal::new(ErrorKind::Unsupported, "no such prepared statement").into());
-                }
+            Statement::Deallocate { name } if state.prepared.remove(&name).is_none() => {
+                return Err(Refusal::new(ErrorKind::Unsupported, "no such prepared statement").into());
             }
             _ => {}
         }
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -149,7 +149,7 @@
                 .as_ref()
                 .is_some_and(|leader| leader.instance == known.record.name),
             is_avoided: known.contact.avoid_until > now || known.contact.failing_since.is_some(),
-            is_leaving: known.leaving_since.is_some(),
+            is_leaving: known.is_leaving,
         })
         .collect();
     let find = |name: InstanceName| {
