Judge a leader before searching for another

Change: the search runs beside the judgement; a peer's question makes a node check at once; a check's limit follows its measured time; a connection closed while opening (an instance over its limit) is no evidence of a crash; a group whose leader was never seen is given 4 s more.

--- a/crates/millwind-engine/src/backend/connection.rs
+++ b/crates/millwind-engine/src/backend/connection.rs
@@ -81,7 +81,7 @@
         let reply = match self.finish_exchange(deadline).await {
             Ok(reply) => reply,
             Err(LinkError::Silent) => return Err(LinkError::ConnectTimeout),
-            Err(_) => return Err(LinkError::Refused),
+            Err(_) => return Err(LinkError::TurnedAway),
         };
         match reply.result {
             Ok(_) => Ok(()),
--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -14,6 +14,10 @@
     /// The connection did not open in time.
     #[error("connection did not open in time")]
     ConnectTimeout,
+    /// The instance closed the connection instead of opening its session, as
+    /// one does that has too many.
+    #[error("connection was closed while opening")]
+    TurnedAway,
     /// The instance refused the opening of the session.
     #[error("startup refused: {} {}", .0.code, .0.text)]
     StartupRefused(BackEndError),
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -192,9 +192,12 @@
     ) -> Result<PooledConnection, LinkError> {
         let limit = clock::now().plus_millis(CONNECT_LIMIT_MS).min(deadline);
         let opened = Connection::open(&self.record, self.codec.clone(), permit, limit).await;
-        if let Err(LinkError::StartupRefused(error)) = &opened
-            && error.kind == BackEndErrorKind::TooManyConnections
-        {
+        let is_over_limit = match &opened {
+            Err(LinkError::StartupRefused(error)) => error.kind == BackEndErrorKind::TooManyConnections,
+            Err(LinkError::TurnedAway) => true,
+            _ => false,
+        };
+        if is_over_limit {
             self.state().no_open_before = clock::now().plus_millis(LIMIT_PAUSE_MS);
         }
         opened.map(|connection| PooledConnection::new(self.clone(), connection))
--- a/crates/millwind-engine/src/directory.rs
+++ b/crates/millwind-engine/src/directory.rs
@@ -38,6 +38,10 @@
     pub is_refusing: bool,
     /// Mean time from question to answer, in microseconds.
     pub latency_us: u64,
+    /// Mean time of a health check, in microseconds; none before the first.
+    pub check_us: Option<u64>,
+    /// A peer has asked about it, and it was not heard since.
+    pub is_doubted: bool,
     /// Statements under way.
     pub outstanding: u32,
     /// Not chosen for reads before this time.
@@ -550,11 +554,34 @@
             info!("event=instance_regained instance={instance}");
         }
         contact.is_refusing = false;
+        contact.is_doubted = false;
         if let Some(sample) = latency_us {
             contact.latency_us = (contact.latency_us * (LATENCY_WEIGHT - 1) + sample) / LATENCY_WEIGHT;
         }
     }
 
+    /// A health check of `instance` begins.
+    pub fn checking(&self, instance: &InstanceName) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.contact.is_doubted = false;
+        }
+    }
+
+    /// A health check of `instance` took `micros`.
+    pub fn checked(&self, instance: &InstanceName, micros: u64) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            let mean = known.contact.check_us.unwrap_or(micros);
+            known.contact.check_us = Some((mean * (LATENCY_WEIGHT - 1) + micros) / LATENCY_WEIGHT);
+        }
+    }
+
+    /// A peer has doubts about `instance`.
+    pub fn doubt(&self, instance: &InstanceName) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.contact.is_doubted = true;
+        }
+    }
+
     /// A question to `instance` is no longer under way.
     pub fn settled(&self, instance: &InstanceName) {
         if let Some(known) = self.state().instances.get_mut(instance) {
@@ -594,6 +621,8 @@
             failing_since: None,
             is_refusing: false,
             latency_us: if is_near { NEAR_LATENCY_US } else { FAR_LATENCY_US },
+            check_us: None,
+            is_doubted: false,
             outstanding: 0,
             avoid_until: Instant::default(),
         }
--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -6,7 +6,7 @@
 
 use futures::future::join_all;
 use millwind_core::Instant;
-use millwind_core::ids::GroupName;
+use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::session_state::SessionState;
 
 use crate::backend::{LinkError, Purpose};
@@ -18,8 +18,11 @@
 
 /// A leader that was heard within this time is not asked, in milliseconds.
 const HEARD_MS: u64 = 250;
-/// An answer must come within this time, in milliseconds.
-const ANSWER_MS: u64 = 400;
+/// An answer must come within this many times the mean of earlier ones.
+const ANSWER_FACTOR: u64 = 6;
+/// Least and most time for an answer, in milliseconds.
+const LEAST_ANSWER_MS: u64 = 150;
+const MOST_ANSWER_MS: u64 = 400;
 /// Observations are renewed when they are older than this part of the
 /// staleness that reads ask for.
 const STALENESS_PARTS: u64 = 3;
@@ -29,19 +32,21 @@
 /// How often a leader of an unused group is asked, in milliseconds.
 const UNUSED_INTERVAL_MS: u64 = 1_000;
 
-/// Looks at the leader of a group, or for one.
+/// Whether no leader is known that answers.
+pub(super) fn is_in_doubt(engine: &Engine, leader: Option<&InstanceName>) -> bool {
+    leader.is_none_or(|leader| engine.directory.is_failing(leader))
+}
+
+/// Asks the leader of a group whether it still leads, if that is due.
 pub(super) async fn check(engine: &Arc<Engine>, group: &GroupName) {
     let leader = engine
         .directory
         .leader(group)
         .and_then(|leader| engine.directory.instance(&leader.instance));
-    match leader {
-        Some(known) if known.contact.failing_since.is_none() => {
-            if is_due(engine, group, &known) {
-                ask(engine, &known.record).await;
-            }
-        }
-        _ => search(engine, group).await,
+    if let Some(known) = leader
+        && is_due(engine, group, &known)
+    {
+        ask(engine, &known.record).await;
     }
 }
 
@@ -50,6 +55,9 @@
     let now = clock::now();
     let age = |time: Option<Instant>| time.map_or(u64::MAX, |time| now.millis_since(time));
     let heard = age(known.contact.last_success);
+    if known.contact.is_doubted {
+        return true;
+    }
     let (last_use, staleness) = engine.directory.usage(group);
     if age(last_use) > UNUSED_MS {
         return heard > UNUSED_INTERVAL_MS;
@@ -63,7 +71,7 @@
 }
 
 /// Asks all instances of a group whether they lead.
-async fn search(engine: &Arc<Engine>, group: &GroupName) {
+pub(super) async fn search(engine: &Arc<Engine>, group: &GroupName) {
     let known = engine.directory.instances_of(group);
     let questions = known
         .iter()
@@ -75,7 +83,8 @@
 /// Asks one instance whether it leads, by an empty transaction.
 async fn ask(engine: &Arc<Engine>, record: &InstanceRecord) {
     let asked = clock::now();
-    let deadline = asked.plus_millis(ANSWER_MS);
+    engine.directory.checking(&record.name);
+    let deadline = asked.plus_millis(answer_limit_ms(engine, &record.name));
     let session = SessionState::default();
     let connected = engine
         .pool(record)
@@ -95,6 +104,7 @@
         Err(error) => note_failure(engine, record, sent, &error),
         Ok(reply) => {
             engine.directory.answered(&record.name, None);
+            engine.directory.checked(&record.name, clock::now().0 - sent.0);
             match (reply.result, reply.position) {
                 (Ok(_), Some(position)) => {
                     engine
@@ -118,3 +128,14 @@
         engine.directory.failed(&record.name, asked, is_refusing);
     }
 }
+
+/// How long an instance may take to answer, by how long it took so far.
+fn answer_limit_ms(engine: &Engine, instance: &InstanceName) -> u64 {
+    let mean_us = engine
+        .directory
+        .instance(instance)
+        .and_then(|known| known.contact.check_us);
+    mean_us.map_or(MOST_ANSWER_MS, |mean| {
+        (mean * ANSWER_FACTOR / 1_000).clamp(LEAST_ANSWER_MS, MOST_ANSWER_MS)
+    })
+}
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -32,6 +32,9 @@
 const STORE_RECENT_MS: u64 = 2_500;
 /// Between two tries to take a duty that nobody holds.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
+/// A group whose leader this node has never seen may still be starting, in
+/// milliseconds.
+const NEVER_LED_MS: u64 = 4_000;
 /// Age of a peer's report beyond which it says nothing, in milliseconds.
 const REPORT_MS: u64 = 1_500;
 
@@ -44,6 +47,7 @@
     replacing: Mutex<HashSet<GroupName>>,
     taking: Mutex<HashSet<GroupName>>,
     asking: Mutex<HashSet<GroupName>>,
+    searching: Mutex<HashSet<GroupName>>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
 }
 
@@ -58,6 +62,7 @@
             replacing: Mutex::new(HashSet::new()),
             taking: Mutex::new(HashSet::new()),
             asking: Mutex::new(HashSet::new()),
+            searching: Mutex::new(HashSet::new()),
             leaderless: Mutex::new(HashMap::new()),
         })
     }
@@ -88,8 +93,12 @@
     /// Checks the health of one group, and starts a replacement if needed.
     async fn look_at(self: &Arc<Self>, group: &GroupName) {
         self.hold_duty_ahead(group);
-        health::check(&self.engine, group).await;
         let leader = self.engine.directory.leader(group).map(|leader| leader.instance);
+        if health::is_in_doubt(&self.engine, leader.as_ref()) {
+            self.search(group);
+        } else {
+            health::check(&self.engine, group).await;
+        }
         let evidence = self.evidence(group, leader.as_ref());
         let verdict = judge_leader(clock::now(), &evidence, &self.times());
         let reason = match verdict {
@@ -108,6 +117,20 @@
         });
     }
 
+    /// Searches for a leader in the background: instances that are silent must
+    /// not hold up the judgement.
+    fn search(self: &Arc<Self>, group: &GroupName) {
+        if !enter(&self.searching, group) {
+            return;
+        }
+        let monitor = self.clone();
+        let group = group.clone();
+        tokio::spawn(async move {
+            health::search(&monitor.engine, &group).await;
+            leave(&monitor.searching, &group);
+        });
+    }
+
     /// The first node in the group's order takes a duty that nobody holds.
     fn hold_duty_ahead(self: &Arc<Self>, group: &GroupName) {
         let is_open = self.duties.is_listed() && self.duties.get(group).is_none();
@@ -169,7 +192,10 @@
             ..LeaderEvidence::default()
         };
         let Some(known) = known else {
-            evidence.failing_since = Some(self.leaderless_since(group, now));
+            let has_led = directory.newest_observation(group).is_some();
+            let patience = if has_led { 0 } else { NEVER_LED_MS };
+            let since = self.leaderless_since(group, now);
+            evidence.failing_since = Some(since.plus_millis(patience));
             return evidence;
         };
         self.has_leader(group);
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -67,7 +67,10 @@
             .catalog_cache
             .newer_than(*config_version, *instances_revision, *nodes, engine),
         ExchangeRequest::Reach { instance } => {
-            ExchangeReply::Reach(reach(engine, &InstanceName::from(instance.as_str())))
+            let instance = InstanceName::from(instance.as_str());
+            engine.directory.doubt(&instance);
+            engine.wake_monitor();
+            ExchangeReply::Reach(reach(engine, &instance))
         }
         ExchangeRequest::Relay { .. } => ExchangeReply::Relay { open: 0 },
     }
