--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -39,6 +39,21 @@
 }
 
 impl LinkError {
+    /// The name in logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            LinkError::Refused => "refused",
+            LinkError::ConnectTimeout => "connect_timeout",
+            LinkError::TurnedAway => "turned_away",
+            LinkError::StartupRefused(error) => error.kind.name(),
+            LinkError::NoConnection => "no_connection",
+            LinkError::Retired => "retired",
+            LinkError::Lost => "lost",
+            LinkError::Silent => "silent",
+            LinkError::Protocol => "protocol",
+        }
+    }
+
     /// Whether a statement may have reached the instance.
     pub const fn may_have_run(&self) -> bool {
         matches!(self, LinkError::Lost | LinkError::Silent | LinkError::Protocol)
--- a/crates/millwind-engine/src/listener.rs
+++ b/crates/millwind-engine/src/listener.rs
@@ -18,6 +18,7 @@
 /// Serves callers for the life of the process.
 pub async fn serve(listener: TcpListener, engine: Arc<Engine>) {
     engine.await_complete(COMPLETE_LIMIT).await;
+    let mut number = 0;
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -37,8 +38,9 @@
         // Without it small answers wait for acknowledgements.
         let _ = stream.set_nodelay(true);
         let engine = engine.clone();
+        number += 1;
         tokio::spawn(async move {
-            Session::serve(engine, stream).await;
+            Session::serve(engine, stream, number).await;
             drop(count);
         });
     }
--- a/crates/millwind-engine/src/logging.rs
+++ b/crates/millwind-engine/src/logging.rs
@@ -91,9 +91,20 @@
     second: Instant,
     lines: u64,
     suppressed: u64,
+    seen: u64,
 }
 
 impl RequestLog {
+    /// Whether one of `sample` lines of a kind should be written.
+    pub fn is_sampled(&self, sample: u64) -> bool {
+        if sample <= 1 {
+            return true;
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.seen += 1;
+        state.seen.is_multiple_of(sample)
+    }
+
     /// Whether one more line may be written now.
     pub fn admit(&self) -> bool {
         let now = clock::now();
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -46,8 +46,6 @@
     pub transactions_abandoned: Counter,
     /// Promotions ordered.
     pub promotions: Counter,
-    /// Connections carried to an instance for another node.
-    pub relayed: Counter,
     /// Sessions opened.
     pub sessions: Counter,
 }
@@ -65,7 +63,6 @@
             hedged: Counter::default(),
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
-            relayed: Counter::default(),
             sessions: Counter::default(),
             registry: Registry::default(),
         };
@@ -91,11 +88,6 @@
             metrics.transactions_abandoned.clone(),
         );
         registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
-        registry.register(
-            "relayed",
-            "Connections carried for peers",
-            metrics.relayed.clone(),
-        );
         registry.register("sessions", "Sessions opened", metrics.sessions.clone());
         Metrics { registry, ..metrics }
     }
--- a/crates/millwind-engine/src/peers/client.rs
+++ b/crates/millwind-engine/src/peers/client.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use millwind_core::ids::InstanceName;
 use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, decode_exchange, encode_exchange};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -39,21 +38,6 @@
         tokio::time::timeout(ANSWER_LIMIT, asking).await.ok().flatten()
     }
 
-    /// A path to `instance` through the node at `address`.
-    pub async fn relay(&self, address: SocketAddr, instance: &InstanceName) -> Option<TcpStream> {
-        let request = ExchangeRequest::Relay {
-            instance: instance.0.clone(),
-        };
-        let opening = async {
-            let mut link = connect(address).await?;
-            match exchange(&mut link, &request).await? {
-                ExchangeReply::Relay { open: 1 } => Some(link.into_inner()),
-                _ => None,
-            }
-        };
-        tokio::time::timeout(ANSWER_LIMIT, opening).await.ok().flatten()
-    }
-
     fn link(&self, address: SocketAddr) -> Arc<tokio::sync::Mutex<Option<Link>>> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.entry(address).or_default().clone()
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -28,8 +28,6 @@
     pub reaching: usize,
     /// Peers that don't.
     pub failing: usize,
-    /// A peer that reaches it.
-    pub through: Option<SocketAddr>,
 }
 
 /// The exchange of one node with its peers.
@@ -128,12 +126,9 @@
         .map(|address| engine.peers.ask(*address, &request));
     let replies = join_all(questions).await;
     let mut testimony = Testimony::default();
-    for (address, reply) in addresses.iter().zip(replies) {
+    for reply in replies {
         match reply {
-            Some(ExchangeReply::Reach(Reach::Reached)) => {
-                testimony.reaching += 1;
-                testimony.through = Some(*address);
-            }
+            Some(ExchangeReply::Reach(Reach::Reached)) => testimony.reaching += 1,
             Some(ExchangeReply::Reach(Reach::Failing)) => testimony.failing += 1,
             _ => {}
         }
--- a/crates/millwind-engine/src/peers/mod.rs
+++ b/crates/millwind-engine/src/peers/mod.rs
@@ -1,5 +1,5 @@
-//! What nodes tell each other: the catalog where the store is not heard,
-//! whether a leader is reached, and a path to an instance around a cut.
+//! What nodes tell each other: the catalog where the store is not heard, and
+//! whether a leader is reached.
 
 mod client;
 mod exchange;
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 
-use super::{ANSWER_LIMIT, frames};
+use super::frames;
 use crate::clock;
 use crate::node::Engine;
 
@@ -43,10 +43,6 @@
             debug!("event=peer_message_refused bytes={}", message.len());
             return;
         };
-        if let ExchangeRequest::Relay { instance } = &request {
-            let instance = InstanceName::from(instance.as_str());
-            return relay(link, &engine, &instance).await;
-        }
         let reply = answer(&engine, &request);
         let Ok(bytes) = encode_exchange(&reply) else {
             return;
@@ -72,7 +68,6 @@
             engine.wake_monitor();
             ExchangeReply::Reach(reach(engine, &instance))
         }
-        ExchangeRequest::Relay { .. } => ExchangeReply::Relay { open: 0 },
     }
 }
 
@@ -89,37 +84,3 @@
         .is_some_and(|success| clock::now().millis_since(success) < REACHED_MS);
     if is_recent { Reach::Reached } else { Reach::Unknown }
 }
-
-/// Joins a peer's connection with one to the instance.
-async fn relay(
-    mut link: Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
-    engine: &Engine,
-    instance: &InstanceName,
-) {
-    let target = match engine.directory.instance(instance) {
-        Some(known) if !known.is_leaving => connect(known.record.address).await,
-        _ => None,
-    };
-    let reply = ExchangeReply::Relay {
-        open: u8::from(target.is_some()),
-    };
-    let Ok(bytes) = encode_exchange(&reply) else {
-        return;
-    };
-    if link.send(Bytes::from(bytes)).await.is_err() {
-        return;
-    }
-    if let Some(mut target) = target {
-        let mut stream = link.into_inner();
-        engine.metrics.relayed.inc();
-        // Ends when either side closes.
-        let _ = tokio::io::copy_bidirectional(&mut stream, &mut target).await;
-    }
-}
-
-async fn connect(address: std::net::SocketAddr) -> Option<TcpStream> {
-    let connecting = tokio::time::timeout(ANSWER_LIMIT / 2, TcpStream::connect(address));
-    let stream = connecting.await.ok()?.ok()?;
-    let _ = stream.set_nodelay(true);
-    Some(stream)
-}
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -104,6 +104,7 @@
         .await;
     connected.map_err(|error| {
         note_connect_error(engine, record, asked, &error);
+        operation.trail.tried(&record.name, error.name());
         match error {
             LinkError::StartupRefused(error) => AttemptError::BackEnd(error),
             error => AttemptError::Link(error),
@@ -146,12 +147,14 @@
         Ok(reply) => reply,
         Err(error) => {
             inquiry.failed(&error);
+            operation.trail.tried(&record.name, error.name());
             return Err(AttemptError::Link(error));
         }
     };
     engine.directory.answered(&record.name, None);
     if let Err(error) = reply.result {
         note_error(engine, record, &error);
+        operation.trail.tried(&record.name, error.kind.name());
         return Err(AttemptError::BackEnd(error));
     }
     if !read_only {
@@ -180,10 +183,16 @@
         Ok(reply) => reply,
         Err(error) => {
             inquiry.failed(&error);
+            operation.trail.tried(&record.name, error.name());
             return Err(AttemptError::Link(error));
         }
     };
     inquiry.answered();
+    let outcome = reply
+        .result
+        .as_ref()
+        .map_or_else(|error| error.kind.name(), |_| "ok");
+    operation.trail.tried(&record.name, outcome);
     match &reply.result {
         Ok(_) if proves_leader => prove_leader(engine, &record, inquiry.asked, &reply.position),
         Ok(_) => {}
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod reads;
+mod trail;
 mod transaction;
 mod writes;
 
@@ -25,12 +26,15 @@
 use crate::directory::Written;
 use crate::node::{Engine, Phase};
 use crate::statement::{CallerMessage, Command, Request, Statement, TransactionState};
+use trail::Trail;
 use transaction::OpenTransaction;
 
 const READ_CAPACITY: usize = 2_048;
 /// Taken off a statement's time-out, so that the answer arrives within it, in
 /// milliseconds.
 const ANSWER_MARGIN_MS: u64 = 25;
+/// One of so many statements that went as planned is logged.
+const PLAIN_SAMPLE: u64 = 500;
 /// A session is closed during a planned stop once it has rested for this long.
 const RESTING: Duration = Duration::from_millis(250);
 
@@ -44,6 +48,10 @@
     /// The session's last commit, with the group that holds it.
     written: Option<(GroupName, Written)>,
     transaction: Option<OpenTransaction>,
+    /// Number of the session on this node.
+    number: u64,
+    /// What was tried for the present statement.
+    trail: Trail,
 }
 
 /// What ended the wait for a message.
@@ -65,6 +73,7 @@
     access: Access,
     arrived: Instant,
     deadline: Instant,
+    trail: Trail,
 }
 
 impl Operation {
@@ -86,7 +95,7 @@
 
 impl Session {
     /// Serves a caller until it leaves, or until the node stops.
-    pub async fn serve(engine: Arc<Engine>, stream: TcpStream) {
+    pub async fn serve(engine: Arc<Engine>, stream: TcpStream, number: u64) {
         let mut session = Session {
             engine,
             stream,
@@ -95,6 +104,8 @@
             state: Arc::default(),
             written: None,
             transaction: None,
+            number,
+            trail: Trail::default(),
         };
         if session.start().await {
             session.run().await;
@@ -223,32 +234,56 @@
         let arrived = clock::now();
         let name = request.statement.as_ref().map_or("malformed", statement_name);
         let id = request.id.clone();
+        self.trail = Trail::begin();
         let answer = self.dispatch(request, arrived).await;
         let micros = clock::now().0 - arrived.0;
         let outcome = answer.as_ref().map_or_else(Failure::name, |_| "ok");
         self.engine.metrics.answered(name, outcome, micros);
-        if let Err(failure) = &answer {
-            self.log_failure(&id, name, failure, micros);
-        }
+        self.log_request(&id, name, &answer, micros);
         answer
     }
 
-    fn log_failure(&self, id: &str, name: &str, failure: &Failure, micros: u64) {
-        if !self.engine.request_log.admit() {
+    /// One line for each statement that failed, was tried more than once or
+    /// came late, and for a sample of the others.
+    fn log_request(&self, id: &str, name: &str, answer: &Answer, micros: u64) {
+        let tenant = self.tenant_in_force().ok();
+        let target_us = tenant
+            .as_ref()
+            .map_or(u64::MAX, |tenant| tenant.target_latency_ms * 1_000);
+        let is_plain = answer.is_ok() && self.trail.count() <= 1 && micros <= target_us;
+        let sample = if is_plain { PLAIN_SAMPLE } else { 1 };
+        if !self.engine.request_log.is_sampled(sample) || !self.engine.request_log.admit() {
             return;
         }
-        let group = self.tenant_in_force().map(|tenant| tenant.settings.group.clone());
-        let leader = group
-            .ok()
-            .and_then(|group| self.engine.directory.leader(&group))
-            .map_or_else(|| "none".to_owned(), |leader| leader.instance.0);
+        let (outcome, detail) = match answer {
+            Ok(_) => ("ok", ""),
+            Err(failure) => (failure.name(), failure.detail()),
+        };
+        let belief = tenant.map_or_else(String::new, |tenant| self.belief(&tenant.settings.group));
         info!(
-            "event=request_failed id={id} tenant={} statement={name} outcome={} micros={micros} leader={leader} config_version={} detail={:?}",
+            "event=request id={id} session={} tenant={} statement={name} outcome={outcome} micros={micros} sample={sample} config_version={} {belief} {} detail={detail:?}",
+            self.number,
             self.tenant,
-            failure.name(),
             self.engine.config_version(),
-            failure.detail(),
+            self.trail,
+        );
+    }
+
+    /// What the node believes of a group, with the age of the belief.
+    fn belief(&self, group: &GroupName) -> String {
+        let directory = &self.engine.directory;
+        let leader = directory.leader(group);
+        let name = leader.as_ref().map_or("none", |leader| leader.instance.as_str());
+        let term = leader
+            .as_ref()
+            .and_then(|leader| leader.term)
+            .map_or(0, |term| term.0);
+        let newest = directory.newest_observation(group);
+        let age = newest.map_or_else(
+            || "none".to_owned(),
+            |newest| clock::now().millis_since(newest.asked).to_string(),
         );
+        format!("group={group} leader={name} term={term} observed_ms_ago={age}")
     }
 
     async fn dispatch(&mut self, request: Request, arrived: Instant) -> Answer {
@@ -307,7 +342,7 @@
             return self.run_in_transaction(operation).await;
         }
         let tenant = self.tenant_in_force()?;
-        let operation = operation(tenant, request, access, prepared, arrived);
+        let operation = operation(tenant, request, access, prepared, arrived, &self.trail);
         match access {
             Access::Read => self.single_read(operation).await,
             Access::Write => self.single_write(operation).await,
@@ -339,6 +374,7 @@
     access: Access,
     prepared: Option<(PreparedStatement, String)>,
     arrived: Instant,
+    trail: &Trail,
 ) -> Operation {
     let limit = tenant.settings.default_window_ms;
     let margin = ANSWER_MARGIN_MS.min(limit / 4);
@@ -350,6 +386,7 @@
         prepared,
         access,
         arrived,
+        trail: trail.clone(),
     }
 }
 
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -92,10 +92,11 @@
         let staleness = operation.tenant.settings.staleness_ms;
         let known = directory.floor(operation.group(), operation.arrived, staleness, written);
         if let Some(floor) = known {
+            operation.trail.needs(floor);
             return Ok(floor);
         }
         self.engine.wake_monitor();
-        directory
+        let awaited = directory
             .await_floor(
                 operation.group(),
                 operation.arrived,
@@ -103,8 +104,11 @@
                 written,
                 operation.deadline,
             )
-            .await
-            .ok_or_else(|| Refusal::new(ErrorKind::NoPrimary, "no recent position of a leader"))
+            .await;
+        let floor =
+            awaited.ok_or_else(|| Refusal::new(ErrorKind::NoPrimary, "no recent position of a leader"))?;
+        operation.trail.needs(floor);
+        Ok(floor)
     }
 }
 
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -110,7 +110,14 @@
     ) -> Result<Operation, Refusal> {
         let open = self.transaction.as_ref();
         let open = open.ok_or_else(|| Refusal::new(ErrorKind::Unsupported, "no transaction is open"))?;
-        Ok(operation(open.tenant.clone(), request, access, prepared, arrived))
+        Ok(operation(
+            open.tenant.clone(),
+            request,
+            access,
+            prepared,
+            arrived,
+            &self.trail,
+        ))
     }
 
     /// Runs a statement inside the open transaction.
@@ -212,7 +219,14 @@
         let Some(mut open) = self.transaction.take() else {
             return Err(Refusal::new(ErrorKind::Unsupported, "no transaction is open").into());
         };
-        let operation = operation(open.tenant.clone(), request, Access::Write, None, arrived);
+        let operation = operation(
+            open.tenant.clone(),
+            request,
+            Access::Write,
+            None,
+            arrived,
+            &self.trail,
+        );
         if open.connection.is_none() {
             return self.commit_empty(&open, &operation).await;
         }
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -1,5 +1,5 @@
 //! What engine nodes ask each other: the catalog when the store is not heard,
-//! whether a leader is reached, and a path to an instance.
+//! and whether a leader is reached.
 
 use std::io::Cursor;
 
@@ -52,15 +52,6 @@
         #[bw(write_with = text::write_text)]
         instance: String,
     },
-    /// A path to an instance: after the answer the connection carries the
-    /// instance's bytes.
-    #[brw(magic = 3u8)]
-    Relay {
-        /// The instance.
-        #[br(parse_with = text::read_text)]
-        #[bw(write_with = text::write_text)]
-        instance: String,
-    },
 }
 
 /// Whether a node reaches an instance.
@@ -102,12 +93,6 @@
     /// Whether the instance is reached.
     #[brw(magic = 2u8)]
     Reach(Reach),
-    /// Whether the path is open.
-    #[brw(magic = 3u8)]
-    Relay {
-        /// One if the instance's connection is open.
-        open: u8,
-    },
 }
 
 /// Writes a message with its version.
