--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -30,6 +30,8 @@
 /// Heartbeats are judged only if the store was heard within this time, in
 /// milliseconds.
 const STORE_RECENT_MS: u64 = 2_500;
+/// Between two rounds of questions to peers about one leader.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
 /// Between two tries to take a duty that nobody holds.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
 /// A group whose leader this node has never seen may still be starting, in
@@ -161,8 +163,9 @@
                 testimony.reaching, testimony.failing
             );
             monitor.engine.directory.heard_of(&leader, testimony);
-            leave(&monitor.asking, &group);
             monitor.engine.wake_monitor();
+            tokio::time::sleep(ASK_PAUSE).await;
+            leave(&monitor.asking, &group);
         });
     }
 
