--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -18,7 +18,7 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// An instance that answered within this time is reached, in milliseconds.
-const REACHED_MS: u64 = 700;
+const REACHED_MS: u64 = 300;
 
 /// Answers peers for the life of the process.
 pub async fn serve(listener: TcpListener, engine: Arc<Engine>) {
