A node that reaches a minority asks the store before it orders a promotion

Change: a choice by a minority of a group's instances, or one that waited, goes out only after the instances' records were read from the store, which tell of another leader, and after a search.

--- a/crates/millwind-engine/src/duty.rs
+++ b/crates/millwind-engine/src/duty.rs
@@ -89,6 +89,11 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lists the keys under `prefix` in the store, as of now.
+    pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.store.list(prefix).await
+    }
+
     /// Takes the duty for `group` unless somebody holds it, so that there is a
     /// token to act with while the store is out.
     pub async fn hold_ahead(&self, group: &GroupName) {
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -17,7 +17,7 @@
 use crate::duty::Duties;
 use crate::node::Engine;
 use crate::peers;
-use crate::ports::Promoter;
+use crate::ports::{CatalogCodec, Promoter};
 
 /// Between two looks at the groups.
 const TICK: Duration = Duration::from_millis(100);
@@ -45,6 +45,7 @@
     engine: Arc<Engine>,
     duties: Arc<Duties<S>>,
     promoter: Arc<dyn Promoter>,
+    codec: Arc<dyn CatalogCodec>,
     busy: Mutex<HashSet<GroupName>>,
     replacing: Mutex<HashSet<GroupName>>,
     taking: Mutex<HashSet<GroupName>>,
@@ -55,11 +56,19 @@
 
 impl<S: Store + 'static> Monitor<S> {
     /// A monitor that orders promotions from `promoter` under `duties`.
-    pub fn new(engine: Arc<Engine>, duties: Arc<Duties<S>>, promoter: Arc<dyn Promoter>) -> Arc<Self> {
+    ///
+    /// Records of instances are read with `codec`.
+    pub fn new(
+        engine: Arc<Engine>,
+        duties: Arc<Duties<S>>,
+        promoter: Arc<dyn Promoter>,
+        codec: Arc<dyn CatalogCodec>,
+    ) -> Arc<Self> {
         Arc::new(Monitor {
             engine,
             duties,
             promoter,
+            codec,
             busy: Mutex::new(HashSet::new()),
             replacing: Mutex::new(HashSet::new()),
             taking: Mutex::new(HashSet::new()),
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -37,6 +37,14 @@
 const CHOICE_MS: u64 = 250;
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// A chosen replica.
+struct Choice {
+    instance: InstanceName,
+    /// More than half of the group's instances answered; else this node may be
+    /// the one that is cut off.
+    is_by_majority: bool,
+}
+
 /// How one order ended.
 enum Ended {
     /// Another leader is known.
@@ -118,6 +126,9 @@
             .is_some_and(|known| known.contact.failing_since.is_none() && !known.is_leaving)
     }
 
+    /// Orders one promotion. The first order of a holder goes out under the
+    /// token it has, also while the store is out; a later one needs a higher
+    /// token, so that an earlier order carried out late is refused.
     async fn order(
         self: &Arc<Self>,
         group: &GroupName,
@@ -125,26 +136,66 @@
         excluded: &HashSet<InstanceName>,
         is_first: bool,
     ) -> Ended {
-        let Some(mut chosen) = self.choose(group, lost, excluded).await else {
+        let Some(choice) = self.choose(group, lost, excluded).await else {
             return Ended::Again;
         };
         let chosen_at = clock::now();
-        let token = match self.token(group, &chosen, is_first).await {
+        let held = self.duties.held_token(group);
+        if let (Some(token), true, true) = (held, is_first, choice.is_by_majority) {
+            self.record_in_background(group, &choice.instance);
+            return self.promote(group, choice.instance, token).await;
+        }
+        let token = match self.duties.take(group, Some(choice.instance.clone())).await {
             Ok(token) => token,
-            Err(ended) => return ended,
+            Err(DutyError::Taken) => return Ended::Yield,
+            Err(DutyError::Store(_)) => match held {
+                Some(token) if choice.is_by_majority => token,
+                _ => return Ended::Again,
+            },
         };
-        if clock::now().millis_since(chosen_at) > CHOICE_MS {
-            // The store was slow or cut off: another leader may have taken
-            // over meanwhile, and promoting over it would undo its commits.
-            health::search(&self.engine, group).await;
-            if self.is_settled(group, lost) {
-                return Ended::Yield;
-            }
-            chosen = match self.choose(group, lost, excluded).await {
-                Some(chosen) => chosen,
-                None => return Ended::Again,
-            };
+        let is_old = clock::now().millis_since(chosen_at) > CHOICE_MS;
+        if !is_old && choice.is_by_majority {
+            return self.promote(group, choice.instance, token).await;
+        }
+        // This node may have been cut off: another leader may have taken over
+        // meanwhile, and promoting over it would undo its commits.
+        if !self.read_records().await {
+            return Ended::Again;
+        }
+        health::search(&self.engine, group).await;
+        if self.is_settled(group, lost) {
+            return Ended::Yield;
+        }
+        match self.choose(group, lost, excluded).await {
+            Some(choice) => self.promote(group, choice.instance, token).await,
+            None => Ended::Again,
+        }
+    }
+
+    /// Reads all instances' records from the store, which tell who sees itself
+    /// as a leader; false if the store gave no answer.
+    async fn read_records(&self) -> bool {
+        let Ok(listing) = self.duties.list(self.codec.instances_prefix()).await else {
+            return false;
+        };
+        for entry in listing.entries {
+            let value = entry.value.as_deref();
+            self.engine
+                .take_instance(&*self.codec, &entry.key, value, entry.revision);
         }
+        true
+    }
+
+    /// Tells the other nodes of an order under the token that was held.
+    fn record_in_background(self: &Arc<Self>, group: &GroupName, chosen: &InstanceName) {
+        let monitor = self.clone();
+        let group = group.clone();
+        let chosen = chosen.clone();
+        tokio::spawn(async move { monitor.duties.take(&group, Some(chosen)).await });
+    }
+
+    /// Orders the promotion, and waits until the replica leads.
+    async fn promote(&self, group: &GroupName, chosen: InstanceName, token: u64) -> Ended {
         let order = PromotionOrder {
             group: group.clone(),
             instance: chosen.clone(),
@@ -161,30 +212,6 @@
         }
     }
 
-    /// The fencing token of an order. The first order of a holder goes out
-    /// under the token it has, also while the store is out; a later one needs
-    /// a higher token, so that an earlier order carried out late is refused.
-    async fn token(
-        self: &Arc<Self>,
-        group: &GroupName,
-        chosen: &InstanceName,
-        is_first: bool,
-    ) -> Result<u64, Ended> {
-        let held = self.duties.held_token(group);
-        if let (Some(token), true) = (held, is_first) {
-            let monitor = self.clone();
-            let group = group.clone();
-            let chosen = chosen.clone();
-            tokio::spawn(async move { monitor.duties.take(&group, Some(chosen)).await });
-            return Ok(token);
-        }
-        match self.duties.take(group, Some(chosen.clone())).await {
-            Ok(token) => Ok(token),
-            Err(DutyError::Taken) => Err(Ended::Yield),
-            Err(DutyError::Store(_)) => held.ok_or(Ended::Again),
-        }
-    }
-
     /// Waits until the chosen replica has proved its lead.
     async fn await_take_over(&self, group: &GroupName, chosen: &InstanceName) -> Ended {
         let deadline = clock::now().plus_millis(TAKE_OVER_MS);
@@ -206,7 +233,7 @@
         group: &GroupName,
         lost: Option<&InstanceName>,
         excluded: &HashSet<InstanceName>,
-    ) -> Option<InstanceName> {
+    ) -> Option<Choice> {
         let engine = &self.engine;
         let sync_replicas = engine.directory.group_limits(group)?.sync_replicas;
         let known = engine.directory.instances_of(group);
@@ -243,7 +270,11 @@
             chosen.received,
             answered.len()
         );
-        Some(chosen.instance.clone())
+        let members = known.iter().filter(|known| !known.is_gone).count();
+        Some(Choice {
+            instance: chosen.instance.clone(),
+            is_by_majority: answered.len() * 2 > members,
+        })
     }
 
     /// Where acknowledged commits must survive, replicas stop receiving before
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -465,7 +465,12 @@
     let registry = engine.registry.clone();
     let store = ports.store.clone();
     tokio::spawn(async move { registry.register(&*store, record).await });
-    let monitor = Monitor::new(engine.clone(), duties, ports.promoter.clone());
+    let monitor = Monitor::new(
+        engine.clone(),
+        duties,
+        ports.promoter.clone(),
+        ports.catalog_codec.clone(),
+    );
     tokio::spawn(monitor.run());
 }
 
