--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -72,6 +72,7 @@
             reason.name()
         );
         tokio::time::sleep(RANK_STEP * rank as u32).await;
+        tokio::time::sleep(self.lease_left(group)).await;
         let started = clock::now();
         let mut excluded = HashSet::new();
         for attempt in 0..MOST_ORDERS {
@@ -109,6 +110,18 @@
         (rank + holder_goes_first).min(MOST_RANKS)
     }
 
+    /// How long another holder's lease on the duty may still run: where the
+    /// platform sets one, two holders must not act within it.
+    fn lease_left(&self, group: &GroupName) -> Duration {
+        let lease_ms = self.engine.settings.duty_lease_ms;
+        match self.duties.get(group) {
+            Some(duty) if self.duties.held_token(group).is_none() => {
+                clock::until(duty.seen.plus_millis(lease_ms))
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Whether there is nothing left to do.
     fn is_settled(&self, group: &GroupName, lost: Option<&InstanceName>) -> bool {
         if self.duties.is_ordered_by_other(group) {
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -33,8 +33,6 @@
     /// An instance that announced its end must get nothing new after this
     /// time, in milliseconds.
     pub drain_bound_ms: u64,
-    /// Time within which a configuration must be in force, in milliseconds.
-    pub config_bound_ms: u64,
 }
 
 /// Why settings are refused.
