--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -5,7 +5,7 @@
 
 use log::debug;
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::session_state::{Access, PreparedStatement};
+use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 
 use super::attempt::{self, AttemptError};
 use super::reads::begin_at_floor;
@@ -15,6 +15,7 @@
 use crate::backend::pool::PooledConnection;
 use crate::catalog::{Consistency, EngineTenant};
 use crate::clock;
+use crate::node::Engine;
 use crate::statement::{BackEndErrorKind, Reply, Request, Statement, TransactionState};
 
 /// An open transaction of a session.
@@ -198,20 +199,9 @@
         let Some(connection) = &mut open.connection else {
             return Err(Refusal::new(ErrorKind::TransactionLost, "its connection is gone").into());
         };
-        loop {
-            let attempted = attempt::run(&engine, connection, operation, &state, None, is_on_leader).await;
-            let error = match attempted {
-                Ok(reply) => return Ok(reply),
-                Err(error) => error,
-            };
-            let may_ask_again = is_busy(&error)
-                && connection.transaction() == TransactionState::Open
-                && clock::now() < operation.deadline;
-            if !may_ask_again {
-                return Err(failure_in_transaction(error));
-            }
-            pause_after(&error).await;
-        }
+        run_while_busy(&engine, connection, operation, &state, is_on_leader)
+            .await
+            .map_err(failure_in_transaction)
     }
 
     /// Commits the open transaction.
@@ -255,20 +245,7 @@
         let Some(connection) = &mut open.connection else {
             return Err(AttemptError::Link(crate::backend::LinkError::Retired));
         };
-        loop {
-            let attempted = attempt::run(&engine, connection, operation, &state, None, proves_leader).await;
-            let error = match attempted {
-                Ok(reply) => return Ok(reply),
-                Err(error) => error,
-            };
-            let may_ask_again = is_busy(&error)
-                && connection.transaction() == TransactionState::Open
-                && clock::now() < operation.deadline;
-            if !may_ask_again {
-                return Err(error);
-            }
-            pause_after(&error).await;
-        }
+        run_while_busy(&engine, connection, operation, &state, proves_leader).await
     }
 
     /// A commit without statements still needs an instance's signature.
@@ -288,6 +265,30 @@
     }
 }
 
+/// Runs a statement of an open transaction; asks again while the instance is
+/// busy and the transaction stays open.
+async fn run_while_busy(
+    engine: &Arc<Engine>,
+    connection: &mut PooledConnection,
+    operation: &Operation,
+    state: &SessionState,
+    proves_leader: bool,
+) -> Result<Reply, AttemptError> {
+    loop {
+        let error = match attempt::run(engine, connection, operation, state, None, proves_leader).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) => error,
+        };
+        let may_ask_again = is_busy(&error)
+            && connection.transaction() == TransactionState::Open
+            && clock::now() < operation.deadline;
+        if !may_ask_again {
+            return Err(error);
+        }
+        pause_after(&error).await;
+    }
+}
+
 /// Why a first statement was not answered.
 enum FirstError {
     Refused(Refusal),
