Read once more: one piece where two stood, and less work per statement

Cause: the engine's own statements were spelled out in four places, a failed connection was classified in three, and each statement worked out its instance's share and copied its record. Change: Envelope::own, LinkError's is_refusing and is_wrong_instance, shares only for new pools, ranks without copies of all nodes; unused parts out.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -16,8 +16,6 @@
     pub suspect_ms: u64,
     /// Silence after which a lone witness may act without agreement.
     pub alone_ms: u64,
-    /// Age of a peer's report beyond which it says nothing.
-    pub report_ms: u64,
     /// Heartbeat silence that confirms a suspicion.
     pub heartbeat_ms: u64,
 }
--- a/crates/millwind-core/tests/failover.rs
+++ b/crates/millwind-core/tests/failover.rs
@@ -10,7 +10,6 @@
 const TIMES: FailoverTimes = FailoverTimes {
     suspect_ms: 400,
     alone_ms: 1_200,
-    report_ms: 1_500,
     heartbeat_ms: 2_400,
 };
 
--- a/crates/millwind-engine/src/backend/connection.rs
+++ b/crates/millwind-engine/src/backend/connection.rs
@@ -159,11 +159,7 @@
             PreparationStep::Set { name, value } => Command::Set { name, value },
             PreparationStep::Prepare(statement) => Command::Prepare(statement),
         };
-        let envelope = Envelope {
-            id: None,
-            since: None,
-            command,
-        };
+        let envelope = Envelope::own(command);
         self.codec.encode(&mut self.output, &envelope);
         self.outstanding += 1;
     }
--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -3,7 +3,7 @@
 use millwind_core::error_kind::ErrorKind;
 use thiserror::Error;
 
-use crate::statement::BackEndError;
+use crate::statement::{BackEndError, BackEndErrorKind};
 
 /// A failed exchange.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -67,6 +67,16 @@
         )
     }
 
+    /// Whether another instance listens at the address now.
+    pub fn is_wrong_instance(&self) -> bool {
+        matches!(self, LinkError::StartupRefused(error) if error.kind == BackEndErrorKind::WrongInstance)
+    }
+
+    /// Whether the instance's process seems to be gone, not merely silent.
+    pub fn is_refusing(&self) -> bool {
+        matches!(self, LinkError::Refused | LinkError::Lost) || self.is_wrong_instance()
+    }
+
     /// What a caller is told where nothing has run.
     pub const fn kind(&self) -> ErrorKind {
         match self {
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -150,10 +150,9 @@
         drop(resting);
     }
 
-    /// Open connections, and statements waiting for one.
-    pub fn load(&self) -> (usize, usize) {
-        let state = self.state();
-        (state.open, state.waiters.len())
+    /// Open connections.
+    pub fn open_connections(&self) -> usize {
+        self.state().open
     }
 
     /// A connection outside of any transaction, for one statement or
@@ -400,11 +399,7 @@
 }
 
 async fn roll_back(pool: Arc<Pool>, mut connection: Connection) {
-    let envelope = Envelope {
-        id: None,
-        since: None,
-        command: Command::Rollback,
-    };
+    let envelope = Envelope::own(Command::Rollback);
     let deadline = clock::now().plus_millis(ROLLBACK_LIMIT_MS);
     let result = connection.exchange(&envelope, deadline).await;
     let is_clean = result.is_ok_and(|reply| reply.state == TransactionState::Idle);
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -44,15 +44,15 @@
         &self.codec
     }
 
-    /// The pool of `record`, made if there is none.
-    pub fn pool(&self, record: &InstanceRecord, share: usize) -> Arc<Pool> {
+    /// The pool of `record`, made with `share` connections if there is none.
+    pub fn pool(&self, record: &InstanceRecord, share: impl FnOnce() -> usize) -> Arc<Pool> {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(pool) = pools.get(&record.name)
             && pool.record().address == record.address
         {
             return pool.clone();
         }
-        let pool = Pool::new(record.clone(), self.codec.clone(), share);
+        let pool = Pool::new(record.clone(), self.codec.clone(), share());
         if let Some(replaced) = pools.insert(record.name.clone(), pool.clone()) {
             replaced.retire();
         }
@@ -92,8 +92,8 @@
 
     /// Opens connections of a pool ahead of need, in the background.
     pub fn warm_up(&self, record: &InstanceRecord, share: usize, count: usize) {
-        let pool = self.pool(record, share);
-        if pool.load().0 < count {
+        let pool = self.pool(record, || share);
+        if pool.open_connections() < count {
             tokio::spawn(open_ahead(pool, count, OPEN_PACE));
         }
     }
--- a/crates/millwind-engine/src/catalog.rs
+++ b/crates/millwind-engine/src/catalog.rs
@@ -51,8 +51,6 @@
     pub groups: HashMap<GroupName, GroupLimits>,
     /// A transaction that rests for so long may be ended, in milliseconds.
     pub transaction_idle_ms: u64,
-    /// Largest message of a caller, in bytes.
-    pub maximum_message_bytes: usize,
 }
 
 /// An instance as it describes itself.
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -64,13 +64,6 @@
         self.state().instances_revision
     }
 
-    /// Keys of instances that are not removed.
-    pub fn present_keys(&self) -> Vec<String> {
-        let state = self.state();
-        let present = state.instances.values().filter(|document| document.removed == 0);
-        present.map(|document| document.key.clone()).collect()
-    }
-
     /// What a peer with these versions lacks.
     pub fn newer_than(
         &self,
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -60,8 +60,6 @@
 #[derive(Debug, Default)]
 struct Group {
     leader: Option<Leader>,
-    /// The instance that last denied to lead.
-    denied: Option<InstanceName>,
     observations: LeaderObservations,
     last_use: Option<Instant>,
     staleness_ms: Option<u64>,
@@ -211,7 +209,6 @@
             "event=leader_claimed group={group} instance={instance} previous={}",
             current.as_ref().map_or("none", |name| name.as_str())
         );
-        entry.denied = None;
         entry.leader = Some(Leader {
             instance: instance.clone(),
             term: None,
@@ -389,7 +386,6 @@
             position.term, position.log_position.0
         );
         entry.leader = Some(leader);
-        entry.denied = None;
         if is_other {
             self.leaders_changed.notify_waiters();
         }
@@ -406,7 +402,6 @@
         if is_believed {
             info!("event=leader_denied group={group} instance={instance}");
             entry.leader = None;
-            entry.denied = Some(instance.clone());
         }
     }
 
--- a/crates/millwind-engine/src/duty.rs
+++ b/crates/millwind-engine/src/duty.rs
@@ -80,11 +80,6 @@
         }
     }
 
-    /// The prefix of the records.
-    pub fn prefix(&self) -> &str {
-        &self.prefix
-    }
-
     fn seen(&self) -> MutexGuard<'_, HashMap<GroupName, SeenDuty>> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -97,11 +97,7 @@
         Ok(connection) => connection,
         Err(error) => return note_failure(engine, record, asked, &error),
     };
-    let envelope = Envelope {
-        id: None,
-        since: None,
-        command: Command::Begin { read_only: false },
-    };
+    let envelope = Envelope::own(Command::Begin { read_only: false });
     let sent = clock::now();
     match connection.exchange(&envelope, deadline).await {
         Err(error) => note_failure(engine, record, sent, &error),
@@ -124,14 +120,11 @@
 }
 
 fn note_failure(engine: &Engine, record: &InstanceRecord, asked: Instant, error: &LinkError) {
-    let is_wrong_instance = matches!(error, LinkError::StartupRefused(error)
-        if error.kind == BackEndErrorKind::WrongInstance);
     // An instance over its limit turns connections away, and one that never
     // lets this node in serves it no better than a dead one.
     let is_shut_out = *error == LinkError::TurnedAway && !is_heard_lately(engine, record);
-    if error.is_evidence() || is_wrong_instance || is_shut_out {
-        let is_refusing = is_wrong_instance || matches!(error, LinkError::Refused | LinkError::Lost);
-        engine.directory.failed(&record.name, asked, is_refusing);
+    if error.is_evidence() || error.is_wrong_instance() || is_shut_out {
+        engine.directory.failed(&record.name, asked, error.is_refusing());
     }
 }
 
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -182,7 +182,6 @@
         FailoverTimes {
             suspect_ms: SUSPECT_MS,
             alone_ms: ALONE_MS,
-            report_ms: REPORT_MS,
             heartbeat_ms: self.engine.settings.heartbeat_ms * HEARTBEAT_TENTHS / 10,
         }
     }
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -103,9 +103,7 @@
         if self.duties.held_token(group).is_some() {
             return 0;
         }
-        let peers = self.engine.registry.peers();
-        let names = peers.iter().map(|(name, _)| name.as_str());
-        let rank = self.engine.registry.rank(group.as_str(), names);
+        let rank = self.engine.registry.rank(group.as_str());
         let holder_goes_first = usize::from(self.duties.get(group).is_some());
         (rank + holder_goes_first).min(MOST_RANKS)
     }
@@ -314,11 +312,7 @@
         .acquire(Purpose::Probe, &session, None, deadline)
         .await
         .ok()?;
-    let envelope = Envelope {
-        id: None,
-        since: None,
-        command,
-    };
+    let envelope = Envelope::own(command);
     let reply = connection.exchange(&envelope, deadline).await.ok()?;
     engine.backend_codec().read_status(&reply)
 }
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -145,7 +145,7 @@
 
     /// The pool of an instance.
     pub fn pool(&self, record: &InstanceRecord) -> Arc<Pool> {
-        self.pools.pool(record, self.share_of(record))
+        self.pools.pool(record, || self.share_of(record))
     }
 
     /// The protocol towards back ends.
@@ -268,9 +268,7 @@
         if last_use.is_some_and(|used| clock::now().millis_since(used) < USED_MS) {
             return true;
         }
-        let peers = self.registry.peers();
-        let names = peers.iter().map(|(name, _)| name.as_str());
-        self.registry.rank(group.as_str(), names) < WATCHERS
+        self.registry.rank(group.as_str()) < WATCHERS
     }
 
     /// Waits until enough is known to serve callers, for `limit` at most.
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -61,13 +61,14 @@
         nodes.len() + usize::from(!nodes.contains_key(&self.node))
     }
 
-    /// How many of `candidates` come before this node for `key`, by
-    /// rendezvous hashing: spread evenly and agreed without a message.
-    pub fn rank<'a>(&self, key: &str, candidates: impl Iterator<Item = &'a str>) -> usize {
+    /// How many nodes come before this one for `key`, by rendezvous hashing:
+    /// spread evenly and agreed without a message.
+    pub fn rank(&self, key: &str) -> usize {
         let weight = |node: &str| xxh3_64(format!("{key}/{node}").as_bytes());
         let own = weight(&self.node);
-        candidates
-            .filter(|name| *name != self.node && weight(name) > own)
+        self.nodes()
+            .keys()
+            .filter(|name| **name != self.node && weight(name) > own)
             .count()
     }
 
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -73,8 +73,8 @@
             // A statement may be slow; only a health check's silence tells.
             LinkError::Silent | LinkError::Protocol => self.directory.avoid(&self.instance),
             _ if error.is_evidence() => {
-                let is_refusing = matches!(error, LinkError::Refused | LinkError::Lost);
-                self.directory.failed(&self.instance, self.asked, is_refusing);
+                self.directory
+                    .failed(&self.instance, self.asked, error.is_refusing());
             }
             _ => {}
         }
@@ -113,16 +113,11 @@
 }
 
 fn note_connect_error(engine: &Arc<Engine>, record: &InstanceRecord, asked: Instant, error: &LinkError) {
-    match error {
-        LinkError::StartupRefused(error) if error.kind == BackEndErrorKind::WrongInstance => {
-            // Somebody else has its address now.
-            engine.directory.failed(&record.name, asked, true);
-        }
-        _ if error.is_evidence() => {
-            let is_refusing = *error == LinkError::Refused;
-            engine.directory.failed(&record.name, asked, is_refusing);
-        }
-        _ => engine.directory.avoid(&record.name),
+    if error.is_evidence() || error.is_wrong_instance() {
+        let directory = &engine.directory;
+        directory.failed(&record.name, asked, error.is_refusing());
+    } else {
+        engine.directory.avoid(&record.name);
     }
 }
 
@@ -172,7 +167,8 @@
     since: Option<Position>,
     proves_leader: bool,
 ) -> Result<Reply, AttemptError> {
-    let record = connection.pool().record().clone();
+    let pool = connection.pool().clone();
+    let record = pool.record();
     let envelope = Envelope {
         id: Some(&operation.id),
         since,
@@ -194,10 +190,10 @@
         .map_or_else(|error| error.kind.name(), |_| "ok");
     operation.trail.tried(&record.name, outcome);
     match &reply.result {
-        Ok(_) if proves_leader => prove_leader(engine, &record, inquiry.asked, &reply.position),
+        Ok(_) if proves_leader => prove_leader(engine, record, inquiry.asked, &reply.position),
         Ok(_) => {}
         Err(error) => {
-            note_error(engine, &record, error);
+            note_error(engine, record, error);
             return Err(AttemptError::BackEnd(error.clone()));
         }
     }
--- a/crates/millwind-engine/src/statement.rs
+++ b/crates/millwind-engine/src/statement.rs
@@ -137,6 +137,17 @@
     pub command: Command<'a>,
 }
 
+impl<'a> Envelope<'a> {
+    /// A statement of the engine's own, without a caller's id.
+    pub const fn own(command: Command<'a>) -> Self {
+        Envelope {
+            id: None,
+            since: None,
+            command,
+        }
+    }
+}
+
 /// Why a back end did not do what it was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum BackEndErrorKind {
