--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -27,6 +27,15 @@
     /// The instance is no longer used.
     #[error("instance is no longer used")]
     Retired,
+    /// No node that could run the statement was reached.
+    #[error("no node that holds connections was reached")]
+    OwnerUnreachable,
+    /// The node that holds the connections has lost the instance.
+    #[error("the node that holds connections does not reach the instance")]
+    InstanceFailing,
+    /// No leader's position was observed in time.
+    #[error("no recent position of a leader")]
+    NoObservation,
     /// The connection broke after bytes were sent.
     #[error("connection broke")]
     Lost,
@@ -48,6 +57,9 @@
             LinkError::StartupRefused(error) => error.kind.name(),
             LinkError::NoConnection => "no_connection",
             LinkError::Retired => "retired",
+            LinkError::OwnerUnreachable => "owner_unreachable",
+            LinkError::InstanceFailing => "instance_failing",
+            LinkError::NoObservation => "no_observation",
             LinkError::Lost => "lost",
             LinkError::Silent => "silent",
             LinkError::Protocol => "protocol",
@@ -81,6 +93,7 @@
     pub const fn kind(&self) -> ErrorKind {
         match self {
             LinkError::NoConnection => ErrorKind::QueueFull,
+            LinkError::NoObservation => ErrorKind::NoPrimary,
             _ => ErrorKind::BackEndUnreachable,
         }
     }
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -62,6 +62,7 @@
     leader: Option<Leader>,
     observations: LeaderObservations,
     last_use: Option<Instant>,
+    last_direct_use: Option<Instant>,
     staleness_ms: Option<u64>,
 }
 
@@ -462,6 +463,19 @@
         }
     }
 
+    /// Notes that a group is in use over this node's own connections.
+    pub fn used_directly(&self, group: &GroupName) {
+        let mut state = self.state();
+        if let Some(entry) = state.groups.get_mut(group) {
+            entry.last_direct_use = Some(clock::now());
+        }
+    }
+
+    /// When a group was last used over this node's own connections.
+    pub fn last_direct_use(&self, group: &GroupName) -> Option<Instant> {
+        self.state().groups.get(group)?.last_direct_use
+    }
+
     /// When a group was last used, and the least staleness asked of it.
     pub fn usage(&self, group: &GroupName) -> (Option<Instant>, Option<u64>) {
         let state = self.state();
--- /dev/null
+++ b/crates/millwind-engine/src/execution.rs
@@ -0,0 +1,232 @@
+//! Runs statements on this node's own connections, and notes what each answer
+//! tells of the instance that gave it.
+
+use std::sync::Arc;
+
+use millwind_core::Instant;
+use millwind_core::ids::InstanceName;
+use millwind_core::position::Position;
+use millwind_core::session_state::{PreparedStatement, SessionState};
+
+use crate::answer::{Failure, Refusal};
+use crate::backend::pool::PooledConnection;
+use crate::backend::{LinkError, Purpose};
+use crate::catalog::InstanceRecord;
+use crate::clock;
+use crate::directory::Directory;
+use crate::node::Engine;
+use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply};
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptError {
+    /// The exchange failed.
+    Link(LinkError),
+    /// The instance answered with an error.
+    BackEnd(BackEndError),
+}
+
+impl AttemptError {
+    /// Whether the statement has certainly not run.
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            AttemptError::Link(error) => !error.may_have_run(),
+            AttemptError::BackEnd(error) => error.kind.is_not_run(),
+        }
+    }
+
+    /// What the caller is told when nothing was kept.
+    pub fn into_failure(self) -> Failure {
+        match self {
+            AttemptError::Link(error) => Refusal::new(error.kind(), error).into(),
+            AttemptError::BackEnd(error) => Failure::BackEnd(error),
+        }
+    }
+
+    /// The name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            AttemptError::Link(error) => error.name(),
+            AttemptError::BackEnd(error) => error.kind.name(),
+        }
+    }
+}
+
+/// Counts a question to an instance from its sending to its end.
+pub struct Inquiry {
+    directory: Arc<Directory>,
+    instance: InstanceName,
+    /// When the question was sent.
+    pub asked: Instant,
+}
+
+impl Inquiry {
+    /// A question that is sent now.
+    pub fn new(directory: &Arc<Directory>, instance: &InstanceName) -> Self {
+        directory.asked(instance);
+        Inquiry {
+            directory: directory.clone(),
+            instance: instance.clone(),
+            asked: clock::now(),
+        }
+    }
+
+    /// The instance gave an answer.
+    pub fn answered(&self) {
+        let elapsed = clock::now().0 - self.asked.0;
+        self.directory.answered(&self.instance, Some(elapsed));
+    }
+
+    /// The exchange failed.
+    pub fn failed(&self, error: &LinkError) {
+        match error {
+            // A statement may be slow; only a health check's silence tells.
+            LinkError::Silent | LinkError::Protocol => self.directory.avoid(&self.instance),
+            _ if error.is_evidence() => {
+                self.directory
+                    .failed(&self.instance, self.asked, error.is_refusing());
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Drop for Inquiry {
+    fn drop(&mut self) {
+        self.directory.settled(&self.instance);
+    }
+}
+
+/// What a connection is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Priority; zero comes first.
+    pub priority: u8,
+    /// State that the connection will be brought to.
+    pub session: &'a SessionState,
+    /// Prepared statement that it will execute.
+    pub needed: Option<&'a PreparedStatement>,
+    /// Wait at most until then.
+    pub deadline: Instant,
+}
+
+/// Gets one of this node's own connections to `record`.
+pub async fn connect(
+    engine: &Arc<Engine>,
+    record: &InstanceRecord,
+    wanted: Wanted<'_>,
+) -> Result<PooledConnection, AttemptError> {
+    let purpose = Purpose::Statement {
+        priority: wanted.priority,
+    };
+    let asked = clock::now();
+    let connected = engine
+        .pool(record)
+        .acquire(purpose, wanted.session, wanted.needed, wanted.deadline)
+        .await;
+    connected.map_err(|error| {
+        note_connect_error(engine, record, asked, &error);
+        match error {
+            LinkError::StartupRefused(error) => AttemptError::BackEnd(error),
+            error => AttemptError::Link(error),
+        }
+    })
+}
+
+fn note_connect_error(engine: &Arc<Engine>, record: &InstanceRecord, asked: Instant, error: &LinkError) {
+    if error.is_evidence() || error.is_wrong_instance() {
+        let directory = &engine.directory;
+        directory.failed(&record.name, asked, error.is_refusing());
+    } else {
+        engine.directory.avoid(&record.name);
+    }
+}
+
+/// Begins a transaction; where it is not read-only, a success proves that the
+/// instance leads.
+pub async fn begin(
+    engine: &Arc<Engine>,
+    connection: &mut PooledConnection,
+    read_only: bool,
+    since: Option<Position>,
+    deadline: Instant,
+) -> Result<(), AttemptError> {
+    let pool = connection.pool().clone();
+    let record = pool.record();
+    let envelope = Envelope {
+        id: None,
+        since,
+        command: Command::Begin { read_only },
+    };
+    let inquiry = Inquiry::new(&engine.directory, &record.name);
+    let reply = match connection.exchange(&envelope, deadline).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            inquiry.failed(&error);
+            return Err(AttemptError::Link(error));
+        }
+    };
+    engine.directory.answered(&record.name, None);
+    if let Err(error) = reply.result {
+        note_error(engine, record, &error);
+        return Err(AttemptError::BackEnd(error));
+    }
+    if !read_only {
+        prove_leader(engine, record, inquiry.asked, reply.position);
+    }
+    Ok(())
+}
+
+/// Runs a statement; where `proves_leader`, a success proves that the instance
+/// leads.
+pub async fn run(
+    engine: &Arc<Engine>,
+    connection: &mut PooledConnection,
+    session: &SessionState,
+    envelope: &Envelope<'_>,
+    proves_leader: bool,
+    deadline: Instant,
+) -> Result<Reply, AttemptError> {
+    let pool = connection.pool().clone();
+    let record = pool.record();
+    let inquiry = Inquiry::new(&engine.directory, &record.name);
+    let reply = match connection.run(session, envelope, deadline).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            inquiry.failed(&error);
+            return Err(AttemptError::Link(error));
+        }
+    };
+    inquiry.answered();
+    if let Err(error) = &reply.result {
+        note_error(engine, record, error);
+        return Err(AttemptError::BackEnd(error.clone()));
+    }
+    if proves_leader {
+        prove_leader(engine, record, inquiry.asked, reply.position);
+    }
+    Ok(reply)
+}
+
+/// Takes in that `record` proved its lead when it answered a question sent at
+/// `asked`.
+pub fn prove_leader(engine: &Engine, record: &InstanceRecord, asked: Instant, position: Option<Position>) {
+    if let Some(position) = position {
+        engine
+            .directory
+            .leader_proved(&record.group, &record.name, asked, position);
+    }
+}
+
+/// Takes in what an instance's error tells of it.
+pub fn note_error(engine: &Engine, record: &InstanceRecord, error: &BackEndError) {
+    match error.kind {
+        BackEndErrorKind::ReadOnly => {
+            engine.directory.leader_denied(&record.group, &record.name);
+            engine.wake_monitor();
+        }
+        BackEndErrorKind::Behind => engine.directory.behind(&record.name),
+        BackEndErrorKind::Busy => engine.directory.avoid(&record.name),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -0,0 +1,264 @@
+//! Between the engine's terms and the messages of the forwarding protocol.
+
+use std::collections::BTreeMap;
+
+use millwind_core::Instant;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::{LogPosition, Position, Term};
+use millwind_core::session_state::{Access, PreparedStatement, SessionState};
+use millwind_wire::forward::{
+    ForwardedAnswer, ForwardedCommit, ForwardedExecution, ForwardedFloor, ForwardedOutcome,
+    ForwardedPosition, ForwardedRow, ForwardedStatement, ForwardedValue, LeaderReport,
+};
+
+use crate::backend::LinkError;
+use crate::clock;
+use crate::directory::Written;
+use crate::execution::AttemptError;
+use crate::floor::{ReadFloor, StalenessTerms};
+use crate::node::Engine;
+use crate::statement::{BackEndError, BackEndErrorKind, Command, Reply, TransactionState};
+
+/// Numbers of the kinds of back-end errors on the wire.
+const BACK_END_KINDS: [(u8, BackEndErrorKind); 9] = [
+    (1, BackEndErrorKind::Busy),
+    (2, BackEndErrorKind::Behind),
+    (3, BackEndErrorKind::ReadOnly),
+    (4, BackEndErrorKind::WrongInstance),
+    (5, BackEndErrorKind::TooManyConnections),
+    (6, BackEndErrorKind::UnknownStatement),
+    (7, BackEndErrorKind::Failed),
+    (8, BackEndErrorKind::TimedOut),
+    (9, BackEndErrorKind::Other),
+];
+
+/// Numbers of the failures of links on the wire.
+const LINK_ERRORS: [(u8, LinkError); 9] = [
+    (1, LinkError::Refused),
+    (2, LinkError::ConnectTimeout),
+    (3, LinkError::TurnedAway),
+    (4, LinkError::NoConnection),
+    (5, LinkError::Retired),
+    (6, LinkError::Lost),
+    (7, LinkError::Silent),
+    (8, LinkError::InstanceFailing),
+    (9, LinkError::NoObservation),
+];
+
+fn micros_since(time: Instant) -> u64 {
+    clock::now().0.saturating_sub(time.0)
+}
+
+fn micros_ago(micros: u64) -> Instant {
+    Instant(clock::now().0.saturating_sub(micros))
+}
+
+pub(super) fn write_position(position: Position) -> ForwardedPosition {
+    ForwardedPosition {
+        term: position.term.0,
+        number: position.log_position.0,
+    }
+}
+
+pub(super) fn read_position(position: ForwardedPosition) -> Position {
+    Position {
+        term: Term(position.term),
+        log_position: LogPosition(position.number),
+    }
+}
+
+pub(super) fn write_floor(floor: &ReadFloor) -> ForwardedFloor {
+    match floor {
+        ReadFloor::Any => ForwardedFloor::Any,
+        ReadFloor::Position(position) => ForwardedFloor::Position(write_position(*position)),
+        ReadFloor::Staleness(terms) => ForwardedFloor::Staleness {
+            arrived_ago_us: micros_since(terms.arrived),
+            staleness_ms: terms.staleness_ms,
+            written: terms.written.iter().map(write_commit).collect(),
+        },
+    }
+}
+
+fn write_commit(written: &Written) -> ForwardedCommit {
+    ForwardedCommit {
+        position: write_position(written.position),
+        acknowledged_ago_us: micros_since(written.acknowledged),
+    }
+}
+
+/// Times that travel as ages are taken for later than they were, by the time
+/// on the way: that asks for a newer position, never for an older one.
+pub(super) fn read_floor(floor: &ForwardedFloor) -> ReadFloor {
+    match floor {
+        ForwardedFloor::Any => ReadFloor::Any,
+        ForwardedFloor::Position(position) => ReadFloor::Position(read_position(*position)),
+        ForwardedFloor::Staleness {
+            arrived_ago_us,
+            staleness_ms,
+            written,
+        } => ReadFloor::Staleness(StalenessTerms {
+            arrived: micros_ago(*arrived_ago_us),
+            staleness_ms: *staleness_ms,
+            written: written.first().map(|commit| Written {
+                position: read_position(commit.position),
+                acknowledged: micros_ago(commit.acknowledged_ago_us),
+            }),
+        }),
+    }
+}
+
+pub(super) fn write_values(session: &SessionState) -> Vec<ForwardedValue> {
+    let value = |(name, value): (&String, &String)| ForwardedValue {
+        name: name.clone(),
+        value: value.clone(),
+    };
+    session.values.iter().map(value).collect()
+}
+
+/// The asking session's values; its prepared statements travel as needed.
+pub(super) fn read_session(values: &[ForwardedValue]) -> SessionState {
+    let pair = |value: &ForwardedValue| (value.name.clone(), value.value.clone());
+    SessionState {
+        values: values.iter().map(pair).collect(),
+        prepared: BTreeMap::new(),
+    }
+}
+
+/// The caller's text, or the prepared statement that is executed instead.
+pub(super) fn write_command(command: &Command<'_>) -> (String, Vec<ForwardedExecution>) {
+    match command {
+        Command::Execute { statement, arguments } => {
+            let execution = ForwardedExecution {
+                writes: u8::from(statement.access == Access::Write),
+                shape: statement.shape.clone(),
+                arguments: (*arguments).to_owned(),
+            };
+            (String::new(), vec![execution])
+        }
+        Command::Text(text) => ((*text).to_owned(), Vec::new()),
+        // The engine forwards callers' statements only.
+        _ => (String::new(), Vec::new()),
+    }
+}
+
+/// The prepared statement that a forwarded statement executes.
+pub(super) fn read_execution(statement: &ForwardedStatement) -> Option<(PreparedStatement, &str)> {
+    let execution = statement.execution.first()?;
+    let access = match execution.writes {
+        0 => Access::Read,
+        _ => Access::Write,
+    };
+    let prepared = PreparedStatement {
+        access,
+        shape: execution.shape.clone(),
+    };
+    Some((prepared, &execution.arguments))
+}
+
+fn write_state(state: TransactionState) -> u8 {
+    match state {
+        TransactionState::Idle => 0,
+        TransactionState::Open => 1,
+        TransactionState::Failed => 2,
+    }
+}
+
+pub(super) fn read_state(state: u8) -> TransactionState {
+    match state {
+        0 => TransactionState::Idle,
+        1 => TransactionState::Open,
+        _ => TransactionState::Failed,
+    }
+}
+
+pub(super) fn write_answer(
+    call: u64,
+    result: Result<Reply, AttemptError>,
+    state: TransactionState,
+    leader: Option<LeaderReport>,
+) -> ForwardedAnswer {
+    let mut answer = ForwardedAnswer {
+        call,
+        outcome: ForwardedOutcome::Link { kind: 0 },
+        rows: Vec::new(),
+        state: write_state(state),
+        position: Vec::new(),
+        leader: leader.into_iter().collect(),
+    };
+    match result {
+        Ok(reply) => {
+            answer.position = reply.position.into_iter().map(write_position).collect();
+            answer.rows = reply.rows.into_iter().map(|row| ForwardedRow { row }).collect();
+            answer.outcome = match reply.result {
+                Ok(signature) => ForwardedOutcome::Complete { signature },
+                Err(error) => write_back_end_error(error),
+            };
+        }
+        Err(AttemptError::BackEnd(error)) => answer.outcome = write_back_end_error(error),
+        Err(AttemptError::Link(error)) => answer.outcome = write_link_error(&error),
+    }
+    answer
+}
+
+fn write_back_end_error(error: BackEndError) -> ForwardedOutcome {
+    let number = BACK_END_KINDS.iter().find(|(_, kind)| *kind == error.kind);
+    ForwardedOutcome::BackEnd {
+        kind: number.map_or(0, |(number, _)| *number),
+        code: error.code,
+        text: error.text,
+    }
+}
+
+fn write_link_error(error: &LinkError) -> ForwardedOutcome {
+    let number = LINK_ERRORS.iter().find(|(_, kind)| kind == error);
+    ForwardedOutcome::Link {
+        kind: number.map_or(0, |(number, _)| *number),
+    }
+}
+
+/// What the owner answered, as if this node had asked the instance itself.
+pub(super) fn read_answer(answer: ForwardedAnswer) -> Result<Reply, AttemptError> {
+    match answer.outcome {
+        ForwardedOutcome::Complete { signature } => Ok(Reply {
+            rows: answer.rows.into_iter().map(|row| row.row).collect(),
+            result: Ok(signature),
+            state: read_state(answer.state),
+            position: answer.position.first().copied().map(read_position),
+        }),
+        ForwardedOutcome::BackEnd { kind, code, text } => {
+            let known = BACK_END_KINDS.iter().find(|(number, _)| *number == kind);
+            let kind = known.map_or(BackEndErrorKind::Other, |(_, kind)| *kind);
+            Err(AttemptError::BackEnd(BackEndError { kind, code, text }))
+        }
+        ForwardedOutcome::Link { kind } => {
+            let known = LINK_ERRORS.iter().find(|(number, _)| *number == kind);
+            // A failure of unknown kind says nothing about what has run.
+            let error = known.map_or(LinkError::Protocol, |(_, error)| error.clone());
+            Err(AttemptError::Link(error))
+        }
+    }
+}
+
+/// What this node has seen of a group's leader.
+pub(crate) fn leader_report(engine: &Engine, group: &GroupName) -> Option<LeaderReport> {
+    let leader = engine.directory.leader(group)?;
+    let newest = engine.directory.newest_observation(group)?;
+    if leader.term != Some(newest.position.term) {
+        return None;
+    }
+    Some(LeaderReport {
+        instance: leader.instance.0,
+        position: write_position(newest.position),
+        asked_ago_us: micros_since(newest.asked),
+    })
+}
+
+/// Takes in what another node has seen of a group's leader, in its answer to a
+/// question sent at `sent`: it had asked the leader no earlier than the age
+/// that it tells before that.
+pub(crate) fn take_leader_report(engine: &Engine, group: &GroupName, report: &LeaderReport, sent: Instant) {
+    let asked = Instant(sent.0.saturating_sub(report.asked_ago_us));
+    let instance = InstanceName(report.instance.clone());
+    let position = read_position(report.position);
+    engine.directory.leader_proved(group, &instance, asked, position);
+}
--- /dev/null
+++ b/crates/millwind-engine/src/forward/mod.rs
@@ -0,0 +1,24 @@
+//! Forwarding of statements to the nodes that own connections.
+//!
+//! An instance accepts few connections. While there are few nodes each holds
+//! its share of them. With many nodes, a few owners per instance hold them and
+//! run the statements of all others. Owners are chosen by rendezvous hashing,
+//! first among the nodes of the instance's own zone, so that a forwarded
+//! statement crosses zones no more often than one that is sent directly. Views
+//! of the set of nodes may differ for a while: every node runs what it is
+//! asked, within a limit of its own, so nothing but a few connections depends
+//! on agreement.
+
+mod lease;
+mod link;
+mod links;
+mod messages;
+mod owners;
+mod server;
+
+pub use lease::Lease;
+pub use link::OwnerLink;
+pub use owners::{OWNERS, Owners, Route, Standing};
+pub use server::serve;
+
+pub(crate) use messages::{leader_report, take_leader_report};
--- /dev/null
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -0,0 +1,367 @@
+//! Runs the statements of other nodes on this node's connections.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
+use log::debug;
+use millwind_core::Instant;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::Position;
+use millwind_wire::forward::{
+    ForwardReply, ForwardRequest, ForwardedBegin, ForwardedStart, ForwardedStatement, decode_forward,
+    encode_forward,
+};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::messages::{leader_report, read_execution, read_floor, read_session, write_answer};
+use crate::backend::LinkError;
+use crate::backend::pool::PooledConnection;
+use crate::catalog::InstanceRecord;
+use crate::clock;
+use crate::execution::{self, AttemptError, Wanted};
+use crate::floor::ReadFloor;
+use crate::node::{Engine, Phase};
+use crate::statement::{Command, Envelope, Reply, TransactionState};
+
+type Transport = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Between two looks at leases that rest.
+const RESTING_TICK: Duration = Duration::from_millis(500);
+/// The asking node ends a resting transaction itself; this one waits so much
+/// longer, in milliseconds.
+const RESTING_MARGIN_MS: u64 = 1_000;
+/// Answers written in one go at most.
+const BATCH: usize = 64;
+
+/// A lease: its connection while no statement runs on it.
+#[derive(Debug)]
+struct Held {
+    connection: tokio::sync::Mutex<Option<PooledConnection>>,
+    used: Mutex<Instant>,
+    _count: LeaseCount,
+}
+
+/// Leases of one link.
+#[derive(Debug, Default)]
+struct Leases(Mutex<HashMap<u64, Arc<Held>>>);
+
+impl Leases {
+    fn map(&self) -> MutexGuard<'_, HashMap<u64, Arc<Held>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn begin(&self, engine: &Arc<Engine>, lease: u64) -> Arc<Held> {
+        let held = Arc::new(Held {
+            connection: tokio::sync::Mutex::new(None),
+            used: Mutex::new(clock::now()),
+            _count: LeaseCount::new(engine),
+        });
+        self.map().insert(lease, held.clone());
+        held
+    }
+
+    fn get(&self, lease: u64) -> Option<Arc<Held>> {
+        self.map().get(&lease).cloned()
+    }
+
+    /// Ends a lease: its connection is given back, which rolls it back, at once
+    /// or when the statement that runs on it has ended.
+    fn end(&self, lease: u64) {
+        let ended = self.map().remove(&lease);
+        drop(ended);
+    }
+
+    fn contains(&self, lease: u64, held: &Arc<Held>) -> bool {
+        self.get(lease).is_some_and(|present| Arc::ptr_eq(&present, held))
+    }
+
+    /// Ends leases that have rested for `rest_ms`.
+    fn end_resting(&self, rest_ms: u64) {
+        let now = clock::now();
+        let mut ended = Vec::new();
+        self.map().retain(|_, held| {
+            let used = *held.used.lock().unwrap_or_else(PoisonError::into_inner);
+            let is_kept = now.millis_since(used) <= rest_ms || held.connection.try_lock().is_err();
+            if !is_kept {
+                ended.push(held.clone());
+            }
+            is_kept
+        });
+        drop(ended);
+    }
+}
+
+/// Counts a lease until it is dropped.
+struct LeaseCount(Arc<Engine>);
+
+impl std::fmt::Debug for LeaseCount {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("LeaseCount")
+    }
+}
+
+impl LeaseCount {
+    fn new(engine: &Arc<Engine>) -> Self {
+        engine.forwarded_leases.fetch_add(1, Ordering::Relaxed);
+        LeaseCount(engine.clone())
+    }
+}
+
+impl Drop for LeaseCount {
+    fn drop(&mut self) {
+        self.0.forwarded_leases.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves a link whose first message is `first`.
+pub async fn serve(transport: Transport, first: BytesMut, engine: Arc<Engine>) {
+    let (answers, outgoing) = mpsc::unbounded_channel();
+    let server = Server {
+        engine,
+        leases: Arc::default(),
+        answers,
+    };
+    server.run(transport, first, outgoing).await;
+    // All leases end with the link.
+    server.leases.map().clear();
+}
+
+struct Server {
+    engine: Arc<Engine>,
+    leases: Arc<Leases>,
+    answers: mpsc::UnboundedSender<ForwardReply>,
+}
+
+impl Server {
+    async fn run(
+        &self,
+        mut transport: Transport,
+        first: BytesMut,
+        mut outgoing: mpsc::UnboundedReceiver<ForwardReply>,
+    ) {
+        if !self.take(&first) {
+            return;
+        }
+        let mut phase = self.engine.phase.subscribe();
+        let mut resting = tokio::time::interval(RESTING_TICK);
+        let mut batch = Vec::new();
+        if *phase.borrow_and_update() != Phase::Running {
+            batch.push(ForwardReply::Leaving);
+        }
+        loop {
+            if !batch.is_empty() && write_all(&mut transport, &mut batch).await.is_none() {
+                return;
+            }
+            tokio::select! {
+                _ = outgoing.recv_many(&mut batch, BATCH) => {}
+                message = transport.next() => {
+                    let Some(Ok(message)) = message else { return };
+                    if !self.take(&message) {
+                        return;
+                    }
+                }
+                Ok(()) = phase.changed() => batch.push(ForwardReply::Leaving),
+                _ = resting.tick(), if !self.leases.map().is_empty() => {
+                    let idle_ms = self.engine.directory.config().map_or(0, |config| config.transaction_idle_ms);
+                    self.leases.end_resting(idle_ms + RESTING_MARGIN_MS);
+                }
+            }
+        }
+    }
+
+    /// Takes a message; false if it is none of the protocol's.
+    fn take(&self, message: &[u8]) -> bool {
+        match decode_forward(message) {
+            Ok(ForwardRequest::Run(statement)) => self.start(statement),
+            Ok(ForwardRequest::End { lease }) => self.leases.end(lease),
+            Ok(ForwardRequest::Ping) => drop(self.answers.send(ForwardReply::Pong)),
+            Err(error) => {
+                debug!("event=forward_refused error={:?}", error.to_string());
+                return false;
+            }
+        }
+        true
+    }
+
+    fn start(&self, statement: ForwardedStatement) {
+        let engine = self.engine.clone();
+        let leases = self.leases.clone();
+        let answers = self.answers.clone();
+        engine.metrics.forwarded_in.inc();
+        tokio::spawn(async move {
+            let answer = run_statement(&engine, &leases, &statement).await;
+            // On a lost link nobody waits for the answer.
+            let _ = answers.send(answer);
+        });
+    }
+}
+
+async fn write_all(transport: &mut Transport, batch: &mut Vec<ForwardReply>) -> Option<()> {
+    for reply in batch.drain(..) {
+        let message = encode_forward(&reply).ok()?;
+        transport.feed(Bytes::from(message)).await.ok()?;
+    }
+    SinkExt::<Bytes>::flush(transport).await.ok()
+}
+
+async fn run_statement(
+    engine: &Arc<Engine>,
+    leases: &Leases,
+    statement: &ForwardedStatement,
+) -> ForwardReply {
+    let deadline = clock::now().plus_millis(u64::from(statement.limit_ms));
+    let lease = statement.lease;
+    let held = match statement.start.first() {
+        Some(_) => Some(leases.begin(engine, lease)),
+        None => leases.get(lease),
+    };
+    let Some(held) = held else {
+        let gone = Err(AttemptError::Link(LinkError::Retired));
+        return ForwardReply::Answer(write_answer(statement.call, gone, TransactionState::Failed, None));
+    };
+    let mut connection = held.connection.lock().await;
+    let mut since = None;
+    if let Some(start) = statement.start.first() {
+        match begin(engine, start, statement, deadline).await {
+            Ok((begun, needed)) => {
+                *connection = Some(begun);
+                since = needed;
+            }
+            Err(error) => {
+                drop(connection);
+                leases.end(lease);
+                let group = group_of(engine, start);
+                return answer(engine, statement, Err(error), TransactionState::Idle, group);
+            }
+        }
+    }
+    let (result, state, group) = match connection.as_mut() {
+        Some(connection) => {
+            let result = run_on(engine, connection, statement, since, deadline).await;
+            let group = connection.pool().record().group.clone();
+            (result, connection.transaction(), Some(group))
+        }
+        None => {
+            let gone = Err(AttemptError::Link(LinkError::Retired));
+            (gone, TransactionState::Failed, None)
+        }
+    };
+    *held.used.lock().unwrap_or_else(PoisonError::into_inner) = clock::now();
+    let is_broken = matches!(&result, Err(AttemptError::Link(_)));
+    let is_kept = statement.keep == 1 && state != TransactionState::Idle && !is_broken;
+    if !is_kept || !leases.contains(lease, &held) {
+        connection.take();
+        leases.end(lease);
+    }
+    drop(connection);
+    answer(engine, statement, result, state, group)
+}
+
+fn answer(
+    engine: &Engine,
+    statement: &ForwardedStatement,
+    result: Result<Reply, AttemptError>,
+    state: TransactionState,
+    group: Option<GroupName>,
+) -> ForwardReply {
+    let leader = group.and_then(|group| leader_report(engine, &group));
+    ForwardReply::Answer(write_answer(statement.call, result, state, leader))
+}
+
+fn group_of(engine: &Engine, start: &ForwardedStart) -> Option<GroupName> {
+    let known = engine
+        .directory
+        .instance(&InstanceName::from(start.instance.as_str()))?;
+    Some(known.record.group.clone())
+}
+
+/// The instance of a lease, unless it is known to take nothing.
+fn usable_instance(engine: &Engine, name: &str) -> Result<Arc<InstanceRecord>, AttemptError> {
+    let known = engine.directory.instance(&InstanceName::from(name));
+    let known = known.ok_or(AttemptError::Link(LinkError::Retired))?;
+    if !engine.takes_new_work(&known) {
+        return Err(AttemptError::Link(LinkError::Retired));
+    }
+    let is_failing = known.contact.failing_since.is_some();
+    if is_failing && clock::now() < known.contact.avoid_until {
+        return Err(AttemptError::Link(LinkError::InstanceFailing));
+    }
+    Ok(known.record)
+}
+
+/// Gets a connection for a new lease and begins its transaction, if it has one;
+/// else the position goes with the statement.
+async fn begin(
+    engine: &Arc<Engine>,
+    start: &ForwardedStart,
+    statement: &ForwardedStatement,
+    deadline: Instant,
+) -> Result<(PooledConnection, Option<Position>), AttemptError> {
+    let record = usable_instance(engine, &start.instance)?;
+    let floor = read_floor(&start.floor);
+    let staleness = match floor {
+        ReadFloor::Staleness(terms) => Some(terms.staleness_ms),
+        _ => None,
+    };
+    engine.directory.used(&record.group, staleness);
+    let since = resolve(engine, &floor, &record, deadline).await?;
+    let session = read_session(&statement.values);
+    let execution = read_execution(statement);
+    let wanted = Wanted {
+        priority: start.priority,
+        session: &session,
+        needed: execution.as_ref().map(|(prepared, _)| prepared),
+        deadline,
+    };
+    let mut connection = execution::connect(engine, &record, wanted).await?;
+    let read_only = match start.begin {
+        ForwardedBegin::None => return Ok((connection, since)),
+        ForwardedBegin::ReadOnly => true,
+        ForwardedBegin::ReadWrite => false,
+    };
+    execution::begin(engine, &mut connection, read_only, since, deadline).await?;
+    Ok((connection, None))
+}
+
+async fn resolve(
+    engine: &Arc<Engine>,
+    floor: &ReadFloor,
+    record: &InstanceRecord,
+    deadline: Instant,
+) -> Result<Option<Position>, AttemptError> {
+    floor
+        .resolve(engine, &record.group, deadline)
+        .await
+        .map_err(|_| AttemptError::Link(LinkError::NoObservation))
+}
+
+async fn run_on(
+    engine: &Arc<Engine>,
+    connection: &mut PooledConnection,
+    statement: &ForwardedStatement,
+    since: Option<Position>,
+    deadline: Instant,
+) -> Result<Reply, AttemptError> {
+    let session = read_session(&statement.values);
+    let execution = read_execution(statement);
+    let command = match &execution {
+        Some((prepared, arguments)) => Command::Execute {
+            statement: prepared,
+            arguments,
+        },
+        None => Command::Text(&statement.text),
+    };
+    let envelope = Envelope {
+        id: Some(&statement.id),
+        since,
+        command,
+    };
+    let proves_leader = statement.proves_leader == 1;
+    execution::run(engine, connection, &session, &envelope, proves_leader, deadline).await
+}
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -48,6 +48,10 @@
     pub promotions: Counter,
     /// Sessions opened.
     pub sessions: Counter,
+    /// Statements passed on to other nodes.
+    pub forwarded_out: Counter,
+    /// Statements run for other nodes.
+    pub forwarded_in: Counter,
 }
 
 impl Default for Metrics {
@@ -64,6 +68,8 @@
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
             sessions: Counter::default(),
+            forwarded_out: Counter::default(),
+            forwarded_in: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Statements answered", metrics.answers.clone());
@@ -89,6 +95,16 @@
         );
         registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
         registry.register("sessions", "Sessions opened", metrics.sessions.clone());
+        registry.register(
+            "forwarded_out",
+            "Statements passed on to nodes that own connections",
+            metrics.forwarded_out.clone(),
+        );
+        registry.register(
+            "forwarded_in",
+            "Statements run for other nodes",
+            metrics.forwarded_in.clone(),
+        );
         Metrics { registry, ..metrics }
     }
 }
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -21,6 +21,7 @@
 use crate::directory::{Directory, Known};
 use crate::duty::Duties;
 use crate::failover::Monitor;
+use crate::forward::{OWNERS, Owners, Route, Standing};
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::peers::{self, Exchange, PeerClient};
@@ -48,7 +49,12 @@
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 /// Connections to an instance per node from which on none is scarce.
-const AMPLE_SHARE: usize = 2;
+const AMPLE_SHARE: usize = 3;
+/// Connections that an owner may hold, in percent of those that the instance
+/// accepts.
+const OWNER_PERCENT: usize = 40;
+/// Connections that a node may hold that stands in for owners, in percent.
+const STAND_IN_PERCENT: usize = 10;
 /// Nodes that watch a group whether they use it or not.
 const WATCHERS: usize = 3;
 /// A group counts as used for this time, in milliseconds.
@@ -87,6 +93,10 @@
     pub peers: PeerClient,
     /// Documents for peers that cannot read the store.
     pub catalog_cache: CatalogCache,
+    /// The nodes that own connections to instances.
+    pub owners: Owners,
+    /// Connections leased to other nodes.
+    pub forwarded_leases: AtomicUsize,
     pools: Pools,
     monitor_wake: Notify,
     sessions: AtomicUsize,
@@ -125,7 +135,7 @@
 
     /// Whether the node takes new callers.
     pub fn is_ready(&self) -> bool {
-        *self.phase.borrow() == Phase::Running && self.directory.is_complete()
+        *self.phase.borrow() == Phase::Running && self.directory.is_complete() && self.registry.is_listed()
     }
 
     /// Counts a new session; none when the limit is reached.
@@ -153,14 +163,74 @@
         self.pools.codec()
     }
 
-    /// This node's share of an instance's connections: an even part, less the
-    /// one kept for health checks.
+    fn connection_limit(&self, group: &GroupName) -> usize {
+        let limits = self.directory.group_limits(group);
+        limits.map_or(1, |limits| limits.connections as usize)
+    }
+
+    /// An even part of an instance's connections, less the one kept for health
+    /// checks.
+    fn even_share(&self, group: &GroupName) -> usize {
+        (self.connection_limit(group) / self.registry.count()).saturating_sub(1)
+    }
+
+    /// Whether connections are so plenty that each node holds its share of
+    /// them; else a few nodes own them.
+    pub fn is_ample(&self, group: &GroupName) -> bool {
+        self.registry.is_listed() && self.even_share(group) >= AMPLE_SHARE
+    }
+
+    /// How many connections to an instance this node may hold. Owners may
+    /// together hold more than the instance accepts, so that those that are
+    /// left can take over; the instance's own limit decides then.
     fn share_of(&self, record: &InstanceRecord) -> usize {
-        let limit = self
+        if self.is_ample(&record.group) {
+            return self.even_share(&record.group);
+        }
+        let limit = self.connection_limit(&record.group);
+        let share = match self.owners.standing(&self.registry, record) {
+            Standing::Owner => limit * OWNER_PERCENT / 100,
+            Standing::StandIn => limit * STAND_IN_PERCENT / 100,
+            Standing::Other => 1,
+        };
+        share.max(1)
+    }
+
+    /// The way of a statement to an instance.
+    pub async fn route(&self, record: &InstanceRecord) -> Route {
+        if self.is_ample(&record.group) {
+            return Route::Own;
+        }
+        let is_reached = self
             .directory
-            .group_limits(&record.group)
-            .map_or(1, |limits| limits.connections as usize);
-        (limit / self.registry.count()).saturating_sub(1).max(1)
+            .instance(&record.name)
+            .is_none_or(|known| known.contact.failing_since.is_none());
+        let route = self.owners.route(&self.registry, record, is_reached).await;
+        if matches!(route, Route::Own) {
+            self.directory.used_directly(&record.group);
+        }
+        route
+    }
+
+    /// Nodes that watch a group, this one apart.
+    pub fn watcher_addresses(&self, group: &GroupName) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = Vec::new();
+        for known in self.directory.instances_of(group) {
+            let ranked = self.owners.ranked(&self.registry, &known.record);
+            let owners = ranked.iter().take(OWNERS).filter(|owner| !owner.is_self);
+            addresses.extend(owners.map(|owner| owner.address));
+        }
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Nodes that may tell whether an instance is reached.
+    pub fn witness_addresses(&self, instance: &InstanceName) -> Vec<SocketAddr> {
+        match self.directory.instance(instance) {
+            Some(known) if !self.is_ample(&known.record.group) => self.watcher_addresses(&known.record.group),
+            _ => self.peer_addresses(),
+        }
     }
 
     /// Puts a configuration in force unless a newer one is.
@@ -178,7 +248,7 @@
     fn warm_up(&self, record: &InstanceRecord) {
         let is_configured = self.directory.group_limits(&record.group).is_some();
         let share = self.share_of(record);
-        if is_configured && !record.is_leaving && share >= AMPLE_SHARE {
+        if is_configured && !record.is_leaving && share >= AMPLE_SHARE && self.registry.is_listed() {
             self.pools.warm_up(record, share, WARM_CONNECTIONS);
         }
     }
@@ -252,23 +322,23 @@
         seeds.filter(|address| *address != own).collect()
     }
 
-    /// Whether this node keeps an eye on a group: one that it uses, one that it
-    /// is among the first to replace the leader of, and every group while
-    /// connections are plenty. With many nodes before many groups each group
-    /// is watched by a few.
+    /// Whether this node keeps an eye on a group: every group while
+    /// connections are plenty; else one whose connections it owns or uses
+    /// itself, and one that it is among the first to replace the leader of.
     pub fn watches(&self, group: &GroupName) -> bool {
-        let connections = self
-            .directory
-            .group_limits(group)
-            .map_or(0, |limits| limits.connections);
-        if connections as usize / self.registry.count() > AMPLE_SHARE {
+        if self.is_ample(group) {
             return true;
         }
-        let (last_use, _) = self.directory.usage(group);
+        let last_use = self.directory.last_direct_use(group);
         if last_use.is_some_and(|used| clock::now().millis_since(used) < USED_MS) {
             return true;
         }
-        self.registry.rank(group.as_str()) < WATCHERS
+        let is_owner = self
+            .directory
+            .instances_of(group)
+            .iter()
+            .any(|known| self.owners.standing(&self.registry, &known.record) == Standing::Owner);
+        is_owner || self.registry.rank(group.as_str()) < WATCHERS
     }
 
     /// Waits until enough is known to serve callers, for `limit` at most.
@@ -403,13 +473,18 @@
         let last = since.plus_millis(self.engine.settings.grace_ms * LAST_GRACE_PERCENT / 100);
         let first = since.plus_millis(PROBES_NOTICE.as_millis() as u64).min(last);
         while clock::now() < last {
-            if clock::now() >= first && self.engine.sessions() == 0 {
+            let leases = self.engine.forwarded_leases.load(Ordering::Relaxed);
+            if clock::now() >= first && self.engine.sessions() == 0 && leases == 0 {
                 info!("event=stop_finished ms={}", clock::now().millis_since(since));
                 return true;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        warn!("event=stop_cut_short sessions={}", self.engine.sessions());
+        let leases = self.engine.forwarded_leases.load(Ordering::Relaxed);
+        warn!(
+            "event=stop_cut_short sessions={} leases={leases}",
+            self.engine.sessions()
+        );
         false
     }
 }
@@ -432,6 +507,8 @@
         registry: Arc::new(Registry::new(nodes_prefix, settings.name.clone())),
         peers: PeerClient::default(),
         catalog_cache: CatalogCache::default(),
+        owners: Owners::default(),
+        forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
         monitor_wake: Notify::new(),
         sessions: AtomicUsize::new(0),
@@ -474,16 +551,16 @@
 
 /// Retires pools of instances that are gone, and follows the number of nodes.
 async fn housekeeping(engine: Arc<Engine>) {
-    let mut nodes = 0;
+    let mut seen = 0;
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         engine.pools.trim();
         for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
         }
-        let count = engine.registry.count();
-        if count != nodes {
-            nodes = count;
+        let version = engine.registry.version();
+        if version != seen {
+            seen = version;
             engine.pools.set_shares(|record| engine.share_of(record));
         }
     }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -7,10 +7,12 @@
 
 use futures::future::join_all;
 use log::info;
-use millwind_core::ids::InstanceName;
+use millwind_core::ids::{GroupName, InstanceName};
 use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, Reach};
 use rand::RngExt;
 
+use crate::clock;
+use crate::forward;
 use crate::node::Engine;
 use crate::ports::CatalogCodec;
 
@@ -20,6 +22,8 @@
 const URGENT_INTERVAL: Duration = Duration::from_millis(150);
 /// Peers asked about a suspected leader.
 const WITNESSES: usize = 6;
+/// Watchers of a group asked who leads it.
+const LEADER_QUESTIONS: usize = 2;
 
 /// What peers say of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -68,10 +72,12 @@
     }
 
     async fn compare(&self, address: SocketAddr) {
+        let registry = &self.engine.registry;
+        let nodes = if registry.is_listed() { registry.count() } else { 0 };
         let request = ExchangeRequest::Catalog {
             config_version: self.engine.config_version(),
             instances_revision: self.engine.catalog_cache.instances_revision(),
-            nodes: self.engine.registry.count() as u32,
+            nodes: nodes as u32,
         };
         let reply = self.engine.peers.ask(address, &request).await;
         let Some(ExchangeReply::Catalog {
@@ -117,7 +123,7 @@
 
 /// Asks some peers whether they reach `instance`.
 pub(crate) async fn ask_witnesses(engine: &Arc<Engine>, instance: &InstanceName) -> Testimony {
-    let addresses = some_of(engine.peer_addresses(), WITNESSES);
+    let addresses = some_of(engine.witness_addresses(instance), WITNESSES);
     let request = ExchangeRequest::Reach {
         instance: instance.0.clone(),
     };
@@ -135,3 +141,26 @@
     }
     testimony
 }
+
+/// Asks some watchers of a group who leads it; true if one of them knows.
+pub(crate) async fn ask_leader(engine: &Arc<Engine>, group: &GroupName) -> bool {
+    let addresses = some_of(engine.watcher_addresses(group), LEADER_QUESTIONS);
+    let request = ExchangeRequest::Leader {
+        group: group.0.clone(),
+    };
+    let sent = clock::now();
+    let questions = addresses
+        .iter()
+        .map(|address| engine.peers.ask(*address, &request));
+    let mut is_known = false;
+    for reply in join_all(questions).await {
+        let Some(ExchangeReply::Leader { leader }) = reply else {
+            continue;
+        };
+        for report in &leader {
+            is_known = true;
+            forward::take_leader_report(engine, group, report, sent);
+        }
+    }
+    is_known
+}
--- a/crates/millwind-engine/src/peers/mod.rs
+++ b/crates/millwind-engine/src/peers/mod.rs
@@ -10,8 +10,8 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 pub use client::PeerClient;
-pub(crate) use exchange::ask_witnesses;
 pub use exchange::{Exchange, Testimony};
+pub(crate) use exchange::{ask_leader, ask_witnesses};
 pub use server::serve;
 
 /// Longest message in bytes.
@@ -19,7 +19,8 @@
 /// A peer answers within this time.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 
-fn frames() -> LengthDelimitedCodec {
+/// Frames of all messages between nodes.
+pub(crate) fn frames() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(MESSAGE_LIMIT)
         .new_codec()
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -6,13 +6,15 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use log::{debug, warn};
-use millwind_core::ids::InstanceName;
+use millwind_core::ids::{GroupName, InstanceName};
 use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, Reach, decode_exchange, encode_exchange};
+use millwind_wire::forward::is_forward;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 
 use super::frames;
 use crate::clock;
+use crate::forward;
 use crate::node::Engine;
 
 /// Pause after a failed accept.
@@ -39,6 +41,9 @@
 async fn serve_link(stream: TcpStream, engine: Arc<Engine>) {
     let mut link = Framed::new(stream, frames());
     while let Some(Ok(message)) = link.next().await {
+        if is_forward(&message) {
+            return forward::serve(link, message, engine).await;
+        }
         let Ok(request) = decode_exchange::<ExchangeRequest>(&message) else {
             debug!("event=peer_message_refused bytes={}", message.len());
             return;
@@ -68,6 +73,12 @@
             engine.wake_monitor();
             ExchangeReply::Reach(reach(engine, &instance))
         }
+        ExchangeRequest::Leader { group } => {
+            let group = GroupName::from(group.as_str());
+            ExchangeReply::Leader {
+                leader: forward::leader_report(engine, &group).into_iter().collect(),
+            }
+        }
     }
 }
 
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -1,7 +1,8 @@
 //! The nodes of the deployment, each under a key of its own in the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,12 +25,29 @@
     pub zone: String,
 }
 
+/// A node that owns connections, or stands in for one that does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Owner {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// It is this node.
+    pub is_self: bool,
+}
+
 /// All nodes that have registered.
 #[derive(Debug)]
 pub struct Registry {
     prefix: String,
     node: String,
     nodes: Mutex<BTreeMap<String, (NodeRecord, u64)>>,
+    /// This node's rank by key, with the version that it follows from.
+    ranks: Mutex<HashMap<String, (u64, usize)>>,
+    version: AtomicU64,
+    is_listed: AtomicBool,
+}
+
+fn weight(key: &str, node: &str) -> u64 {
+    xxh3_64(format!("{key}/{node}").as_bytes())
 }
 
 impl Registry {
@@ -39,9 +57,46 @@
             prefix,
             node,
             nodes: Mutex::new(BTreeMap::new()),
+            ranks: Mutex::new(HashMap::new()),
+            version: AtomicU64::new(0),
+            is_listed: AtomicBool::new(false),
         }
     }
 
+    /// Rises with each change of what is known.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    /// Whether the store or a peer has told of the other nodes.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Relaxed)
+    }
+
+    fn changed(&self) {
+        self.version.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The first `count` nodes for `key` by rendezvous hashing; up to `near` of
+    /// them from `zone` come first.
+    pub fn owners(&self, key: &str, zone: &str, near: usize, count: usize) -> Vec<Owner> {
+        let nodes = self.nodes();
+        let mut ranked: Vec<_> = nodes
+            .iter()
+            .map(|(name, (record, _))| (weight(key, name), name, record))
+            .collect();
+        ranked.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.1.cmp(right.1)));
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(_, _, record)| record.zone == zone);
+        let (first, rest) = inside.split_at(inside.len().min(near));
+        let owner = |(_, name, record): &(u64, &String, &NodeRecord)| Owner {
+            address: record.peer_address,
+            is_self: **name == self.node,
+        };
+        let chosen = first.iter().chain(&outside).chain(rest);
+        chosen.take(count).map(owner).collect()
+    }
+
     fn nodes(&self) -> MutexGuard<'_, BTreeMap<String, (NodeRecord, u64)>> {
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -64,12 +119,21 @@
     /// How many nodes come before this one for `key`, by rendezvous hashing:
     /// spread evenly and agreed without a message.
     pub fn rank(&self, key: &str) -> usize {
-        let weight = |node: &str| xxh3_64(format!("{key}/{node}").as_bytes());
-        let own = weight(&self.node);
-        self.nodes()
+        let version = self.version();
+        let mut ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((held, rank)) = ranks.get(key)
+            && *held == version
+        {
+            return *rank;
+        }
+        let own = weight(key, &self.node);
+        let rank = self
+            .nodes()
             .keys()
-            .filter(|name| **name != self.node && weight(name) > own)
-            .count()
+            .filter(|name| **name != self.node && weight(key, name) > own)
+            .count();
+        ranks.insert(key.to_owned(), (version, rank));
+        rank
     }
 
     /// All records as documents, for a peer.
@@ -94,6 +158,8 @@
             }
             if let Ok(record) = serde_json::from_slice(&document.value) {
                 nodes.insert(document.key.clone(), (record, document.revision));
+                self.changed();
+                self.is_listed.store(true, Ordering::Relaxed);
             }
         }
     }
@@ -120,6 +186,7 @@
                 Ok(Swap::Done { revision }) => {
                     info!("event=node_registered revision={revision}");
                     self.nodes().insert(self.node.clone(), (record, revision));
+                    self.changed();
                     return;
                 }
                 Ok(Swap::Conflict { current }) => self.apply(current),
@@ -148,6 +215,7 @@
                     nodes.remove(name);
                 }
             }
+            self.changed();
         }
     }
 }
@@ -190,6 +258,7 @@
     fn listed(&self, listing: Listing) {
         self.nodes().clear();
         self.apply(listing.entries);
+        self.is_listed.store(true, Ordering::Relaxed);
     }
 
     fn changed(&self, entries: Vec<Entry>) {
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -1,159 +1,98 @@
-//! One attempt of a statement on one instance.
+//! One attempt of a statement on one instance, over a connection of this node
+//! or one leased from an owner.
 
 use std::sync::Arc;
 
-use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
-use millwind_core::position::Position;
 use millwind_core::session_state::SessionState;
 
 use super::Operation;
-use crate::answer::{Answer, Failure, Refusal, Success};
+use crate::answer::{Answer, Failure, Success};
+use crate::backend::LinkError;
 use crate::backend::pool::PooledConnection;
-use crate::backend::{LinkError, Purpose};
 use crate::catalog::InstanceRecord;
-use crate::clock;
-use crate::directory::Directory;
+use crate::execution::{self, AttemptError, Wanted};
+use crate::floor::ReadFloor;
+use crate::forward::{Lease, Route};
 use crate::node::Engine;
-use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply};
-
-/// Why an attempt gave no answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum AttemptError {
-    /// The exchange failed.
-    Link(LinkError),
-    /// The instance answered with an error.
-    BackEnd(BackEndError),
+use crate::statement::{Envelope, Reply, TransactionState};
+
+/// A connection that a session uses.
+#[derive(Debug)]
+pub(super) enum SessionConnection {
+    /// One of this node's own.
+    Own(PooledConnection),
+    /// One of an owner.
+    Leased(Box<Lease>),
 }
 
-impl AttemptError {
-    /// Whether the statement has certainly not run.
-    pub(super) fn is_not_run(&self) -> bool {
+impl SessionConnection {
+    /// Where it stands.
+    pub(super) fn transaction(&self) -> TransactionState {
         match self {
-            AttemptError::Link(error) => !error.may_have_run(),
-            AttemptError::BackEnd(error) => error.kind.is_not_run(),
+            SessionConnection::Own(connection) => connection.transaction(),
+            SessionConnection::Leased(lease) => lease.transaction(),
         }
     }
 
-    /// What the caller is told when nothing was kept.
-    pub(super) fn into_failure(self) -> Failure {
+    fn record(&self) -> Arc<InstanceRecord> {
         match self {
-            AttemptError::Link(error) => Refusal::new(error.kind(), error).into(),
-            AttemptError::BackEnd(error) => Failure::BackEnd(error),
+            SessionConnection::Own(connection) => Arc::new(connection.pool().record().clone()),
+            SessionConnection::Leased(lease) => lease.record().clone(),
         }
     }
 }
 
-/// Counts a question to an instance from its sending to its end.
-pub(super) struct Inquiry {
-    directory: Arc<Directory>,
-    instance: InstanceName,
-    pub(super) asked: Instant,
-}
-
-impl Inquiry {
-    pub(super) fn new(directory: &Arc<Directory>, instance: &InstanceName) -> Self {
-        directory.asked(instance);
-        Inquiry {
-            directory: directory.clone(),
-            instance: instance.clone(),
-            asked: clock::now(),
-        }
-    }
-
-    /// The instance gave an answer.
-    pub(super) fn answered(&self) {
-        let elapsed = clock::now().0 - self.asked.0;
-        self.directory.answered(&self.instance, Some(elapsed));
-    }
-
-    /// The exchange failed.
-    pub(super) fn failed(&self, error: &LinkError) {
-        match error {
-            // A statement may be slow; only a health check's silence tells.
-            LinkError::Silent | LinkError::Protocol => self.directory.avoid(&self.instance),
-            _ if error.is_evidence() => {
-                self.directory
-                    .failed(&self.instance, self.asked, error.is_refusing());
-            }
-            _ => {}
-        }
-    }
-}
-
-impl Drop for Inquiry {
-    fn drop(&mut self) {
-        self.directory.settled(&self.instance);
-    }
-}
-
 /// Gets a connection to `record` for a statement of `operation`.
 pub(super) async fn connect(
     engine: &Arc<Engine>,
-    record: &InstanceRecord,
+    record: &Arc<InstanceRecord>,
     operation: &Operation,
     session: &SessionState,
-) -> Result<PooledConnection, AttemptError> {
-    let purpose = Purpose::Statement {
-        priority: operation.tenant.priority,
-    };
-    let asked = clock::now();
-    let connected = engine
-        .pool(record)
-        .acquire(purpose, session, operation.needed(), operation.deadline)
-        .await;
-    connected.map_err(|error| {
-        note_connect_error(engine, record, asked, &error);
-        operation.trail.tried(&record.name, error.name());
-        match error {
-            LinkError::StartupRefused(error) => AttemptError::BackEnd(error),
-            error => AttemptError::Link(error),
+) -> Result<SessionConnection, AttemptError> {
+    let priority = operation.tenant.priority;
+    let connected = match engine.route(record).await {
+        Route::Own => {
+            let wanted = Wanted {
+                priority,
+                session,
+                needed: operation.needed(),
+                deadline: operation.deadline,
+            };
+            let connected = execution::connect(engine, record, wanted).await;
+            connected.map(SessionConnection::Own)
         }
-    })
-}
-
-fn note_connect_error(engine: &Arc<Engine>, record: &InstanceRecord, asked: Instant, error: &LinkError) {
-    if error.is_evidence() || error.is_wrong_instance() {
-        let directory = &engine.directory;
-        directory.failed(&record.name, asked, error.is_refusing());
-    } else {
-        engine.directory.avoid(&record.name);
-    }
+        Route::Through(link) => {
+            engine.metrics.forwarded_out.inc();
+            let lease = Lease::new(link, record.clone(), priority);
+            Ok(SessionConnection::Leased(Box::new(lease)))
+        }
+        Route::Unreachable => Err(AttemptError::Link(LinkError::OwnerUnreachable)),
+    };
+    connected.inspect_err(|error| operation.trail.tried(&record.name, error.name()))
 }
 
-/// Begins a transaction on `record`; where it is not read-only, a success
-/// proves that the instance leads.
+/// Begins a transaction on `record`, at once or together with its first
+/// statement; where it is not read-only, a success proves that the instance
+/// leads.
 pub(super) async fn begin(
     engine: &Arc<Engine>,
-    record: &InstanceRecord,
+    record: &Arc<InstanceRecord>,
     operation: &Operation,
     session: &SessionState,
     read_only: bool,
-    since: Option<Position>,
-) -> Result<PooledConnection, AttemptError> {
+    floor: ReadFloor,
+) -> Result<SessionConnection, AttemptError> {
     let mut connection = connect(engine, record, operation, session).await?;
-    let envelope = Envelope {
-        id: None,
-        since,
-        command: Command::Begin { read_only },
-    };
-    let inquiry = Inquiry::new(&engine.directory, &record.name);
-    let reply = match connection.exchange(&envelope, operation.deadline).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            inquiry.failed(&error);
-            operation.trail.tried(&record.name, error.name());
-            return Err(AttemptError::Link(error));
+    match &mut connection {
+        SessionConnection::Leased(lease) => lease.begins(read_only, floor),
+        SessionConnection::Own(own) => {
+            let deadline = operation.deadline;
+            let since = floor.resolve(engine, &record.group, deadline).await;
+            let since = since.map_err(|_| AttemptError::Link(LinkError::NoObservation))?;
+            execution::begin(engine, own, read_only, since, deadline)
+                .await
+                .inspect_err(|error| operation.trail.tried(&record.name, error.name()))?;
         }
-    };
-    engine.directory.answered(&record.name, None);
-    if let Err(error) = reply.result {
-        note_error(engine, record, &error);
-        operation.trail.tried(&record.name, error.kind.name());
-        return Err(AttemptError::BackEnd(error));
-    }
-    if !read_only {
-        prove_leader(engine, record, inquiry.asked, &reply.position);
     }
     Ok(connection)
 }
@@ -161,63 +100,35 @@
 /// Runs the operation's statement on a connection.
 pub(super) async fn run(
     engine: &Arc<Engine>,
-    connection: &mut PooledConnection,
+    connection: &mut SessionConnection,
     operation: &Operation,
     session: &SessionState,
-    since: Option<Position>,
+    floor: ReadFloor,
     proves_leader: bool,
 ) -> Result<Reply, AttemptError> {
-    let pool = connection.pool().clone();
-    let record = pool.record();
-    let envelope = Envelope {
+    let record = connection.record();
+    let deadline = operation.deadline;
+    let mut envelope = Envelope {
         id: Some(&operation.id),
-        since,
+        since: None,
         command: operation.command(),
     };
-    let inquiry = Inquiry::new(&engine.directory, &record.name);
-    let reply = match connection.run(session, &envelope, operation.deadline).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            inquiry.failed(&error);
-            operation.trail.tried(&record.name, error.name());
-            return Err(AttemptError::Link(error));
+    let result = match connection {
+        SessionConnection::Leased(lease) => {
+            lease.requires(floor);
+            lease
+                .run(engine, session, &envelope, proves_leader, deadline)
+                .await
+        }
+        SessionConnection::Own(own) => {
+            let since = floor.resolve(engine, &record.group, deadline).await;
+            envelope.since = since.map_err(|_| AttemptError::Link(LinkError::NoObservation))?;
+            execution::run(engine, own, session, &envelope, proves_leader, deadline).await
         }
     };
-    inquiry.answered();
-    let outcome = reply
-        .result
-        .as_ref()
-        .map_or_else(|error| error.kind.name(), |_| "ok");
+    let outcome = result.as_ref().map_or_else(AttemptError::name, |_| "ok");
     operation.trail.tried(&record.name, outcome);
-    match &reply.result {
-        Ok(_) if proves_leader => prove_leader(engine, record, inquiry.asked, &reply.position),
-        Ok(_) => {}
-        Err(error) => {
-            note_error(engine, record, error);
-            return Err(AttemptError::BackEnd(error.clone()));
-        }
-    }
-    Ok(reply)
-}
-
-fn prove_leader(engine: &Arc<Engine>, record: &InstanceRecord, asked: Instant, position: &Option<Position>) {
-    if let Some(position) = position {
-        engine
-            .directory
-            .leader_proved(&record.group, &record.name, asked, *position);
-    }
-}
-
-fn note_error(engine: &Arc<Engine>, record: &InstanceRecord, error: &BackEndError) {
-    match error.kind {
-        BackEndErrorKind::ReadOnly => {
-            engine.directory.leader_denied(&record.group, &record.name);
-            engine.wake_monitor();
-        }
-        BackEndErrorKind::Behind => engine.directory.behind(&record.name),
-        BackEndErrorKind::Busy => engine.directory.avoid(&record.name),
-        _ => {}
-    }
+    result
 }
 
 /// The caller's answer to a statement that ran.
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -9,17 +9,18 @@
 use futures::stream::FuturesUnordered;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::{GroupName, InstanceName};
-use millwind_core::position::Position;
 use millwind_core::selection::{ReadCandidate, order_by_expected_time};
 use millwind_core::session_state::SessionState;
 
-use super::attempt::{self, AttemptError};
+use super::attempt::{self, SessionConnection};
 use super::writes::{RETRY_PAUSE, pause_after, usable_leader};
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal};
 use crate::backend::LinkError;
 use crate::catalog::{Consistency, InstanceRecord};
 use crate::clock;
+use crate::execution::AttemptError;
+use crate::floor::{ReadFloor, StalenessTerms};
 use crate::node::Engine;
 use crate::statement::{BackEndErrorKind, Reply};
 
@@ -58,12 +59,27 @@
 
     async fn leader_read_on(
         &self,
-        record: &InstanceRecord,
+        record: &Arc<InstanceRecord>,
         operation: &Operation,
     ) -> Result<Reply, AttemptError> {
-        let mut connection =
-            attempt::begin(&self.engine, record, operation, &self.state, false, None).await?;
-        attempt::run(&self.engine, &mut connection, operation, &self.state, None, true).await
+        let mut connection = attempt::begin(
+            &self.engine,
+            record,
+            operation,
+            &self.state,
+            false,
+            ReadFloor::Any,
+        )
+        .await?;
+        attempt::run(
+            &self.engine,
+            &mut connection,
+            operation,
+            &self.state,
+            ReadFloor::Any,
+            true,
+        )
+        .await
     }
 
     /// A read on any instance whose log holds the least position that proves
@@ -82,33 +98,31 @@
         }
     }
 
-    /// The least position that proves a read of this operation safe.
-    pub(super) async fn floor_for(&self, operation: &Operation) -> Result<Position, Refusal> {
+    /// What a read of this operation must see: the least position that proves
+    /// it safe, or the terms from which the owner that runs it works that out.
+    pub(super) async fn floor_for(&self, operation: &Operation) -> Result<ReadFloor, Refusal> {
         let written = match operation.tenant.consistency {
             Consistency::BoundedStaleness => None,
             _ => self.written_in(operation.group()),
         };
-        let directory = &self.engine.directory;
-        let staleness = operation.tenant.settings.staleness_ms;
-        let known = directory.floor(operation.group(), operation.arrived, staleness, written);
-        if let Some(floor) = known {
-            operation.trail.needs(floor);
-            return Ok(floor);
+        let terms = StalenessTerms {
+            arrived: operation.arrived,
+            staleness_ms: operation.tenant.settings.staleness_ms,
+            written,
+        };
+        let mut position = terms.known_position(&self.engine, operation.group());
+        if position.is_none() {
+            if !self.engine.watches(operation.group()) {
+                return Ok(ReadFloor::Staleness(terms));
+            }
+            position = terms
+                .await_position(&self.engine, operation.group(), operation.deadline)
+                .await;
         }
-        self.engine.wake_monitor();
-        let awaited = directory
-            .await_floor(
-                operation.group(),
-                operation.arrived,
-                staleness,
-                written,
-                operation.deadline,
-            )
-            .await;
-        let floor =
-            awaited.ok_or_else(|| Refusal::new(ErrorKind::NoPrimary, "no recent position of a leader"))?;
-        operation.trail.needs(floor);
-        Ok(floor)
+        let position =
+            position.ok_or_else(|| Refusal::new(ErrorKind::NoPrimary, "no recent position of a leader"))?;
+        operation.trail.needs(position);
+        Ok(ReadFloor::Position(position))
     }
 }
 
@@ -176,7 +190,7 @@
     engine: &Arc<Engine>,
     session: &Arc<SessionState>,
     operation: &Arc<Operation>,
-    floor: Position,
+    floor: ReadFloor,
 ) -> Result<Reply, AttemptError> {
     let mut order = read_order(engine, operation.group()).into_iter();
     let mut running: FuturesUnordered<Attempt> = FuturesUnordered::new();
@@ -242,14 +256,14 @@
     session: &Arc<SessionState>,
     operation: &Arc<Operation>,
     record: Arc<InstanceRecord>,
-    floor: Position,
+    floor: ReadFloor,
 ) -> Attempt {
     let engine = engine.clone();
     let session = session.clone();
     let operation = operation.clone();
     Box::pin(async move {
         let mut connection = attempt::connect(&engine, &record, &operation, &session).await?;
-        attempt::run(&engine, &mut connection, &operation, &session, Some(floor), false).await
+        attempt::run(&engine, &mut connection, &operation, &session, floor, false).await
     })
 }
 
@@ -258,11 +272,11 @@
     engine: &Arc<Engine>,
     session: &SessionState,
     operation: &Operation,
-    floor: Position,
-) -> Result<crate::backend::pool::PooledConnection, AttemptError> {
+    floor: ReadFloor,
+) -> Result<SessionConnection, AttemptError> {
     let mut last = AttemptError::Link(LinkError::NoConnection);
     for record in read_order(engine, operation.group()) {
-        match attempt::begin(engine, &record, operation, session, true, Some(floor)).await {
+        match attempt::begin(engine, &record, operation, session, true, floor).await {
             Ok(connection) => return Ok(connection),
             Err(error) => last = error,
         }
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -7,14 +7,15 @@
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 
-use super::attempt::{self, AttemptError};
+use super::attempt::{self, SessionConnection};
 use super::reads::begin_at_floor;
 use super::writes::{pause_after, usable_leader};
 use super::{Operation, Session, operation};
 use crate::answer::{Answer, Failure, Refusal, Success};
-use crate::backend::pool::PooledConnection;
 use crate::catalog::{Consistency, EngineTenant};
 use crate::clock;
+use crate::execution::AttemptError;
+use crate::floor::ReadFloor;
 use crate::node::Engine;
 use crate::statement::{BackEndErrorKind, Reply, Request, Statement, TransactionState};
 
@@ -25,7 +26,7 @@
     tenant: Arc<EngineTenant>,
     read_only: bool,
     /// The connection it runs on; none before its first statement.
-    connection: Option<PooledConnection>,
+    connection: Option<SessionConnection>,
     has_written: bool,
     is_failed: bool,
 }
@@ -176,12 +177,20 @@
         let is_on_leader = open.is_on_leader();
         let mut connection = if is_on_leader {
             let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
-            attempt::begin(&engine, &record, operation, &state, false, None).await?
+            attempt::begin(&engine, &record, operation, &state, false, ReadFloor::Any).await?
         } else {
             let floor = self.floor_for(operation).await?;
             begin_at_floor(&engine, &state, operation, floor).await?
         };
-        let reply = attempt::run(&engine, &mut connection, operation, &state, None, is_on_leader).await?;
+        let reply = attempt::run(
+            &engine,
+            &mut connection,
+            operation,
+            &state,
+            ReadFloor::Any,
+            is_on_leader,
+        )
+        .await?;
         open.has_written |= operation.access == Access::Write;
         open.connection = Some(connection);
         Ok(reply)
@@ -254,13 +263,13 @@
         let state = self.state.clone();
         let mut connection = if open.is_on_leader() {
             let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
-            attempt::begin(&engine, &record, operation, &state, false, None).await
+            attempt::begin(&engine, &record, operation, &state, false, ReadFloor::Any).await
         } else {
             let floor = self.floor_for(operation).await?;
             begin_at_floor(&engine, &state, operation, floor).await
         }
         .map_err(failure_in_transaction)?;
-        let reply = attempt::run(&engine, &mut connection, operation, &state, None, false).await;
+        let reply = attempt::run(&engine, &mut connection, operation, &state, ReadFloor::Any, false).await;
         attempt::success(reply.map_err(failure_in_transaction)?)
     }
 }
@@ -269,13 +278,22 @@
 /// busy and the transaction stays open.
 async fn run_while_busy(
     engine: &Arc<Engine>,
-    connection: &mut PooledConnection,
+    connection: &mut SessionConnection,
     operation: &Operation,
     state: &SessionState,
     proves_leader: bool,
 ) -> Result<Reply, AttemptError> {
     loop {
-        let error = match attempt::run(engine, connection, operation, state, None, proves_leader).await {
+        let error = match attempt::run(
+            engine,
+            connection,
+            operation,
+            state,
+            ReadFloor::Any,
+            proves_leader,
+        )
+        .await
+        {
             Ok(reply) => return Ok(reply),
             Err(error) => error,
         };
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -1,21 +1,30 @@
 //! Single writes: on the leader, at most once.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use millwind_core::Instant;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::GroupName;
 
-use super::attempt::{self, AttemptError};
+use super::attempt;
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal};
+use crate::backend::LinkError;
 use crate::catalog::InstanceRecord;
 use crate::clock;
+use crate::directory::Known;
+use crate::execution::AttemptError;
+use crate::floor::ReadFloor;
 use crate::node::Engine;
+use crate::peers;
 use crate::statement::BackEndErrorKind;
 
 /// Between two tries while an instance cannot serve.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(15);
+/// Between two tries while owners don't reach an instance, or watchers know no
+/// leader.
+const LEADER_PAUSE: Duration = Duration::from_millis(60);
 
 impl Session {
     /// Runs a write outside of a transaction.
@@ -46,54 +55,59 @@
 
     async fn write_on(
         &mut self,
-        record: &InstanceRecord,
+        record: &Arc<InstanceRecord>,
         operation: &Operation,
     ) -> Result<Answer, AttemptError> {
         let engine = self.engine.clone();
         let state = self.state.clone();
         let mut connection = attempt::connect(&engine, record, operation, &state).await?;
-        let reply = attempt::run(&engine, &mut connection, operation, &state, None, true).await?;
+        let reply = attempt::run(&engine, &mut connection, operation, &state, ReadFloor::Any, true).await?;
         drop(connection);
         self.note_written(operation.group(), reply.position);
         Ok(attempt::success(reply))
     }
 }
 
-/// The leader of a group, once one is known that answers this node.
+/// The leader of a group, once one is known that answers.
 pub(super) async fn usable_leader(
-    engine: &Engine,
+    engine: &Arc<Engine>,
     group: &GroupName,
     deadline: Instant,
-) -> Result<std::sync::Arc<InstanceRecord>, Refusal> {
+) -> Result<Arc<InstanceRecord>, Refusal> {
     loop {
-        let Some(leader) = engine.directory.await_leader(group, deadline).await else {
-            return Err(Refusal::new(ErrorKind::NoPrimary, "no leader is known"));
+        let leader = engine.directory.leader(group);
+        let known = leader.and_then(|leader| engine.directory.instance(&leader.instance));
+        let watches = engine.watches(group);
+        let reason = match known {
+            Some(known) if is_usable(engine, &known, watches) => return Ok(known.record),
+            Some(known) => format!("leader {} does not answer", known.record.name),
+            None => "no leader is known".to_owned(),
         };
-        let known = engine.directory.instance(&leader);
-        match known {
-            Some(known) if known.contact.failing_since.is_none() && engine.takes_new_work(&known) => {
-                return Ok(known.record);
-            }
-            _ if clock::now() >= deadline => {
-                return Err(Refusal::new(
-                    ErrorKind::NoPrimary,
-                    format!("leader {leader} does not answer"),
-                ));
-            }
-            _ => {
-                let step = clock::now()
-                    .plus_millis(RETRY_PAUSE.as_millis() as u64)
-                    .min(deadline);
-                engine.directory.leaders_changed(step).await;
-            }
+        if clock::now() >= deadline {
+            return Err(Refusal::new(ErrorKind::NoPrimary, reason));
+        }
+        if !watches && peers::ask_leader(engine, group).await {
+            continue;
         }
+        let pause = if watches { RETRY_PAUSE } else { LEADER_PAUSE };
+        let step = clock::now().plus_millis(pause.as_millis() as u64);
+        engine.directory.leaders_changed(step.min(deadline)).await;
     }
 }
 
+/// Whether a leader may be used. A node that does not watch the group has no
+/// contact with it: the owner that runs the statement judges.
+fn is_usable(engine: &Engine, known: &Known, watches: bool) -> bool {
+    let is_reached = !watches || known.contact.failing_since.is_none();
+    is_reached && engine.takes_new_work(known)
+}
+
 /// A busy or changing instance is asked again after a moment.
 pub(super) async fn pause_after(error: &AttemptError) {
-    let is_denied = matches!(error, AttemptError::BackEnd(error) if error.kind == BackEndErrorKind::ReadOnly);
-    if !is_denied {
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
+    let pause = match error {
+        AttemptError::BackEnd(error) if error.kind == BackEndErrorKind::ReadOnly => return,
+        AttemptError::Link(LinkError::InstanceFailing | LinkError::OwnerUnreachable) => LEADER_PAUSE,
+        _ => RETRY_PAUSE,
+    };
+    tokio::time::sleep(pause).await;
 }
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use binrw::{BinRead, BinWrite, binrw};
 
+use crate::forward::LeaderReport;
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
@@ -52,6 +53,14 @@
         #[bw(write_with = text::write_text)]
         instance: String,
     },
+    /// Who leads a group.
+    #[brw(magic = 3u8)]
+    Leader {
+        /// The group.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        group: String,
+    },
 }
 
 /// Whether a node reaches an instance.
@@ -93,6 +102,14 @@
     /// Whether the instance is reached.
     #[brw(magic = 2u8)]
     Reach(Reach),
+    /// The leader as the node has seen it prove its lead, at most one.
+    #[brw(magic = 3u8)]
+    Leader {
+        /// The leader.
+        #[br(parse_with = text::read_list)]
+        #[bw(write_with = text::write_list)]
+        leader: Vec<LeaderReport>,
+    },
 }
 
 /// Writes a message with its version.
--- a/crates/millwind-wire/src/lib.rs
+++ b/crates/millwind-wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod exchange;
+pub mod forward;
 pub mod request;
 mod text;
 
