--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -33,7 +33,7 @@
 ];
 
 /// Numbers of the failures of links on the wire.
-const LINK_ERRORS: [(u8, LinkError); 9] = [
+const LINK_ERRORS: [(u8, LinkError); 10] = [
     (1, LinkError::Refused),
     (2, LinkError::ConnectTimeout),
     (3, LinkError::TurnedAway),
@@ -43,6 +43,7 @@
     (7, LinkError::Silent),
     (8, LinkError::InstanceFailing),
     (9, LinkError::NoObservation),
+    (10, LinkError::OwnerUnreachable),
 ];
 
 fn micros_since(time: Instant) -> u64 {
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -303,6 +303,9 @@
     statement: &ForwardedStatement,
     deadline: Instant,
 ) -> Result<(PooledConnection, Option<Position>), AttemptError> {
+    if *engine.phase.borrow() != Phase::Running {
+        return Err(AttemptError::Link(LinkError::OwnerUnreachable));
+    }
     let record = usable_instance(engine, &start.instance)?;
     let floor = read_floor(&start.floor);
     let staleness = match floor {
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -50,10 +50,8 @@
 const LEAVING_MARGIN_MS: u64 = 1_500;
 /// Connections to an instance per node from which on none is scarce.
 const AMPLE_SHARE: usize = 3;
-/// Connections that an owner may hold, in percent of those that the instance
-/// accepts.
-const OWNER_PERCENT: usize = 40;
-/// Connections that a node may hold that stands in for owners, in percent.
+/// Connections that a node may hold that stands in for owners, in percent of
+/// those that the instance accepts.
 const STAND_IN_PERCENT: usize = 10;
 /// Nodes that watch a group whether they use it or not.
 const WATCHERS: usize = 3;
@@ -180,16 +178,23 @@
         self.registry.is_listed() && self.even_share(group) >= AMPLE_SHARE
     }
 
-    /// How many connections to an instance this node may hold. Owners may
-    /// together hold more than the instance accepts, so that those that are
-    /// left can take over; the instance's own limit decides then.
+    /// An owner's share of an instance's connections: what is left when each
+    /// watcher of the group and each owner has one for health checks.
+    fn owner_share(&self, group: &GroupName) -> usize {
+        let instances = self.directory.instances_of(group).len();
+        let other_watchers = OWNERS * instances.saturating_sub(1);
+        let limit = self.connection_limit(group);
+        (limit.saturating_sub(other_watchers) / OWNERS).saturating_sub(1)
+    }
+
+    /// How many connections to an instance this node may hold.
     fn share_of(&self, record: &InstanceRecord) -> usize {
         if self.is_ample(&record.group) {
             return self.even_share(&record.group);
         }
         let limit = self.connection_limit(&record.group);
         let share = match self.owners.standing(&self.registry, record) {
-            Standing::Owner => limit * OWNER_PERCENT / 100,
+            Standing::Owner => self.owner_share(&record.group),
             Standing::StandIn => limit * STAND_IN_PERCENT / 100,
             Standing::Other => 1,
         };
