Leave instances whose statements hang or fail, and replace such leaders

Health checks of an overloaded leader failed because opening a connection takes a turn among its statements, and watchers asking all instances at once exceeded the connection limit.

Ruled out: the owners' links (no owner_link_lost, owners_unreached never), processor time.

Change: per instance, silence with statements under way and the share of failed statements (core, without I/O). A silent instance gets one statement at a time until it answers; an outlier serves no read-only transactions; a leader that was silent for several statements in a row, or fails a fifth, is replaced by a healthy replica, judged only by nodes that run statements on it. Nobody waits for a connection that is expected too late. Health checks have a second to connect. Instances' records are read every 4 s where many nodes share what they read, at once while a leader is in doubt.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -37,6 +37,12 @@
     pub peers_failing: usize,
     /// Replicas of the group that answer this node.
     pub replicas_reached: usize,
+    /// Since when its statements hang, though it answers health checks.
+    pub unresponsive_since: Option<Instant>,
+    /// Its statements fail often, though it answers health checks.
+    pub is_outlier: bool,
+    /// Replicas whose statements neither hang nor fail often.
+    pub healthy_replicas: usize,
 }
 
 /// What follows from the evidence.
@@ -63,6 +69,18 @@
     HeartbeatSilent,
     /// Nobody else can be asked.
     Alone,
+    /// Its statements hang.
+    Unresponsive,
+    /// Its statements fail often.
+    Outlier,
+}
+
+impl ReplaceReason {
+    /// Whether the leader answers health checks all the same, so that only
+    /// nodes that run statements there notice.
+    pub const fn is_by_statements(self) -> bool {
+        matches!(self, ReplaceReason::Unresponsive | ReplaceReason::Outlier)
+    }
 }
 
 impl ReplaceReason {
@@ -74,6 +92,8 @@
             ReplaceReason::Agreed => "agreed",
             ReplaceReason::HeartbeatSilent => "heartbeat_silent",
             ReplaceReason::Alone => "alone",
+            ReplaceReason::Unresponsive => "unresponsive",
+            ReplaceReason::Outlier => "outlier",
         }
     }
 }
@@ -90,7 +110,7 @@
         return LeaderVerdict::Replace(ReplaceReason::Leaving);
     }
     let Some(failing_since) = evidence.failing_since else {
-        return LeaderVerdict::Healthy;
+        return judge_statements(now, evidence, times);
     };
     let silent_ms = now.millis_since(failing_since);
     if evidence.peers_reaching > evidence.peers_failing {
@@ -117,6 +137,23 @@
     LeaderVerdict::Suspected
 }
 
+/// Judges a leader that answers health checks by how its statements end.
+fn judge_statements(now: Instant, evidence: &LeaderEvidence, times: &FailoverTimes) -> LeaderVerdict {
+    if evidence.healthy_replicas == 0 {
+        return LeaderVerdict::Healthy;
+    }
+    if evidence.is_outlier {
+        return LeaderVerdict::Replace(ReplaceReason::Outlier);
+    }
+    let Some(since) = evidence.unresponsive_since else {
+        return LeaderVerdict::Healthy;
+    };
+    if now.millis_since(since) >= times.alone_ms {
+        return LeaderVerdict::Replace(ReplaceReason::Unresponsive);
+    }
+    LeaderVerdict::Healthy
+}
+
 /// A replica that may take over.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Successor {
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod leader_observation;
 pub mod membership;
 pub mod outcome;
+pub mod outlier;
 pub mod owner_table;
 pub mod placement;
 pub mod position;
--- a/crates/millwind-core/tests/failover.rs
+++ b/crates/millwind-core/tests/failover.rs
@@ -99,3 +99,33 @@
     assert!(choose_successor(&answered, 2, 2).is_some());
     assert!(choose_successor(&[], 2, 0).is_none());
 }
+
+#[test]
+fn a_leader_whose_statements_hang_is_replaced_only_by_a_healthy_replica() {
+    let now = Instant::from_millis(100_000);
+    let mut evidence = LeaderEvidence {
+        replicas_reached: 2,
+        healthy_replicas: 1,
+        unresponsive_since: Some(Instant::from_millis(99_000)),
+        ..LeaderEvidence::default()
+    };
+    assert_eq!(judge_leader(now, &evidence, &TIMES), LeaderVerdict::Healthy);
+    evidence.unresponsive_since = Some(Instant::from_millis(98_800));
+    let verdict = judge_leader(now, &evidence, &TIMES);
+    assert_eq!(verdict, LeaderVerdict::Replace(ReplaceReason::Unresponsive));
+    evidence.healthy_replicas = 0;
+    assert_eq!(judge_leader(now, &evidence, &TIMES), LeaderVerdict::Healthy);
+}
+
+#[test]
+fn a_leader_whose_statements_fail_often_is_replaced() {
+    let now = Instant::from_millis(100_000);
+    let evidence = LeaderEvidence {
+        replicas_reached: 2,
+        healthy_replicas: 2,
+        is_outlier: true,
+        ..LeaderEvidence::default()
+    };
+    let verdict = judge_leader(now, &evidence, &TIMES);
+    assert_eq!(verdict, LeaderVerdict::Replace(ReplaceReason::Outlier));
+}
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -21,6 +21,8 @@
 /// After the instance said that it takes no more connections, none is opened
 /// for this time, in milliseconds.
 const LIMIT_PAUSE_MS: u64 = 300;
+/// Weight of a new sample in the mean time of use, as one part in so many.
+const USE_WEIGHT: u64 = 16;
 /// A connection is given this long to roll back before it is closed.
 const ROLLBACK_LIMIT_MS: u64 = 3_000;
 
@@ -70,6 +72,8 @@
     open: usize,
     share: usize,
     waiters: VecDeque<Waiter>,
+    /// Mean time for which a connection is used, in microseconds.
+    mean_use_us: u64,
     no_open_before: Instant,
     is_retired: bool,
 }
@@ -171,6 +175,9 @@
             if let Some(permit) = self.take_permit(purpose) {
                 return self.open(permit, deadline).await;
             }
+            if !self.may_wait(purpose, deadline) {
+                return Err(LinkError::NoConnection);
+            }
             let limit = self.wait_limit(deadline);
             match self.wait(purpose, limit).await {
                 Ok(Grant::Idle(connection)) if connection.is_alive() => {
@@ -248,6 +255,26 @@
         Some(Permit { pool: self.clone() })
     }
 
+    /// Whether a connection is expected to become free so early that there is
+    /// time left to use it: else the statement had better go elsewhere now.
+    fn may_wait(&self, purpose: Purpose, deadline: Instant) -> bool {
+        let Purpose::Statement { priority } = purpose else {
+            return true;
+        };
+        let state = self.state();
+        let rank = priority.saturating_add(1);
+        let ahead = state.waiters.iter().filter(|waiter| waiter.priority <= rank);
+        let turns = ahead.count() as u64 + 1;
+        let expected_us = state.mean_use_us * turns / state.open.max(1) as u64 + state.mean_use_us;
+        clock::now().0 + expected_us <= deadline.0
+    }
+
+    fn note_use(&self, since: Instant) {
+        let used_us = clock::now().0.saturating_sub(since.0);
+        let mut state = self.state();
+        state.mean_use_us = (state.mean_use_us * (USE_WEIGHT - 1) + used_us) / USE_WEIGHT;
+    }
+
     /// A waiter looks again when connections may be opened again.
     fn wait_limit(&self, deadline: Instant) -> Instant {
         let no_open_before = self.state().no_open_before;
@@ -349,6 +376,7 @@
 #[derive(Debug)]
 pub struct PooledConnection {
     pool: Arc<Pool>,
+    since: Instant,
     connection: Option<Connection>,
 }
 
@@ -356,6 +384,7 @@
     fn new(pool: Arc<Pool>, connection: Connection) -> Self {
         PooledConnection {
             pool,
+            since: clock::now(),
             connection: Some(connection),
         }
     }
@@ -385,6 +414,7 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
+        self.pool.note_use(self.since);
         if !connection.is_settled() {
             return;
         }
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use futures::future::BoxFuture;
 use millwind_store::{Entry, Listing};
 
 use crate::node::Engine;
@@ -98,4 +99,8 @@
     fn heard(&self) {
         self.engine.directory.store_heard();
     }
+
+    fn rest(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.engine.rest_from_instances())
+    }
 }
--- a/crates/millwind-engine/src/directory/contact.rs
+++ b/crates/millwind-engine/src/directory/contact.rs
@@ -3,6 +3,7 @@
 use log::info;
 use millwind_core::Instant;
 use millwind_core::ids::InstanceName;
+use millwind_core::outlier::StatementHealth;
 
 use super::Directory;
 use crate::catalog::InstanceRecord;
@@ -22,7 +23,7 @@
 const BEHIND_MS: u64 = 100;
 
 /// How an instance has answered this node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Contact {
     /// Last answer of any kind.
     pub last_success: Option<Instant>,
@@ -36,12 +37,29 @@
     pub check_us: Option<u64>,
     /// A peer has asked about it, and it was not heard since.
     pub is_doubted: bool,
-    /// Statements under way.
-    pub outstanding: u32,
+    /// How statements end there, whatever its health checks say.
+    pub statements: StatementHealth,
     /// Not chosen for reads before this time.
     pub avoid_until: Instant,
 }
 
+impl Contact {
+    /// Since when statements are under way there and none is answered.
+    pub fn unresponsive_since(&self) -> Option<Instant> {
+        self.statements.unresponsive_since(clock::now(), self.latency_us)
+    }
+
+    /// Whether one more statement may be sent there.
+    pub fn admits_statement(&self) -> bool {
+        self.statements.admits(clock::now(), self.latency_us)
+    }
+
+    /// Whether its statements hang or fail, so that others should serve.
+    pub fn is_sick(&self) -> bool {
+        self.unresponsive_since().is_some() || self.statements.is_outlier(clock::now())
+    }
+}
+
 impl Directory {
     /// Peers said this of an instance.
     pub fn heard_of(&self, instance: &InstanceName, testimony: Testimony) {
@@ -76,7 +94,7 @@
     /// A question to `instance` is under way.
     pub fn asked(&self, instance: &InstanceName) {
         if let Some(known) = self.state().instances.get_mut(instance) {
-            known.contact.outstanding += 1;
+            known.contact.statements.sent(clock::now());
         }
     }
 
@@ -94,6 +112,7 @@
         contact.is_refusing = false;
         contact.is_doubted = false;
         if let Some(sample) = latency_us {
+            contact.statements.answered(clock::now());
             contact.latency_us = (contact.latency_us * (LATENCY_WEIGHT - 1) + sample) / LATENCY_WEIGHT;
         }
     }
@@ -120,10 +139,30 @@
         }
     }
 
-    /// A question to `instance` is no longer under way.
-    pub fn settled(&self, instance: &InstanceName) {
+    /// A statement on `instance` is no longer under way.
+    pub fn settled(&self, instance: &InstanceName, was_answered: bool) {
         if let Some(known) = self.state().instances.get_mut(instance) {
-            known.contact.outstanding = known.contact.outstanding.saturating_sub(1);
+            known.contact.statements.ended(was_answered);
+        }
+    }
+
+    /// A statement on `instance` succeeded, or failed where it should not.
+    pub fn statement_ended(&self, instance: &InstanceName, succeeded: bool) {
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            let statements = &mut known.contact.statements;
+            if succeeded {
+                statements.succeeded(clock::now());
+            } else {
+                statements.failed(clock::now());
+            }
+        }
+    }
+
+    /// This process stood still: silence meanwhile says nothing of instances.
+    pub fn forgive_silence(&self) {
+        let now = clock::now();
+        for known in self.state().instances.values_mut() {
+            known.contact.statements.answered(now);
         }
     }
 
@@ -161,7 +200,7 @@
             latency_us: if is_near { NEAR_LATENCY_US } else { FAR_LATENCY_US },
             check_us: None,
             is_doubted: false,
-            outstanding: 0,
+            statements: StatementHealth::default(),
             avoid_until: Instant::default(),
         }
     }
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -1,6 +1,7 @@
 //! Runs statements on this node's own connections, and notes what each answer
 //! tells of the instance that gave it.
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use millwind_core::Instant;
@@ -58,6 +59,7 @@
     instance: InstanceName,
     /// When the question was sent.
     pub asked: Instant,
+    was_answered: Cell<bool>,
 }
 
 impl Inquiry {
@@ -68,15 +70,23 @@
             directory: directory.clone(),
             instance: instance.clone(),
             asked: clock::now(),
+            was_answered: Cell::new(false),
         }
     }
 
     /// The instance gave an answer.
     pub fn answered(&self) {
         let elapsed = clock::now().0 - self.asked.0;
+        self.was_answered.set(true);
         self.directory.answered(&self.instance, Some(elapsed));
     }
 
+    /// The instance took a question that says nothing of its statements.
+    pub fn taken(&self) {
+        self.was_answered.set(true);
+        self.directory.answered(&self.instance, None);
+    }
+
     /// The exchange failed.
     pub fn failed(&self, error: &LinkError) {
         match error {
@@ -93,7 +103,7 @@
 
 impl Drop for Inquiry {
     fn drop(&mut self) {
-        self.directory.settled(&self.instance);
+        self.directory.settled(&self.instance, self.was_answered.get());
     }
 }
 
@@ -166,7 +176,7 @@
             return Err(AttemptError::Link(error));
         }
     };
-    engine.directory.answered(&record.name, None);
+    inquiry.taken();
     if let Err(error) = reply.result {
         note_error(engine, record, &error);
         return Err(AttemptError::BackEnd(error));
@@ -194,10 +204,16 @@
         Ok(reply) => reply,
         Err(error) => {
             inquiry.failed(&error);
+            if error != LinkError::Silent {
+                engine.directory.statement_ended(&record.name, false);
+            }
             return Err(AttemptError::Link(error));
         }
     };
     inquiry.answered();
+    if let Some(succeeded) = tells_health(&reply) {
+        engine.directory.statement_ended(&record.name, succeeded);
+    }
     if let Err(error) = &reply.result {
         note_error(engine, record, error);
         return Err(AttemptError::BackEnd(error.clone()));
@@ -208,6 +224,18 @@
     Ok(reply)
 }
 
+/// Whether an answer speaks for or against the health of its instance; none
+/// where it does neither.
+fn tells_health(reply: &Reply) -> Option<bool> {
+    match &reply.result {
+        Ok(_) => Some(true),
+        Err(error) => match error.kind {
+            BackEndErrorKind::Failed | BackEndErrorKind::Other => Some(false),
+            _ => None,
+        },
+    }
+}
+
 /// Takes in that `record` proved its lead when it answered a question sent at
 /// `asked`.
 pub fn prove_leader(engine: &Engine, record: &InstanceRecord, asked: Instant, position: Option<Position>) {
--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -18,6 +18,10 @@
 
 /// A leader that was heard within this time is not asked, in milliseconds.
 const HEARD_MS: u64 = 250;
+/// A connection opens within this time, in milliseconds: opening takes a turn
+/// among the statements of a busy instance, an answer on an open connection
+/// does not.
+const CONNECT_MS: u64 = 1_000;
 /// An answer must come within this many times the mean of earlier ones.
 const ANSWER_FACTOR: u64 = 6;
 /// Least and most time for an answer, in milliseconds.
@@ -87,11 +91,11 @@
 async fn ask(engine: &Arc<Engine>, record: &InstanceRecord) {
     let asked = clock::now();
     engine.directory.checking(&record.name);
-    let deadline = asked.plus_millis(answer_limit_ms(engine, &record.name));
+    let connected_by = asked.plus_millis(CONNECT_MS);
     let session = SessionState::default();
     let connected = engine
         .pool(record)
-        .acquire(Purpose::Probe, &session, None, deadline)
+        .acquire(Purpose::Probe, &session, None, connected_by)
         .await;
     let mut connection = match connected {
         Ok(connection) => connection,
@@ -99,6 +103,7 @@
     };
     let envelope = Envelope::own(Command::Begin { read_only: false });
     let sent = clock::now();
+    let deadline = sent.plus_millis(answer_limit_ms(engine, &record.name));
     match connection.exchange(&envelope, deadline).await {
         Err(error) => note_failure(engine, record, sent, &error),
         Ok(reply) => {
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -21,6 +21,12 @@
 
 /// Between two looks at the groups.
 const TICK: Duration = Duration::from_millis(100);
+/// A tick that comes so late shows that this process stood still, in
+/// milliseconds.
+const STOOD_STILL_MS: u64 = 400;
+/// Between two replacements of one group's leader for how its statements end,
+/// in milliseconds.
+const SICK_PAUSE_MS: u64 = 8_000;
 /// Silence after which a leader is suspected, in milliseconds.
 const SUSPECT_MS: u64 = 400;
 /// Silence after which a lone witness acts, in milliseconds.
@@ -52,6 +58,7 @@
     asking: Mutex<HashSet<GroupName>>,
     searching: Mutex<HashSet<GroupName>>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
+    replaced_sick: Mutex<HashMap<GroupName, Instant>>,
 }
 
 impl<S: Store + 'static> Monitor<S> {
@@ -75,16 +82,24 @@
             asking: Mutex::new(HashSet::new()),
             searching: Mutex::new(HashSet::new()),
             leaderless: Mutex::new(HashMap::new()),
+            replaced_sick: Mutex::new(HashMap::new()),
         })
     }
 
     /// Watches for the life of the process.
     pub async fn run(self: Arc<Self>) {
+        let mut last = clock::now();
         loop {
             tokio::select! {
                 () = tokio::time::sleep(TICK) => {}
                 () = self.engine.monitor_woken() => {}
             }
+            let now = clock::now();
+            if now.millis_since(last) > STOOD_STILL_MS {
+                info!("event=stood_still ms={}", now.millis_since(last));
+                self.engine.directory.forgive_silence();
+            }
+            last = now;
             let Some(config) = self.engine.directory.config() else {
                 continue;
             };
@@ -114,9 +129,15 @@
         let verdict = judge_leader(clock::now(), &evidence, &self.times());
         let reason = match verdict {
             LeaderVerdict::Healthy => return,
-            LeaderVerdict::Suspected => return self.ask_peers(group, leader),
+            LeaderVerdict::Suspected => {
+                self.engine.doubt_leader();
+                return self.ask_peers(group, leader);
+            }
             LeaderVerdict::Replace(reason) => reason,
         };
+        if reason.is_by_statements() && !self.may_replace_sick(group) {
+            return;
+        }
         if self.duties.is_ordered_by_other(group) || !enter(&self.replacing, group) {
             return;
         }
@@ -128,6 +149,20 @@
         });
     }
 
+    /// Whether no leader of the group was replaced lately for how its
+    /// statements end: the cause may lie elsewhere if the next one fares alike.
+    fn may_replace_sick(&self, group: &GroupName) -> bool {
+        let now = clock::now();
+        let mut replaced = self.replaced_sick.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_recent = replaced
+            .get(group)
+            .is_some_and(|last| now.millis_since(*last) < SICK_PAUSE_MS);
+        if !is_recent {
+            replaced.insert(group.clone(), now);
+        }
+        !is_recent
+    }
+
     /// Searches for a leader in the background: instances that are silent must
     /// not hold up the judgement.
     fn search(self: &Arc<Self>, group: &GroupName) {
@@ -190,16 +225,19 @@
     fn evidence(&self, group: &GroupName, leader: Option<&InstanceName>) -> LeaderEvidence {
         let directory = &self.engine.directory;
         let now = clock::now();
-        let replicas_reached = directory
-            .instances_of(group)
-            .iter()
-            .filter(|known| Some(&known.record.name) != leader)
-            .filter(|known| !known.is_gone && !known.is_leaving)
-            .filter(|known| known.contact.failing_since.is_none())
-            .count();
+        let mut replicas = directory.instances_of(group);
+        replicas.retain(|known| {
+            Some(&known.record.name) != leader
+                && !known.is_gone
+                && !known.is_leaving
+                && known.contact.failing_since.is_none()
+        });
+        let replicas_reached = replicas.len();
+        replicas.retain(|known| !known.contact.is_sick());
         let known = leader.and_then(|leader| directory.instance(leader));
         let mut evidence = LeaderEvidence {
             replicas_reached,
+            healthy_replicas: replicas.len(),
             ..LeaderEvidence::default()
         };
         let Some(known) = known else {
@@ -210,17 +248,24 @@
             return evidence;
         };
         self.has_leader(group);
-        let store_is_recent = directory
+        let store_heard = directory
             .last_store_contact()
-            .is_some_and(|heard| now.millis_since(heard) < STORE_RECENT_MS);
+            .filter(|heard| now.millis_since(*heard) < STORE_RECENT_MS);
         evidence.failing_since = known.contact.failing_since;
         evidence.is_refusing = known.contact.is_refusing;
         evidence.is_leaving = known.is_leaving;
+        if self.engine.runs_statements_on(&known.record) {
+            let statements = &known.contact.statements;
+            let silent_since = known.contact.unresponsive_since();
+            evidence.unresponsive_since = silent_since.filter(|_| statements.is_repeatedly_silent());
+            evidence.is_outlier = statements.is_outlier(now);
+        }
         if let Some(testimony) = directory.testimony(&known.record.name, REPORT_MS) {
             evidence.peers_reaching = testimony.reaching;
             evidence.peers_failing = testimony.failing;
         }
-        evidence.heartbeat_age_ms = store_is_recent.then(|| now.millis_since(known.heard));
+        // As of the last report: the record may have been renewed since.
+        evidence.heartbeat_age_ms = store_heard.map(|heard| heard.millis_since(known.heard));
         evidence
     }
 
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -66,7 +66,10 @@
         reason: ReplaceReason,
     ) {
         let lost_name = lost.as_ref().map_or("none", |name| name.as_str()).to_owned();
-        let rank = self.rank(group);
+        let rank = match &lost {
+            Some(lost) if reason.is_by_statements() => self.owner_rank(lost),
+            _ => self.rank(group),
+        };
         info!(
             "event=leader_lost group={group} instance={lost_name} reason={} rank={rank}",
             reason.name()
@@ -108,6 +111,17 @@
         (rank + holder_goes_first).min(MOST_RANKS)
     }
 
+    /// Owners of a leader's connections run statements there: they alone notice
+    /// how these end, and go in the order of their ownership.
+    fn owner_rank(&self, leader: &InstanceName) -> usize {
+        let Some(known) = self.engine.directory.instance(leader) else {
+            return MOST_RANKS;
+        };
+        let ranked = self.engine.owners.ranked(&self.engine.registry, &known.record);
+        let index = ranked.iter().position(|owner| owner.is_self);
+        index.unwrap_or(MOST_RANKS).min(MOST_RANKS)
+    }
+
     /// How long another holder's lease on the duty may still run: where the
     /// platform sets one, two holders must not act within it.
     fn lease_left(&self, group: &GroupName) -> Duration {
@@ -132,9 +146,10 @@
         if Some(&leader.instance) != lost {
             return true;
         }
-        directory
-            .instance(&leader.instance)
-            .is_some_and(|known| known.contact.failing_since.is_none() && !known.is_leaving)
+        directory.instance(&leader.instance).is_some_and(|known| {
+            let contact = &known.contact;
+            contact.failing_since.is_none() && !contact.is_sick() && !known.is_leaving
+        })
     }
 
     /// Orders one promotion. The first order of a holder goes out under the
@@ -248,12 +263,16 @@
         let engine = &self.engine;
         let sync_replicas = engine.directory.group_limits(group)?.sync_replicas;
         let known = engine.directory.instances_of(group);
-        let replicas: Vec<_> = known
+        let mut replicas: Vec<_> = known
             .iter()
             .filter(|known| Some(&known.record.name) != lost)
             .filter(|known| !excluded.contains(&known.record.name))
             .filter(|known| !known.is_gone)
             .collect();
+        // With synchronous replicas every answer counts for the comparison.
+        if sync_replicas == 0 && replicas.iter().any(|known| !known.contact.is_sick()) {
+            replicas.retain(|known| !known.contact.is_sick());
+        }
         let pause = self.pause_command(group, sync_replicas);
         let questions = replicas
             .iter()
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -172,8 +172,12 @@
                     prove_leader(engine, &self.record, inquiry.asked, reply.position);
                 }
             }
-            Err(AttemptError::BackEnd(error)) => note_error(engine, &self.record, error),
+            Err(AttemptError::BackEnd(error)) => {
+                inquiry.taken();
+                note_error(engine, &self.record, error);
+            }
             Err(AttemptError::Link(_)) => {
+                inquiry.taken();
                 engine.directory.avoid(&self.record.name);
                 engine.owners.avoid(self.link.address(), &self.record.name);
             }
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -281,8 +281,14 @@
     Some(known.record.group.clone())
 }
 
-/// The instance of a lease, unless it is known to take nothing.
-fn usable_instance(engine: &Engine, name: &str) -> Result<Arc<InstanceRecord>, AttemptError> {
+/// The instance of a lease, unless it is known to take nothing. One whose
+/// statements fail often serves no transaction that another could serve; a
+/// single read is soon tried again elsewhere.
+fn usable_instance(
+    engine: &Engine,
+    name: &str,
+    avoids_outliers: bool,
+) -> Result<Arc<InstanceRecord>, AttemptError> {
     let known = engine.directory.instance(&InstanceName::from(name));
     let known = known.ok_or(AttemptError::Link(LinkError::Retired))?;
     if !engine.takes_new_work(&known) {
@@ -292,6 +298,12 @@
     if is_failing && clock::now() < known.contact.avoid_until {
         return Err(AttemptError::Link(LinkError::InstanceFailing));
     }
+    // Statements that hang keep their connections: more of them would leave
+    // none for others.
+    let is_outlier = known.contact.statements.is_outlier(clock::now());
+    if !known.contact.admits_statement() || (is_outlier && avoids_outliers) {
+        return Err(AttemptError::Link(LinkError::InstanceFailing));
+    }
     Ok(known.record)
 }
 
@@ -306,7 +318,7 @@
     if *engine.phase.borrow() != Phase::Running {
         return Err(AttemptError::Link(LinkError::OwnerUnreachable));
     }
-    let record = usable_instance(engine, &start.instance)?;
+    let record = usable_instance(engine, &start.instance, start.begin == ForwardedBegin::ReadOnly)?;
     let floor = read_floor(&start.floor);
     let staleness = match floor {
         ReadFloor::Staleness(terms) => Some(terms.staleness_ms),
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -36,6 +36,10 @@
 const HEDGE_CEILING: u32 = 20;
 /// Between two batches of changes of instances' records.
 const INSTANCES_PACE: Duration = Duration::from_millis(1_000);
+/// The same with many nodes, which tell each other what they read.
+const SHARED_PACE: Duration = Duration::from_millis(4_000);
+/// The same while a leader is in doubt.
+const URGENT_PACE: Duration = Duration::from_millis(300);
 /// Between two looks at instances that are gone, and at the shares.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 /// Share of the grace period after which open transactions are ended.
@@ -97,6 +101,7 @@
     pub forwarded_leases: AtomicUsize,
     pools: Pools,
     monitor_wake: Notify,
+    leader_doubted: Notify,
     sessions: AtomicUsize,
 }
 
@@ -179,12 +184,12 @@
     }
 
     /// An owner's share of an instance's connections: what is left when each
-    /// watcher of the group and each owner has one for health checks.
+    /// watcher of the group has one for health checks.
     fn owner_share(&self, group: &GroupName) -> usize {
-        let instances = self.directory.instances_of(group).len();
-        let other_watchers = OWNERS * instances.saturating_sub(1);
+        let instances = self.directory.instances_of(group).len().max(1);
+        let watchers = OWNERS * instances + WATCHERS;
         let limit = self.connection_limit(group);
-        (limit.saturating_sub(other_watchers) / OWNERS).saturating_sub(1)
+        limit.saturating_sub(watchers) / OWNERS
     }
 
     /// How many connections to an instance this node may hold.
@@ -211,12 +216,30 @@
             .instance(&record.name)
             .is_none_or(|known| known.contact.failing_since.is_none());
         let route = self.owners.route(&self.registry, record, is_reached).await;
-        if matches!(route, Route::Own) {
-            self.directory.used_directly(&record.group);
+        if matches!(route, Route::Own) && !self.runs_statements_on(record) {
+            self.note_direct_use(record);
         }
         route
     }
 
+    /// No owner was reached: this node uses a connection of its own.
+    fn note_direct_use(&self, record: &InstanceRecord) {
+        let last = self.directory.last_direct_use(&record.group);
+        if last.is_none_or(|used| clock::now().millis_since(used) > USED_MS) {
+            info!(
+                "event=owners_unreached group={} instance={}",
+                record.group, record.name
+            );
+        }
+        self.directory.used_directly(&record.group);
+    }
+
+    /// Whether this node runs statements on an instance itself, so that it can
+    /// tell an instance that hangs from an owner that is busy.
+    pub fn runs_statements_on(&self, record: &InstanceRecord) -> bool {
+        self.is_ample(&record.group) || self.owners.standing(&self.registry, record) == Standing::Owner
+    }
+
     /// Nodes that watch a group, this one apart.
     pub fn watcher_addresses(&self, group: &GroupName) -> Vec<SocketAddr> {
         let mut addresses: Vec<SocketAddr> = Vec::new();
@@ -363,6 +386,29 @@
             .is_none_or(|since| clock::now().millis_since(since) < bound)
     }
 
+    /// Waits before the next report of instances' records. With many nodes
+    /// each waits longer, since what one reads the others hear from it; but not
+    /// while a leader is in doubt.
+    pub async fn rest_from_instances(&self) {
+        let is_shared = self.directory.config().is_some_and(|config| {
+            let mut groups = config.groups.keys();
+            groups.any(|group| !self.is_ample(group))
+        });
+        if !is_shared {
+            return tokio::time::sleep(INSTANCES_PACE).await;
+        }
+        tokio::time::sleep(URGENT_PACE).await;
+        tokio::select! {
+            () = tokio::time::sleep(SHARED_PACE - URGENT_PACE) => {}
+            () = self.leader_doubted.notified() => {}
+        }
+    }
+
+    /// A leader is in doubt: its record should be read soon.
+    pub fn doubt_leader(&self) {
+        self.leader_doubted.notify_waiters();
+    }
+
     /// Asks the monitor to look at the groups now.
     pub fn wake_monitor(&self) {
         self.monitor_wake.notify_one();
@@ -516,6 +562,7 @@
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
         monitor_wake: Notify::new(),
+        leader_doubted: Notify::new(),
         sessions: AtomicUsize::new(0),
         settings,
     })
@@ -531,13 +578,13 @@
     let own = OwnKeys::new(vec![engine.registry.clone(), duties.clone()]);
     let config = ConfigFollower::new(engine.clone(), catalog.clone());
     let instances = InstanceFollower::new(engine.clone(), catalog.clone());
-    let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>, pace| {
+    let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>| {
         let store = ports.store.clone();
-        tokio::spawn(store_watch::follow(store, prefix.to_owned(), follower, pace));
+        tokio::spawn(store_watch::follow(store, prefix.to_owned(), follower));
     };
-    follow(catalog.config_key(), Arc::new(config), Duration::ZERO);
-    follow(catalog.instances_prefix(), Arc::new(instances), INSTANCES_PACE);
-    follow(catalog.own_prefix(), Arc::new(own), Duration::ZERO);
+    follow(catalog.config_key(), Arc::new(config));
+    follow(catalog.instances_prefix(), Arc::new(instances));
+    follow(catalog.own_prefix(), Arc::new(own));
     let record = NodeRecord {
         peer_address: engine.settings.peer_address,
         zone: engine.settings.zone.clone(),
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::future::BoxFuture;
 use log::{info, warn};
 use millwind_store::{Condition, Entry, Listing, Store, Swap, Write};
 use millwind_wire::exchange::StoredDocument;
@@ -14,6 +15,9 @@
 
 use crate::store_watch::Follower;
 
+/// Between two reports of the system's own keys: at a start every node
+/// registers.
+const OWN_KEYS_PACE: Duration = Duration::from_millis(400);
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
 /// What a node tells of itself.
@@ -237,6 +241,10 @@
         "own_keys"
     }
 
+    fn rest(&self) -> BoxFuture<'_, ()> {
+        Box::pin(tokio::time::sleep(OWN_KEYS_PACE))
+    }
+
     fn listed(&self, listing: Listing) {
         for follower in &self.followers {
             follower.listed(listing.clone());
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -30,7 +30,10 @@
 /// Never sooner than this.
 const HEDGE_LEAST: Duration = Duration::from_millis(150);
 /// Instances tried at the same time at most.
-const HEDGE_MOST: usize = 2;
+const HEDGE_MOST: usize = 3;
+
+/// The pause between two rounds of tries doubles so often.
+const MOST_DOUBLINGS: u32 = 3;
 
 type Attempt = BoxFuture<'static, Result<Reply, AttemptError>>;
 
@@ -52,7 +55,7 @@
             let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
             match self.leader_read_on(&record, &operation).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation).await?,
+                Err(error) => after_failed_read(error, &operation, 0).await?,
             }
         }
     }
@@ -89,12 +92,14 @@
         let staleness = operation.tenant.settings.staleness_ms;
         engine.directory.used(operation.group(), Some(staleness));
         let operation = Arc::new(operation);
+        let mut rounds = 0;
         loop {
             let floor = self.floor_for(&operation).await?;
             match hedged_read(&engine, &self.state, &operation, floor).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation).await?,
+                Err(error) => after_failed_read(error, &operation, rounds).await?,
             }
+            rounds += 1;
         }
     }
 
@@ -126,14 +131,17 @@
     }
 }
 
-/// Returns where a read may be tried again, and fails where not.
-pub(super) async fn after_failed_read(error: AttemptError, operation: &Operation) -> Result<(), Failure> {
+/// Returns where a read may be tried again, after a pause that grows with
+/// `rounds`, and fails where not.
+async fn after_failed_read(error: AttemptError, operation: &Operation, rounds: u32) -> Result<(), Failure> {
     let has_run = matches!(&error, AttemptError::BackEnd(error)
         if !error.kind.is_not_run());
     if has_run || clock::now() >= operation.deadline {
         return Err(read_failure(error));
     }
     pause_after(&error).await;
+    let more = RETRY_PAUSE * (2_u32.pow(rounds.min(MOST_DOUBLINGS)) - 1);
+    tokio::time::sleep(more.min(clock::until(operation.deadline))).await;
     Ok(())
 }
 
@@ -161,13 +169,15 @@
         .map(|known| ReadCandidate {
             instance: known.record.name.clone(),
             latency_us: known.contact.latency_us,
-            outstanding: known.contact.outstanding,
+            outstanding: known.contact.statements.under_way(),
             slots: known.record.slots,
             is_near: known.record.zone.as_str() == engine.settings.zone,
             is_leader: leader
                 .as_ref()
                 .is_some_and(|leader| leader.instance == known.record.name),
-            is_avoided: known.contact.avoid_until > now || known.contact.failing_since.is_some(),
+            is_avoided: known.contact.avoid_until > now
+                || known.contact.failing_since.is_some()
+                || known.contact.is_sick(),
             is_leaving: known.is_leaving,
         })
         .collect();
@@ -202,6 +212,7 @@
                 return Err(last);
             };
             hedge_at = hedge_time(engine, &record);
+            engine.retry_budget.deposit();
             running.push(start(engine, session, operation, record, floor));
         }
         let may_hedge = running.len() < HEDGE_MOST && !order.as_slice().is_empty();
@@ -228,6 +239,7 @@
                     && let Some(record) = order.next()
                 {
                     engine.metrics.hedged.inc();
+                    hedge_at = hedge_time(engine, &record);
                     running.push(start(engine, session, operation, record, floor));
                 }
             }
@@ -241,7 +253,6 @@
         .instance(&record.name)
         .map_or(0, |known| known.contact.latency_us);
     let delay = Duration::from_micros(mean * HEDGE_FACTOR).max(HEDGE_LEAST);
-    engine.retry_budget.deposit();
     clock::now().plus_millis(delay.as_millis() as u64)
 }
 
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::BoxFuture;
 use log::{info, warn};
 use millwind_store::{Entry, Listing, Store, StoreError, Watch};
 
@@ -22,20 +23,18 @@
     fn changed(&self, entries: Vec<Entry>);
     /// The store was heard, though nothing changed.
     fn heard(&self) {}
+    /// Waits between two reports, so that changes come in batches.
+    fn rest(&self) -> BoxFuture<'_, ()> {
+        Box::pin(std::future::ready(()))
+    }
 }
 
 /// Follows `prefix` for the life of the process: lists it, watches it, and
-/// lists it again whenever the watch has a gap. Between two reports it waits
-/// `pace`, so that changes come in batches.
-pub async fn follow<S: Store + 'static>(
-    store: Arc<S>,
-    prefix: String,
-    follower: Arc<dyn Follower>,
-    pace: Duration,
-) {
+/// lists it again whenever the watch has a gap.
+pub async fn follow<S: Store + 'static>(store: Arc<S>, prefix: String, follower: Arc<dyn Follower>) {
     let mut lost_at = None;
     loop {
-        let error = match follow_once(&*store, &prefix, &*follower, pace, &mut lost_at).await {
+        let error = match follow_once(&*store, &prefix, &*follower, &mut lost_at).await {
             Ok(()) => continue,
             Err(error) => error,
         };
@@ -55,7 +54,6 @@
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
-    pace: Duration,
     lost_at: &mut Option<millwind_core::Instant>,
 ) -> Result<(), StoreError> {
     let listing = store.list(prefix).await?;
@@ -70,9 +68,7 @@
         } else {
             follower.changed(report.changes);
         }
-        if !pace.is_zero() {
-            tokio::time::sleep(pace).await;
-        }
+        follower.rest().await;
     }
 }
 
