Fewer store calls: one sentinel watch, growing pauses, longer waits

A failing instance gets one forwarded statement at a time. A read at the leader that is silent for 350 ms or eight mean times is tried through another owner.

--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -100,6 +100,10 @@
         self.engine.directory.store_heard();
     }
 
+    fn is_sentinel(&self) -> bool {
+        true
+    }
+
     fn rest(&self) -> BoxFuture<'_, ()> {
         Box::pin(self.engine.rest_from_instances())
     }
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -112,6 +112,7 @@
             Ok(Err(_)) => return Err(AttemptError::Link(LinkError::Lost)),
             Err(_) => {
                 self.link.forget(call);
+                engine.owners.avoid(self.link.address(), &self.record.name);
                 return Err(AttemptError::Link(LinkError::Silent));
             }
         };
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -294,8 +294,9 @@
     if !engine.takes_new_work(&known) {
         return Err(AttemptError::Link(LinkError::Retired));
     }
-    let is_failing = known.contact.failing_since.is_some();
-    if is_failing && clock::now() < known.contact.avoid_until {
+    let contact = &known.contact;
+    let is_tried = clock::now() < contact.avoid_until || contact.statements.under_way() > 0;
+    if contact.failing_since.is_some() && is_tried {
         return Err(AttemptError::Link(LinkError::InstanceFailing));
     }
     // Statements that hang keep their connections: more of them would leave
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -578,9 +578,11 @@
     let own = OwnKeys::new(vec![engine.registry.clone(), duties.clone()]);
     let config = ConfigFollower::new(engine.clone(), catalog.clone());
     let instances = InstanceFollower::new(engine.clone(), catalog.clone());
+    let contact = Arc::new(store_watch::StoreContact::default());
     let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>| {
         let store = ports.store.clone();
-        tokio::spawn(store_watch::follow(store, prefix.to_owned(), follower));
+        let prefix = prefix.to_owned();
+        tokio::spawn(store_watch::follow(store, prefix, follower, contact.clone()));
     };
     follow(catalog.config_key(), Arc::new(config));
     follow(catalog.instances_prefix(), Arc::new(instances));
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -17,7 +17,7 @@
 
 /// Between two reports of the system's own keys: at a start every node
 /// registers.
-const OWN_KEYS_PACE: Duration = Duration::from_millis(400);
+const OWN_KEYS_PACE: Duration = Duration::from_millis(1_500);
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
 /// What a node tells of itself.
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -84,6 +84,16 @@
         }
     }
 
+    /// The same with a deadline no later than `limit` from now.
+    fn within(&self, limit: Duration) -> Operation {
+        let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX / 2_000);
+        let limited = clock::now().plus_millis(limit_ms.min(u64::MAX / 2_000_000));
+        Operation {
+            deadline: self.deadline.min(limited),
+            ..self.clone()
+        }
+    }
+
     fn needed(&self) -> Option<&PreparedStatement> {
         self.prepared.as_ref().map(|(statement, _)| statement)
     }
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -32,6 +32,10 @@
 /// Instances tried at the same time at most.
 const HEDGE_MOST: usize = 3;
 
+/// A read at the leader is tried through another owner after so many times its
+/// mean latency, and never sooner than the least.
+const PATIENCE_FACTOR: u64 = 8;
+const PATIENCE_LEAST: Duration = Duration::from_millis(350);
 /// The pause between two rounds of tries doubles so often.
 const MOST_DOUBLINGS: u32 = 3;
 
@@ -53,7 +57,8 @@
         engine.directory.used(operation.group(), None);
         loop {
             let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
-            match self.leader_read_on(&record, &operation).await {
+            let attempt = operation.within(patience(&engine, &record));
+            match self.leader_read_on(&record, &attempt).await {
                 Ok(reply) => return attempt::success(reply),
                 Err(error) => after_failed_read(error, &operation, 0).await?,
             }
@@ -247,6 +252,19 @@
     }
 }
 
+/// How long a read waits for an answer before another owner is tried, which may
+/// reach the instance where this one does not.
+fn patience(engine: &Engine, record: &InstanceRecord) -> Duration {
+    if engine.runs_statements_on(record) {
+        return Duration::MAX;
+    }
+    let mean = engine
+        .directory
+        .instance(&record.name)
+        .map_or(0, |known| known.contact.latency_us);
+    Duration::from_micros(mean * PATIENCE_FACTOR).max(PATIENCE_LEAST)
+}
+
 fn hedge_time(engine: &Engine, record: &InstanceRecord) -> millwind_core::Instant {
     let mean = engine
         .directory
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -7,11 +7,30 @@
 use futures::future::BoxFuture;
 use log::{info, warn};
 use millwind_store::{Entry, Listing, Store, StoreError, Watch};
+use rand::RngExt;
+use tokio::sync::watch;
 
 use crate::clock;
 
-/// Between two tries while the store does not answer.
+/// Between the first two tries while the store does not answer; the pause
+/// doubles, since each call is paid for and loads a store in trouble.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause between two tries.
+const MOST_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Whether the store is heard, shared by all followers of a node: the one whose
+/// keys change all the time notices an outage and its end before the others.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    /// Counts the ends of outages.
+    regained: watch::Sender<u64>,
+}
+
+impl StoreContact {
+    fn note_regained(&self) {
+        self.regained.send_modify(|count| *count += 1);
+    }
+}
 
 /// Takes in what lies under one prefix of the store.
 pub trait Follower: Send + Sync + 'static {
@@ -23,6 +42,11 @@
     fn changed(&self, entries: Vec<Entry>);
     /// The store was heard, though nothing changed.
     fn heard(&self) {}
+    /// Whether its keys change so often that it notices an outage on behalf of
+    /// all followers.
+    fn is_sentinel(&self) -> bool {
+        false
+    }
     /// Waits between two reports, so that changes come in batches.
     fn rest(&self) -> BoxFuture<'_, ()> {
         Box::pin(std::future::ready(()))
@@ -31,12 +55,24 @@
 
 /// Follows `prefix` for the life of the process: lists it, watches it, and
 /// lists it again whenever the watch has a gap.
-pub async fn follow<S: Store + 'static>(store: Arc<S>, prefix: String, follower: Arc<dyn Follower>) {
+pub async fn follow<S: Store + 'static>(
+    store: Arc<S>,
+    prefix: String,
+    follower: Arc<dyn Follower>,
+    contact: Arc<StoreContact>,
+) {
     let mut lost_at = None;
+    let mut pause = RETRY_PAUSE;
     loop {
-        let error = match follow_once(&*store, &prefix, &*follower, &mut lost_at).await {
-            Ok(()) => continue,
-            Err(error) => error,
+        let mut regained = contact.regained.subscribe();
+        let following = follow_once(&*store, &prefix, &*follower, &contact, &mut lost_at);
+        let error = tokio::select! {
+            result = following => match result {
+                Ok(()) => continue,
+                Err(error) => error,
+            },
+            // The watch may have been lost in silence.
+            Ok(()) = regained.changed(), if !follower.is_sentinel() => continue,
         };
         if lost_at.is_none() {
             warn!(
@@ -45,8 +81,14 @@
                 error.to_string()
             );
             lost_at = Some(clock::now());
+            pause = RETRY_PAUSE;
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        let jittered = pause.mul_f64(rand::rng().random_range(0.75..1.25));
+        tokio::select! {
+            () = tokio::time::sleep(jittered) => {}
+            Ok(()) = regained.changed(), if !follower.is_sentinel() => {}
+        }
+        pause = (pause * 2).min(MOST_PAUSE);
     }
 }
 
@@ -54,12 +96,15 @@
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
+    contact: &StoreContact,
     lost_at: &mut Option<millwind_core::Instant>,
 ) -> Result<(), StoreError> {
     let listing = store.list(prefix).await?;
     let revision = listing.revision;
     follower.listed(listing);
-    regained(follower, lost_at);
+    if regained(follower, lost_at) && follower.is_sentinel() {
+        contact.note_regained();
+    }
     let mut watch = store.watch(prefix, revision).await?;
     loop {
         let report = watch.next().await?;
@@ -72,12 +117,15 @@
     }
 }
 
-fn regained(follower: &dyn Follower, lost_at: &mut Option<millwind_core::Instant>) {
-    if let Some(lost) = lost_at.take() {
+/// Notes that the store is heard; true if it was not before.
+fn regained(follower: &dyn Follower, lost_at: &mut Option<millwind_core::Instant>) -> bool {
+    let was_lost = lost_at.take();
+    if let Some(lost) = was_lost {
         info!(
             "event=store_regained watch={} outage_ms={}",
             follower.name(),
             clock::now().millis_since(lost)
         );
     }
+    was_lost.is_some()
 }
