Links to owners in the background, full instances shared, last log lines written

Stops were never told: the process ended before its last lines were written.

Change: links are opened and reopened in the background, a statement waits only for one that was not found down; five stand-ins instead of two; own connections only after a second without owners. A refused opening waits for an open connection of the pool; for two seconds after a refusal one is opened at a time. A node that knows nothing yet does not slow its tries at the store. The process waits for its log.

--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -79,6 +79,15 @@
         )
     }
 
+    /// Whether the instance takes no more connections now.
+    pub fn is_over_limit(&self) -> bool {
+        match self {
+            LinkError::TurnedAway => true,
+            LinkError::StartupRefused(error) => error.kind == BackEndErrorKind::TooManyConnections,
+            _ => false,
+        }
+    }
+
     /// Whether another instance listens at the address now.
     pub fn is_wrong_instance(&self) -> bool {
         matches!(self, LinkError::StartupRefused(error) if error.kind == BackEndErrorKind::WrongInstance)
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -14,13 +14,18 @@
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::ports::BackEndCodec;
-use crate::statement::{BackEndErrorKind, Command, Envelope, TransactionState};
+use crate::statement::{Command, Envelope, TransactionState};
 
 /// Longest wait for a new connection, in milliseconds.
 const CONNECT_LIMIT_MS: u64 = 1_000;
 /// After the instance said that it takes no more connections, none is opened
 /// for this time, in milliseconds.
 const LIMIT_PAUSE_MS: u64 = 300;
+/// After that pause connections are opened one at a time for this time, in
+/// milliseconds.
+const CAREFUL_MS: u64 = 2_000;
+/// Between two looks of a waiter meanwhile, in milliseconds.
+const CAREFUL_TICK_MS: u64 = 60;
 /// Weight of a new sample in the mean time of use, as one part in so many.
 const USE_WEIGHT: u64 = 16;
 /// A connection is given this long to roll back before it is closed.
@@ -74,10 +79,21 @@
     waiters: VecDeque<Waiter>,
     /// Mean time for which a connection is used, in microseconds.
     mean_use_us: u64,
+    /// Connections that are being opened.
+    opening: usize,
     no_open_before: Instant,
     is_retired: bool,
 }
 
+impl PoolState {
+    /// Whether a connection may be opened now: not right after the instance
+    /// said that it takes no more, and for a while after that one at a time.
+    fn may_open(&self, now: Instant) -> bool {
+        let is_careful = now < self.no_open_before.plus_millis(CAREFUL_MS);
+        now >= self.no_open_before && (!is_careful || self.opening == 0)
+    }
+}
+
 /// The pool of one instance.
 pub struct Pool {
     record: InstanceRecord,
@@ -173,7 +189,11 @@
                 return Ok(PooledConnection::new(self.clone(), connection));
             }
             if let Some(permit) = self.take_permit(purpose) {
-                return self.open(permit, deadline).await;
+                match self.open(permit, deadline).await {
+                    // The instance is full: one of those that are open will do.
+                    Err(error) if error.is_over_limit() && self.may_share(deadline) => continue,
+                    opened => return opened,
+                }
             }
             if !self.may_wait(purpose, deadline) {
                 return Err(LinkError::NoConnection);
@@ -184,7 +204,10 @@
                     return Ok(PooledConnection::new(self.clone(), *connection));
                 }
                 Ok(Grant::Idle(_)) => {}
-                Ok(Grant::Open(permit)) => return self.open(permit, deadline).await,
+                Ok(Grant::Open(permit)) => match self.open(permit, deadline).await {
+                    Err(error) if error.is_over_limit() && self.may_share(deadline) => {}
+                    opened => return opened,
+                },
                 Err(LinkError::NoConnection) if clock::now() < deadline => {}
                 Err(error) => return Err(error),
             }
@@ -198,17 +221,20 @@
     ) -> Result<PooledConnection, LinkError> {
         let limit = clock::now().plus_millis(CONNECT_LIMIT_MS).min(deadline);
         let opened = Connection::open(&self.record, self.codec.clone(), permit, limit).await;
-        let is_over_limit = match &opened {
-            Err(LinkError::StartupRefused(error)) => error.kind == BackEndErrorKind::TooManyConnections,
-            Err(LinkError::TurnedAway) => true,
-            _ => false,
-        };
-        if is_over_limit {
-            self.state().no_open_before = clock::now().plus_millis(LIMIT_PAUSE_MS);
+        let mut state = self.state();
+        state.opening = state.opening.saturating_sub(1);
+        if opened.as_ref().is_err_and(LinkError::is_over_limit) {
+            state.no_open_before = clock::now().plus_millis(LIMIT_PAUSE_MS);
         }
+        drop(state);
         opened.map(|connection| PooledConnection::new(self.clone(), connection))
     }
 
+    /// Whether there are open connections to wait for.
+    fn may_share(&self, deadline: Instant) -> bool {
+        clock::now() < deadline && self.state().open > 0
+    }
+
     /// The idle connection that needs the fewest steps; dead ones are dropped.
     fn take_idle(
         &self,
@@ -248,10 +274,11 @@
             Purpose::Statement { .. } => state.share,
             Purpose::Probe => state.share + 1,
         };
-        if state.open >= allowed || clock::now() < state.no_open_before {
+        if state.open >= allowed || !state.may_open(clock::now()) {
             return None;
         }
         state.open += 1;
+        state.opening += 1;
         Some(Permit { pool: self.clone() })
     }
 
@@ -278,10 +305,12 @@
     /// A waiter looks again when connections may be opened again.
     fn wait_limit(&self, deadline: Instant) -> Instant {
         let no_open_before = self.state().no_open_before;
-        if no_open_before > clock::now() {
-            return deadline.min(no_open_before.plus_millis(1));
+        let now = clock::now();
+        if now >= no_open_before.plus_millis(CAREFUL_MS) {
+            return deadline;
         }
-        deadline
+        let next_try = no_open_before.max(now.plus_millis(CAREFUL_TICK_MS));
+        deadline.min(next_try.plus_millis(1))
     }
 
     async fn wait(&self, purpose: Purpose, deadline: Instant) -> Result<Grant, LinkError> {
@@ -343,7 +372,7 @@
         let waiter = {
             let mut state = self.state();
             state.open -= 1;
-            let may_open = state.open < state.share && !state.is_retired;
+            let may_open = state.open < state.share && !state.is_retired && state.may_open(clock::now());
             let waiter = if may_open {
                 pop_live(&mut state.waiters)
             } else {
@@ -351,6 +380,7 @@
             };
             if waiter.is_some() {
                 state.open += 1;
+                state.opening += 1;
             }
             waiter
         };
--- a/crates/millwind-engine/src/forward/links.rs
+++ b/crates/millwind-engine/src/forward/links.rs
@@ -1,4 +1,6 @@
-//! Links to owners, opened when first needed.
+//! Links to owners: opened in the background when first needed, and again
+//! after they are lost. A statement waits only while a link is being opened
+//! that was not found down before.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,30 +10,46 @@
 use log::info;
 use millwind_core::Instant;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::link::OwnerLink;
 use crate::clock;
 
 /// A link opens within this time, or not.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// A node that could not be reached is left alone for this long, in
+/// Between the first two tries to open a link; the pause doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between two tries.
+const MOST_PAUSE: Duration = Duration::from_millis(1_600);
+/// A link that nobody has wanted for this time is no longer tried, in
 /// milliseconds.
-const DOWN_MS: u64 = 500;
+const WANTED_MS: u64 = 5_000;
 /// Unacknowledged bytes break a link after this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 #[derive(Debug, Default)]
 struct Slot {
     link: Option<Arc<OwnerLink>>,
-    down_until: Instant,
-    /// Held by the one that opens the link.
-    opening: Arc<tokio::sync::Mutex<()>>,
+    /// A task opens the link.
+    is_opening: bool,
+    /// The last try failed.
+    is_down: bool,
+    /// When a statement last wanted the link.
+    wanted: Instant,
+}
+
+impl Slot {
+    fn open_link(&self) -> Option<&Arc<OwnerLink>> {
+        self.link.as_ref().filter(|link| link.is_open())
+    }
 }
 
 /// Links by the owner's address.
 #[derive(Debug, Default)]
 pub(super) struct Links {
     slots: Mutex<HashMap<SocketAddr, Slot>>,
+    /// A link was opened, or not.
+    settled: Notify,
 }
 
 impl Links {
@@ -39,53 +57,103 @@
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The open link to `address`, if there is one.
-    pub(super) fn open_link(&self, address: SocketAddr) -> Option<Arc<OwnerLink>> {
-        let slots = self.slots();
-        let link = slots.get(&address)?.link.as_ref()?;
-        link.is_open().then(|| link.clone())
+    /// The usable link with the fewest calls under way among `addresses`; the
+    /// first of equals. Links that are missing are opened in the background.
+    pub(super) fn best(self: &Arc<Self>, addresses: &[SocketAddr]) -> Option<Arc<OwnerLink>> {
+        let mut missing = Vec::new();
+        let mut best: Option<Arc<OwnerLink>> = None;
+        {
+            let mut slots = self.slots();
+            for address in addresses {
+                let slot = slots.entry(*address).or_default();
+                slot.wanted = clock::now();
+                match slot.open_link() {
+                    Some(link) if link.is_leaving() => {}
+                    Some(link) => {
+                        let is_better = best
+                            .as_ref()
+                            .is_none_or(|best| link.outstanding() < best.outstanding());
+                        if is_better {
+                            best = Some(link.clone());
+                        }
+                    }
+                    None if !slot.is_opening => {
+                        slot.is_opening = true;
+                        missing.push(*address);
+                    }
+                    None => {}
+                }
+            }
+        }
+        for address in missing {
+            tokio::spawn(self.clone().keep_opening(address));
+        }
+        best
     }
 
-    /// Whether `address` may be tried: it is linked, or was not found down a
-    /// moment ago.
-    pub(super) fn may_try(&self, address: SocketAddr) -> bool {
-        let slots = self.slots();
-        let Some(slot) = slots.get(&address) else {
-            return true;
-        };
-        match &slot.link {
-            Some(link) if link.is_open() => !link.is_leaving(),
-            _ => clock::now() >= slot.down_until,
+    /// As [`Links::best`], waiting while a link is opened that was not found
+    /// down.
+    pub(super) async fn await_best(self: &Arc<Self>, addresses: &[SocketAddr]) -> Option<Arc<OwnerLink>> {
+        let deadline = tokio::time::Instant::now() + CONNECT_LIMIT;
+        loop {
+            let settled = self.settled.notified();
+            if let Some(link) = self.best(addresses) {
+                return Some(link);
+            }
+            if !self.is_any_opening(addresses) {
+                return None;
+            }
+            tokio::time::timeout_at(deadline, settled).await.ok()?;
         }
     }
 
-    /// Calls without an answer on the link to `address`.
-    pub(super) fn outstanding(&self, address: SocketAddr) -> usize {
-        self.open_link(address).map_or(0, |link| link.outstanding())
+    fn is_any_opening(&self, addresses: &[SocketAddr]) -> bool {
+        let slots = self.slots();
+        addresses.iter().any(|address| {
+            slots
+                .get(address)
+                .is_some_and(|slot| slot.is_opening && !slot.is_down)
+        })
     }
 
-    /// The link to `address`, opened if there is none.
-    pub(super) async fn get(&self, address: SocketAddr) -> Option<Arc<OwnerLink>> {
-        if let Some(link) = self.open_link(address) {
-            return Some(link);
-        }
-        let opening = self.slots().entry(address).or_default().opening.clone();
-        let _held = opening.lock().await;
-        if let Some(link) = self.open_link(address) {
-            return Some(link);
+    /// Tries to open a link until it is open, or nobody wants it any more.
+    async fn keep_opening(self: Arc<Self>, address: SocketAddr) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let link = open(address).await;
+            let is_done = self.settle(address, link);
+            self.settled.notify_waiters();
+            if is_done {
+                return;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MOST_PAUSE);
         }
-        if !self.may_try(address) {
-            return None;
-        }
-        let link = open(address).await;
+    }
+
+    /// Takes in how a try ended; true if there is nothing left to do.
+    fn settle(&self, address: SocketAddr, link: Option<Arc<OwnerLink>>) -> bool {
         let mut slots = self.slots();
         let slot = slots.entry(address).or_default();
-        if link.is_none() {
+        if link.is_some() {
+            if slot.is_down {
+                info!("event=owner_regained owner={address}");
+            }
+            slot.link = link;
+            slot.is_opening = false;
+            slot.is_down = false;
+            return true;
+        }
+        if !slot.is_down {
             info!("event=owner_unreachable owner={address}");
-            slot.down_until = clock::now().plus_millis(DOWN_MS);
         }
-        slot.link = link.clone();
-        link
+        slot.is_down = true;
+        let is_wanted = clock::now().millis_since(slot.wanted) < WANTED_MS;
+        if !is_wanted {
+            slot.is_opening = false;
+            slot.is_down = false;
+        }
+        !is_wanted
     }
 }
 
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millwind_core::Instant;
 use millwind_core::ids::InstanceName;
@@ -18,11 +18,18 @@
 /// Nodes that own connections to an instance.
 pub const OWNERS: usize = 3;
 /// Nodes that stand in while no owner is reached.
-pub const STAND_INS: usize = 2;
+pub const STAND_INS: usize = 5;
 /// An owner that does not reach an instance is left alone for it for this
 /// long, in milliseconds.
 const AVOID_MS: u64 = 400;
 
+/// A node that reaches no owner for this time uses connections of its own, in
+/// milliseconds.
+const ALONE_MS: u64 = 1_000;
+/// After this time without a need for owners their absence is looked at anew, in
+/// milliseconds.
+const FORGET_MS: u64 = 3_000;
+
 /// What a node is to an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -50,10 +57,13 @@
 /// Owners of all instances.
 #[derive(Debug, Default)]
 pub struct Owners {
-    links: Links,
+    links: Arc<Links>,
     /// By instance, with the version of the registry that they follow from.
     ranked: Mutex<HashMap<InstanceName, (u64, Ranked)>>,
     avoided: Mutex<HashMap<(SocketAddr, InstanceName), Instant>>,
+    /// Since when no owner of an instance is reached, and when that was last
+    /// found.
+    unreached: Mutex<HashMap<InstanceName, (Instant, Instant)>>,
 }
 
 impl Owners {
@@ -106,46 +116,63 @@
             return Route::Own;
         }
         let mut was_avoided = false;
-        for nodes in [owners, stand_ins] {
-            let mut tried = Vec::new();
-            while let Some(address) = self.pick(nodes, record, &tried, &mut was_avoided) {
-                if let Some(link) = self.links.get(address).await {
-                    return Route::Through(link);
-                }
-                tried.push(address);
-            }
+        let owners = self.usable(owners, record, &mut was_avoided);
+        let stand_ins = self.usable(stand_ins, record, &mut was_avoided);
+        let found = match self.links.best(&owners) {
+            Some(link) => Some(link),
+            None => self.await_any(&owners, &stand_ins).await,
+        };
+        if let Some(link) = found {
+            self.unreached().remove(&record.name);
+            return Route::Through(link);
         }
-        if was_avoided {
-            Route::Unreachable
-        } else {
-            Route::Own
+        if was_avoided || !self.is_alone(&record.name) {
+            return Route::Unreachable;
         }
+        Route::Own
+    }
+
+    fn unreached(&self) -> MutexGuard<'_, HashMap<InstanceName, (Instant, Instant)>> {
+        self.unreached.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The usable one of `nodes` with the fewest calls under way.
-    fn pick(
-        &self,
-        nodes: &[Owner],
-        record: &InstanceRecord,
-        tried: &[SocketAddr],
-        was_avoided: &mut bool,
-    ) -> Option<SocketAddr> {
+    /// Whether no owner has been reached for a while: after a common start all
+    /// nodes would else take connections before the owners are up.
+    fn is_alone(&self, instance: &InstanceName) -> bool {
+        let now = clock::now();
+        let mut unreached = self.unreached();
+        let entry = unreached.entry(instance.clone()).or_insert((now, now));
+        if now.millis_since(entry.1) > FORGET_MS {
+            entry.0 = now;
+        }
+        entry.1 = now;
+        now.millis_since(entry.0) >= ALONE_MS
+    }
+
+    /// A link to an owner, else to one that stands in, which are opened at the
+    /// same time.
+    async fn await_any(&self, owners: &[SocketAddr], stand_ins: &[SocketAddr]) -> Option<Arc<OwnerLink>> {
+        let standing_in = self.links.best(stand_ins);
+        match self.links.await_best(owners).await {
+            Some(link) => Some(link),
+            None if standing_in.is_some() => standing_in,
+            None => self.links.await_best(stand_ins).await,
+        }
+    }
+
+    /// Addresses of the other ones of `nodes` that may reach the instance, from
+    /// a random one on.
+    fn usable(&self, nodes: &[Owner], record: &InstanceRecord, was_avoided: &mut bool) -> Vec<SocketAddr> {
         let mut usable = Vec::new();
         for node in nodes.iter().filter(|node| !node.is_self) {
-            let address = node.address;
-            if tried.contains(&address) || !self.links.may_try(address) {
-                continue;
-            }
-            if self.is_avoided(address, &record.name) {
+            if self.is_avoided(node.address, &record.name) {
                 *was_avoided = true;
-                continue;
+            } else {
+                usable.push(node.address);
             }
-            usable.push(address);
         }
         let offset = rand::rng().random_range(0..usable.len().max(1));
         usable.rotate_left(offset);
         usable
-            .into_iter()
-            .min_by_key(|address| self.links.outstanding(*address))
     }
 }
--- a/crates/millwind-engine/src/logging.rs
+++ b/crates/millwind-engine/src/logging.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use log::LevelFilter;
 use millwind_core::Instant;
@@ -20,12 +21,28 @@
 const REQUEST_LINES_PER_SECOND: u64 = 100;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+
+/// Between two looks at what is left to write.
+const FINISH_TICK: Duration = Duration::from_millis(2);
 
 /// Lines dropped since the start of the process.
 pub fn dropped_lines() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Waits at the end of the process until all lines are written, for `limit` at
+/// most: the last ones tell how it stopped.
+pub fn finish(limit: Duration) {
+    let deadline = std::time::Instant::now() + limit;
+    while WRITTEN.load(Ordering::Acquire) < QUEUED.load(Ordering::Acquire)
+        && std::time::Instant::now() < deadline
+    {
+        std::thread::sleep(FINISH_TICK);
+    }
+}
+
 /// Sends log lines of `level` and above to standard output.
 pub fn start(level: LevelFilter, node: &str) -> Result<(), log::SetLoggerError> {
     let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
@@ -49,7 +66,9 @@
 
 fn enqueue(sender: &SyncSender<String>, line: String) {
     match sender.try_send(line) {
-        Ok(()) => {}
+        Ok(()) => {
+            QUEUED.fetch_add(1, Ordering::AcqRel);
+        }
         Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
@@ -60,10 +79,12 @@
     let mut told = 0;
     while let Ok(line) = receiver.recv() {
         let mut batch = line;
+        let mut lines = 1;
         batch.push('\n');
         while let Ok(next) = receiver.try_recv() {
             batch.push_str(&next);
             batch.push('\n');
+            lines += 1;
         }
         let dropped = dropped_lines();
         if dropped > told {
@@ -76,6 +97,7 @@
         if std::io::stdout().write_all(batch.as_bytes()).is_err() {
             return;
         }
+        WRITTEN.fetch_add(lines, Ordering::AcqRel);
     }
 }
 
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -36,8 +36,11 @@
 const HEDGE_CEILING: u32 = 20;
 /// Between two batches of changes of instances' records.
 const INSTANCES_PACE: Duration = Duration::from_millis(1_000);
-/// The same with many nodes, which tell each other what they read.
-const SHARED_PACE: Duration = Duration::from_millis(4_000);
+/// The same with many nodes, which tell each other what they read: this part of
+/// the time after which a leaving instance gets nothing new, in percent, and
+/// never more than the most.
+const SHARED_PACE_PERCENT: u64 = 40;
+const MOST_SHARED_PACE_MS: u64 = 4_000;
 /// The same while a leader is in doubt.
 const URGENT_PACE: Duration = Duration::from_millis(300);
 /// Between two looks at instances that are gone, and at the shares.
@@ -399,11 +402,16 @@
         }
         tokio::time::sleep(URGENT_PACE).await;
         tokio::select! {
-            () = tokio::time::sleep(SHARED_PACE - URGENT_PACE) => {}
+            () = tokio::time::sleep(self.shared_pace()) => {}
             () = self.leader_doubted.notified() => {}
         }
     }
 
+    fn shared_pace(&self) -> Duration {
+        let part = self.settings.drain_bound_ms * SHARED_PACE_PERCENT / 100;
+        Duration::from_millis(part.min(MOST_SHARED_PACE_MS)).saturating_sub(URGENT_PACE)
+    }
+
     /// A leader is in doubt: its record should be read soon.
     pub fn doubt_leader(&self) {
         self.leader_doubted.notify_waiters();
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -63,9 +63,17 @@
 ) {
     let mut lost_at = None;
     let mut pause = RETRY_PAUSE;
+    let mut has_listed = false;
     loop {
         let mut regained = contact.regained.subscribe();
-        let following = follow_once(&*store, &prefix, &*follower, &contact, &mut lost_at);
+        let following = follow_once(
+            &*store,
+            &prefix,
+            &*follower,
+            &contact,
+            &mut lost_at,
+            &mut has_listed,
+        );
         let error = tokio::select! {
             result = following => match result {
                 Ok(()) => continue,
@@ -88,7 +96,10 @@
             () = tokio::time::sleep(jittered) => {}
             Ok(()) = regained.changed(), if !follower.is_sentinel() => {}
         }
-        pause = (pause * 2).min(MOST_PAUSE);
+        // A node that knows nothing yet cannot serve: it asks on.
+        if has_listed {
+            pause = (pause * 2).min(MOST_PAUSE);
+        }
     }
 }
 
@@ -98,10 +109,12 @@
     follower: &dyn Follower,
     contact: &StoreContact,
     lost_at: &mut Option<millwind_core::Instant>,
+    has_listed: &mut bool,
 ) -> Result<(), StoreError> {
     let listing = store.list(prefix).await?;
     let revision = listing.revision;
     follower.listed(listing);
+    *has_listed = true;
     if regained(follower, lost_at) && follower.is_sentinel() {
         contact.note_regained();
     }
