Read once more: one writer for links, no copy of an instance's record per statement

Mended: the two write_all of the forwarding links are one; a session's own connections no longer copy the instance's record for each statement; the wire's keep flag, always one, is out; one mean latency for hedging and patience, and a limit that may be none instead of a saturated one; one rank of a pool's waiters.

--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -43,6 +43,16 @@
     Probe,
 }
 
+impl Purpose {
+    /// Place among those who wait; health checks come first.
+    const fn rank(self) -> u8 {
+        match self {
+            Purpose::Statement { priority } => priority.saturating_add(1),
+            Purpose::Probe => 0,
+        }
+    }
+}
+
 /// One open connection, or the right to open one.
 #[derive(Debug)]
 pub struct Permit {
@@ -285,11 +295,11 @@
     /// Whether a connection is expected to become free so early that there is
     /// time left to use it: else the statement had better go elsewhere now.
     fn may_wait(&self, purpose: Purpose, deadline: Instant) -> bool {
-        let Purpose::Statement { priority } = purpose else {
+        if purpose == Purpose::Probe {
             return true;
-        };
+        }
         let state = self.state();
-        let rank = priority.saturating_add(1);
+        let rank = purpose.rank();
         let ahead = state.waiters.iter().filter(|waiter| waiter.priority <= rank);
         let turns = ahead.count() as u64 + 1;
         let expected_us = state.mean_use_us * turns / state.open.max(1) as u64 + state.mean_use_us;
@@ -315,10 +325,7 @@
 
     async fn wait(&self, purpose: Purpose, deadline: Instant) -> Result<Grant, LinkError> {
         let (sender, receiver) = oneshot::channel();
-        let priority = match purpose {
-            Purpose::Statement { priority } => priority.saturating_add(1),
-            Purpose::Probe => 0,
-        };
+        let priority = purpose.rank();
         {
             let mut state = self.state();
             let waiter = Waiter {
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -154,7 +154,6 @@
             text,
             execution,
             proves_leader: u8::from(proves_leader),
-            keep: 1,
         }
     }
 
--- a/crates/millwind-engine/src/forward/link.rs
+++ b/crates/millwind-engine/src/forward/link.rs
@@ -7,19 +7,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
 use log::info;
-use millwind_wire::forward::{ForwardReply, ForwardRequest, ForwardedAnswer, decode_forward, encode_forward};
+use millwind_wire::forward::{ForwardReply, ForwardRequest, ForwardedAnswer, decode_forward};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
+use super::{Transport, write_all};
 use crate::clock;
 use crate::peers::frames;
 
-type Transport = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// Between two looks at a link with outstanding answers.
 const TICK: Duration = Duration::from_millis(150);
 /// Silence after which the owner is asked whether it lives, in milliseconds.
@@ -158,11 +156,12 @@
                     if silent_ms > LOST_MS {
                         return "silent";
                     }
-                    batch.push(ForwardRequest::Ping);
-                    if silent_ms > PING_MS && write_all(transport, &mut batch).await.is_none() {
-                        return "write_failed";
+                    if silent_ms > PING_MS {
+                        batch.push(ForwardRequest::Ping);
+                        if write_all(transport, &mut batch).await.is_none() {
+                            return "write_failed";
+                        }
                     }
-                    batch.clear();
                 }
             }
         }
@@ -187,11 +186,3 @@
         }
     }
 }
-
-async fn write_all(transport: &mut Transport, batch: &mut Vec<ForwardRequest>) -> Option<()> {
-    for request in batch.drain(..) {
-        let message = encode_forward(&request).ok()?;
-        transport.feed(Bytes::from(message)).await.ok()?;
-    }
-    SinkExt::<Bytes>::flush(transport).await.ok()
-}
--- a/crates/millwind-engine/src/forward/mod.rs
+++ b/crates/millwind-engine/src/forward/mod.rs
@@ -9,6 +9,13 @@
 //! asked, within a limit of its own, so nothing but a few connections depends
 //! on agreement.
 
+use binrw::BinWrite;
+use bytes::Bytes;
+use futures::SinkExt;
+use millwind_wire::forward::encode_forward;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
 mod lease;
 mod link;
 mod links;
@@ -22,3 +29,18 @@
 pub use server::serve;
 
 pub(crate) use messages::{leader_report, take_leader_report};
+
+/// A link between two nodes.
+type Transport = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Writes all messages in one go; none if the link is lost.
+async fn write_all<T>(transport: &mut Transport, batch: &mut Vec<T>) -> Option<()>
+where
+    T: for<'a> BinWrite<Args<'a> = ()>,
+{
+    for message in batch.drain(..) {
+        let bytes = encode_forward(&message).ok()?;
+        transport.feed(Bytes::from(bytes)).await.ok()?;
+    }
+    SinkExt::<Bytes>::flush(transport).await.ok()
+}
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -5,21 +5,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures::{SinkExt, StreamExt};
+use bytes::BytesMut;
+use futures::StreamExt;
 use log::debug;
 use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::position::Position;
 use millwind_wire::forward::{
     ForwardReply, ForwardRequest, ForwardedBegin, ForwardedStart, ForwardedStatement, decode_forward,
-    encode_forward,
 };
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::messages::{leader_report, read_execution, read_floor, read_session, write_answer};
+use super::{Transport, write_all};
 use crate::backend::LinkError;
 use crate::backend::pool::PooledConnection;
 use crate::catalog::InstanceRecord;
@@ -29,8 +27,6 @@
 use crate::node::{Engine, Phase};
 use crate::statement::{Command, Envelope, Reply, TransactionState};
 
-type Transport = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// Between two looks at leases that rest.
 const RESTING_TICK: Duration = Duration::from_millis(500);
 /// The asking node ends a resting transaction itself; this one waits so much
@@ -202,14 +198,6 @@
     }
 }
 
-async fn write_all(transport: &mut Transport, batch: &mut Vec<ForwardReply>) -> Option<()> {
-    for reply in batch.drain(..) {
-        let message = encode_forward(&reply).ok()?;
-        transport.feed(Bytes::from(message)).await.ok()?;
-    }
-    SinkExt::<Bytes>::flush(transport).await.ok()
-}
-
 async fn run_statement(
     engine: &Arc<Engine>,
     leases: &Leases,
@@ -254,7 +242,7 @@
     };
     *held.used.lock().unwrap_or_else(PoisonError::into_inner) = clock::now();
     let is_broken = matches!(&result, Err(AttemptError::Link(_)));
-    let is_kept = statement.keep == 1 && state != TransactionState::Idle && !is_broken;
+    let is_kept = state != TransactionState::Idle && !is_broken;
     if !is_kept || !leases.contains(lease, &held) {
         connection.take();
         leases.end(lease);
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use millwind_core::ids::InstanceName;
 use millwind_core::session_state::SessionState;
 
 use super::Operation;
@@ -34,10 +35,10 @@
         }
     }
 
-    fn record(&self) -> Arc<InstanceRecord> {
+    fn instance(&self) -> &InstanceName {
         match self {
-            SessionConnection::Own(connection) => Arc::new(connection.pool().record().clone()),
-            SessionConnection::Leased(lease) => lease.record().clone(),
+            SessionConnection::Own(connection) => &connection.pool().record().name,
+            SessionConnection::Leased(lease) => &lease.record().name,
         }
     }
 }
@@ -106,7 +107,6 @@
     floor: ReadFloor,
     proves_leader: bool,
 ) -> Result<Reply, AttemptError> {
-    let record = connection.record();
     let deadline = operation.deadline;
     let mut envelope = Envelope {
         id: Some(&operation.id),
@@ -121,13 +121,13 @@
                 .await
         }
         SessionConnection::Own(own) => {
-            let since = floor.resolve(engine, &record.group, deadline).await;
+            let since = floor.resolve(engine, operation.group(), deadline).await;
             envelope.since = since.map_err(|_| AttemptError::Link(LinkError::NoObservation))?;
             execution::run(engine, own, session, &envelope, proves_leader, deadline).await
         }
     };
     let outcome = result.as_ref().map_or_else(AttemptError::name, |_| "ok");
-    operation.trail.tried(&record.name, outcome);
+    operation.trail.tried(connection.instance(), outcome);
     result
 }
 
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -84,12 +84,11 @@
         }
     }
 
-    /// The same with a deadline no later than `limit` from now.
-    fn within(&self, limit: Duration) -> Operation {
-        let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX / 2_000);
-        let limited = clock::now().plus_millis(limit_ms.min(u64::MAX / 2_000_000));
+    /// The same with a deadline no later than `limit` from now, if there is one.
+    fn within(&self, limit: Option<Duration>) -> Operation {
+        let limited = limit.map(|limit| clock::now().plus_millis(limit.as_millis() as u64));
         Operation {
-            deadline: self.deadline.min(limited),
+            deadline: limited.map_or(self.deadline, |limited| limited.min(self.deadline)),
             ..self.clone()
         }
     }
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -253,24 +253,22 @@
 }
 
 /// How long a read waits for an answer before another owner is tried, which may
-/// reach the instance where this one does not.
-fn patience(engine: &Engine, record: &InstanceRecord) -> Duration {
+/// reach the instance where this one does not; none without owners.
+fn patience(engine: &Engine, record: &InstanceRecord) -> Option<Duration> {
     if engine.runs_statements_on(record) {
-        return Duration::MAX;
+        return None;
     }
-    let mean = engine
-        .directory
-        .instance(&record.name)
-        .map_or(0, |known| known.contact.latency_us);
-    Duration::from_micros(mean * PATIENCE_FACTOR).max(PATIENCE_LEAST)
+    let patience = Duration::from_micros(mean_latency_us(engine, record) * PATIENCE_FACTOR);
+    Some(patience.max(PATIENCE_LEAST))
+}
+
+fn mean_latency_us(engine: &Engine, record: &InstanceRecord) -> u64 {
+    let known = engine.directory.instance(&record.name);
+    known.map_or(0, |known| known.contact.latency_us)
 }
 
 fn hedge_time(engine: &Engine, record: &InstanceRecord) -> millwind_core::Instant {
-    let mean = engine
-        .directory
-        .instance(&record.name)
-        .map_or(0, |known| known.contact.latency_us);
-    let delay = Duration::from_micros(mean * HEDGE_FACTOR).max(HEDGE_LEAST);
+    let delay = Duration::from_micros(mean_latency_us(engine, record) * HEDGE_FACTOR).max(HEDGE_LEAST);
     clock::now().plus_millis(delay.as_millis() as u64)
 }
 
--- a/crates/millwind-wire/src/forward.rs
+++ b/crates/millwind-wire/src/forward.rs
@@ -157,8 +157,6 @@
     pub execution: Vec<ForwardedExecution>,
     /// One if a success proves that the instance leads.
     pub proves_leader: u8,
-    /// One if the connection stays leased while its transaction is open.
-    pub keep: u8,
 }
 
 /// What a node asks of one that holds connections.
