A live leader gives way only to a replica that holds what it has reported

Change: a leader that still serves (statements hang or fail, or it announced its end) is replaced only by a replica that has received the newest position it reported. One that leaves is given up with what it holds once half of its time is over. event=no_successor tells what was lacking.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -81,9 +81,12 @@
     pub const fn is_by_statements(self) -> bool {
         matches!(self, ReplaceReason::Unresponsive | ReplaceReason::Outlier)
     }
-}
 
-impl ReplaceReason {
+    /// Whether the leader still serves, so that its commits need not be lost.
+    pub const fn is_of_live_leader(self) -> bool {
+        self.is_by_statements() || matches!(self, ReplaceReason::Leaving)
+    }
+
     /// The name in logs.
     pub const fn name(self) -> &'static str {
         match self {
@@ -174,7 +177,15 @@
 /// replicas have received it, each set of `replicas - sync_replicas + 1`
 /// replicas holds it; so many must have answered, and received nothing more
 /// since they did.
-pub fn choose_successor(answered: &[Successor], replicas: usize, sync_replicas: usize) -> Option<&Successor> {
+///
+/// Where the present leader is alive, `must_hold` is what it has reported: a
+/// replica that lacks it would undo acknowledged commits without need.
+pub fn choose_successor(
+    answered: &[Successor],
+    replicas: usize,
+    sync_replicas: usize,
+    must_hold: Option<Position>,
+) -> Option<&Successor> {
     let needed = match sync_replicas {
         0 => 1,
         required => (replicas + 1).saturating_sub(required).max(1),
@@ -186,5 +197,6 @@
     answered
         .iter()
         .filter(|successor| sync_replicas == 0 || successor.received == furthest)
+        .filter(|successor| must_hold.is_none_or(|least| successor.received >= least))
         .max_by_key(|successor| (!successor.is_leaving, successor.received, successor.is_near))
 }
--- a/crates/millwind-core/tests/failover.rs
+++ b/crates/millwind-core/tests/failover.rs
@@ -84,20 +84,45 @@
 #[test]
 fn the_furthest_replica_is_chosen_and_one_that_leaves_comes_last() {
     let mut answered = vec![replica("a", 10), replica("b", 12)];
-    assert_eq!(choose_successor(&answered, 2, 0).unwrap().instance.as_str(), "b");
+    assert_eq!(
+        choose_successor(&answered, 2, 0, None).unwrap().instance.as_str(),
+        "b"
+    );
     answered[1].is_leaving = true;
-    assert_eq!(choose_successor(&answered, 2, 0).unwrap().instance.as_str(), "a");
+    assert_eq!(
+        choose_successor(&answered, 2, 0, None).unwrap().instance.as_str(),
+        "a"
+    );
     // Where commits must survive, being furthest counts more than staying.
-    assert_eq!(choose_successor(&answered, 2, 1).unwrap().instance.as_str(), "b");
+    assert_eq!(
+        choose_successor(&answered, 2, 1, None).unwrap().instance.as_str(),
+        "b"
+    );
 }
 
 #[test]
 fn with_synchronous_replicas_enough_must_have_answered() {
     let answered = vec![replica("a", 10)];
-    assert!(choose_successor(&answered, 2, 0).is_some());
-    assert!(choose_successor(&answered, 2, 1).is_none());
-    assert!(choose_successor(&answered, 2, 2).is_some());
-    assert!(choose_successor(&[], 2, 0).is_none());
+    assert!(choose_successor(&answered, 2, 0, None).is_some());
+    assert!(choose_successor(&answered, 2, 1, None).is_none());
+    assert!(choose_successor(&answered, 2, 2, None).is_some());
+    assert!(choose_successor(&[], 2, 0, None).is_none());
+}
+
+#[test]
+fn a_live_leader_gives_way_only_to_a_replica_that_holds_its_commits() {
+    let mut answered = vec![replica("a", 10), replica("b", 12)];
+    let least = Some(Position::new(1, 12));
+    let chosen = choose_successor(&answered, 2, 0, least).unwrap();
+    assert_eq!(chosen.instance.as_str(), "b");
+    answered[1].is_leaving = true;
+    let chosen = choose_successor(&answered, 2, 0, least).unwrap();
+    assert_eq!(chosen.instance.as_str(), "b");
+    let more = Some(Position::new(1, 13));
+    assert!(choose_successor(&answered, 2, 0, more).is_none());
+    assert!(ReplaceReason::Unresponsive.is_of_live_leader());
+    assert!(ReplaceReason::Leaving.is_of_live_leader());
+    assert!(!ReplaceReason::Refusing.is_of_live_leader());
 }
 
 #[test]
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -18,6 +18,7 @@
 use crate::node::Engine;
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
+use replacement::LostLeader;
 
 /// Between two looks at the groups.
 const TICK: Duration = Duration::from_millis(100);
@@ -142,10 +143,14 @@
             return;
         }
         let monitor = self.clone();
-        let group = group.clone();
+        let lost = LostLeader {
+            group: group.clone(),
+            instance: leader,
+            reason,
+        };
         tokio::spawn(async move {
-            monitor.replace(&group, leader, reason).await;
-            leave(&monitor.replacing, &group);
+            monitor.replace(&lost).await;
+            leave(&monitor.replacing, &lost.group);
         });
     }
 
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -9,6 +9,7 @@
 use log::{info, warn};
 use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
 use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::Position;
 use millwind_core::session_state::SessionState;
 use millwind_store::Store;
 
@@ -45,6 +46,26 @@
     is_by_majority: bool,
 }
 
+/// A leader that is being replaced.
+pub(super) struct LostLeader {
+    /// Its group.
+    pub group: GroupName,
+    /// The leader; none where the group has none.
+    pub instance: Option<InstanceName>,
+    /// Why it is replaced.
+    pub reason: ReplaceReason,
+}
+
+impl LostLeader {
+    fn name(&self) -> &str {
+        self.instance.as_ref().map_or("none", |name| name.as_str())
+    }
+
+    fn is(&self, instance: &InstanceName) -> bool {
+        self.instance.as_ref() == Some(instance)
+    }
+}
+
 /// How one order ended.
 enum Ended {
     /// Another leader is known.
@@ -59,34 +80,31 @@
 
 impl<S: Store + 'static> Monitor<S> {
     /// Replaces `lost`, unless another node does or it comes back.
-    pub(super) async fn replace(
-        self: &Arc<Self>,
-        group: &GroupName,
-        lost: Option<InstanceName>,
-        reason: ReplaceReason,
-    ) {
-        let lost_name = lost.as_ref().map_or("none", |name| name.as_str()).to_owned();
-        let rank = match &lost {
-            Some(lost) if reason.is_by_statements() => self.owner_rank(lost),
+    pub(super) async fn replace(self: &Arc<Self>, lost: &LostLeader) {
+        let group = &lost.group;
+        let rank = match &lost.instance {
+            Some(leader) if lost.reason.is_by_statements() => self.owner_rank(leader),
             _ => self.rank(group),
         };
         info!(
-            "event=leader_lost group={group} instance={lost_name} reason={} rank={rank}",
-            reason.name()
+            "event=leader_lost group={group} instance={} reason={} rank={rank}",
+            lost.name(),
+            lost.reason.name()
         );
         tokio::time::sleep(RANK_STEP * rank as u32).await;
         tokio::time::sleep(self.lease_left(group)).await;
         let started = clock::now();
         let mut excluded = HashSet::new();
         for attempt in 0..MOST_ORDERS {
-            if self.is_settled(group, lost.as_ref()) {
+            if self.is_settled(lost) {
                 return;
             }
-            let ended = self.order(group, lost.as_ref(), &excluded, attempt == 0).await;
+            let ended = self.order(lost, &excluded, attempt == 0).await;
             match ended {
                 Ended::Replaced => {
                     info!(
-                        "event=leader_replaced group={group} lost={lost_name} ms={}",
+                        "event=leader_replaced group={group} lost={} ms={}",
+                        lost.name(),
                         clock::now().millis_since(started)
                     );
                     return;
@@ -135,15 +153,15 @@
     }
 
     /// Whether there is nothing left to do.
-    fn is_settled(&self, group: &GroupName, lost: Option<&InstanceName>) -> bool {
-        if self.duties.is_ordered_by_other(group) {
+    fn is_settled(&self, lost: &LostLeader) -> bool {
+        if self.duties.is_ordered_by_other(&lost.group) {
             return true;
         }
         let directory = &self.engine.directory;
-        let Some(leader) = directory.leader(group) else {
+        let Some(leader) = directory.leader(&lost.group) else {
             return false;
         };
-        if Some(&leader.instance) != lost {
+        if !lost.is(&leader.instance) {
             return true;
         }
         directory.instance(&leader.instance).is_some_and(|known| {
@@ -157,12 +175,12 @@
     /// token, so that an earlier order carried out late is refused.
     async fn order(
         self: &Arc<Self>,
-        group: &GroupName,
-        lost: Option<&InstanceName>,
+        lost: &LostLeader,
         excluded: &HashSet<InstanceName>,
         is_first: bool,
     ) -> Ended {
-        let Some(choice) = self.choose(group, lost, excluded).await else {
+        let group = &lost.group;
+        let Some(choice) = self.choose(lost, excluded).await else {
             return Ended::Again;
         };
         let chosen_at = clock::now();
@@ -189,10 +207,10 @@
             return Ended::Again;
         }
         health::search(&self.engine, group).await;
-        if self.is_settled(group, lost) {
+        if self.is_settled(lost) {
             return Ended::Yield;
         }
-        match self.choose(group, lost, excluded).await {
+        match self.choose(lost, excluded).await {
             Some(choice) => self.promote(group, choice.instance, token).await,
             None => Ended::Again,
         }
@@ -254,18 +272,15 @@
     }
 
     /// The replica that takes over, by what each has received.
-    async fn choose(
-        &self,
-        group: &GroupName,
-        lost: Option<&InstanceName>,
-        excluded: &HashSet<InstanceName>,
-    ) -> Option<Choice> {
+    async fn choose(&self, lost: &LostLeader, excluded: &HashSet<InstanceName>) -> Option<Choice> {
         let engine = &self.engine;
+        let group = &lost.group;
+        let must_hold = self.must_hold(lost);
         let sync_replicas = engine.directory.group_limits(group)?.sync_replicas;
         let known = engine.directory.instances_of(group);
         let mut replicas: Vec<_> = known
             .iter()
-            .filter(|known| Some(&known.record.name) != lost)
+            .filter(|known| !lost.is(&known.record.name))
             .filter(|known| !excluded.contains(&known.record.name))
             .filter(|known| !known.is_gone)
             .collect();
@@ -289,11 +304,16 @@
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
             .collect();
-        let total = known
-            .iter()
-            .filter(|known| Some(&known.record.name) != lost)
-            .count();
-        let chosen = choose_successor(&answered, total, sync_replicas)?;
+        let total = known.iter().filter(|known| !lost.is(&known.record.name)).count();
+        let Some(chosen) = choose_successor(&answered, total, sync_replicas, must_hold) else {
+            info!(
+                "event=no_successor group={group} lost={} answered={} replicas={total} must_hold={}",
+                lost.name(),
+                answered.len(),
+                must_hold.unwrap_or_default()
+            );
+            return None;
+        };
         info!(
             "event=successor_chosen group={group} instance={} received={} answered={} replicas={total}",
             chosen.instance,
@@ -307,6 +327,24 @@
         })
     }
 
+    /// What a successor must have received: all that a leader has reported which
+    /// still serves. One that leaves is given up with what it holds once half of
+    /// its time is over.
+    fn must_hold(&self, lost: &LostLeader) -> Option<Position> {
+        if !lost.reason.is_of_live_leader() {
+            return None;
+        }
+        let directory = &self.engine.directory;
+        let known = directory.instance(lost.instance.as_ref()?);
+        let leaving_since = known.and_then(|known| known.leaving_since);
+        let patience = self.engine.settings.drain_bound_ms / 2;
+        if leaving_since.is_some_and(|since| clock::now().millis_since(since) >= patience) {
+            return None;
+        }
+        let newest = directory.newest_observation(&lost.group)?;
+        Some(newest.position)
+    }
+
     /// Where acknowledged commits must survive, replicas stop receiving before
     /// their positions are compared.
     fn pause_command(&self, group: &GroupName, sync_replicas: usize) -> Command<'static> {
