A few nodes of each zone read the catalog from the store, the others hear it from them

Ruled out: slower watches (they already waited 4 s for instances), and the watch of own keys alone.

Change: where there are 24 nodes or more, two nodes of each zone (one per 36) read the store as relays, by rendezvous hashing over the registered nodes. The others compare their catalog with a relay of their zone every 0.8 s; answers tell how long ago the store was heard. Who hears nothing fresh reads the store itself, well within the bound on configurations; a node asked as a relay becomes one. Duties and nodes are told on as well, with their removals (OwnKeys).

--- /dev/null
+++ b/crates/millwind-core/tests/catalog_relay.rs
@@ -0,0 +1,98 @@
+//! Who reads the catalog from the store.
+
+use millwind_core::Instant;
+use millwind_core::catalog_relay::{CatalogState, RelayTimes, relays_of_zone};
+use proptest::prelude::*;
+
+const NOW: Instant = Instant::from_millis(100_000);
+
+fn state() -> CatalogState {
+    CatalogState {
+        is_relay: false,
+        asked: None,
+        is_complete: true,
+        started: Instant::from_millis(1_000),
+        heard: Some(NOW),
+    }
+}
+
+fn times() -> RelayTimes {
+    RelayTimes::within(5_000)
+}
+
+#[test]
+fn a_small_deployment_has_no_relays() {
+    assert_eq!(relays_of_zone(3, 7), None);
+    assert_eq!(relays_of_zone(23, 23), None);
+}
+
+#[test]
+fn relays_grow_slowly_with_a_zone() {
+    assert_eq!(relays_of_zone(12, 73), Some(2));
+    assert_eq!(relays_of_zone(100, 300), Some(3));
+    assert_eq!(relays_of_zone(182, 910), Some(6));
+    assert_eq!(relays_of_zone(1, 73), Some(2));
+}
+
+#[test]
+fn a_node_that_hears_fresh_news_leaves_the_store_alone() {
+    assert!(!state().must_read(NOW, &times()));
+}
+
+#[test]
+fn a_relay_and_a_node_that_was_asked_as_one_read_the_store() {
+    let relay = CatalogState {
+        is_relay: true,
+        ..state()
+    };
+    assert!(relay.must_read(NOW, &times()));
+    let asked = CatalogState {
+        asked: Some(Instant::from_millis(95_000)),
+        ..state()
+    };
+    assert!(asked.must_read(NOW, &times()));
+    let asked_long_ago = CatalogState {
+        asked: Some(Instant::from_millis(90_000)),
+        ..state()
+    };
+    assert!(!asked_long_ago.must_read(NOW, &times()));
+}
+
+#[test]
+fn a_node_that_hears_nothing_fresh_reads_the_store() {
+    for heard in [None, Some(Instant::from_millis(97_000))] {
+        let stale = CatalogState { heard, ..state() };
+        assert!(stale.must_read(NOW, &times()), "{heard:?}");
+    }
+}
+
+#[test]
+fn a_node_that_cannot_serve_yet_waits_only_a_moment_for_others() {
+    let starting = CatalogState {
+        is_complete: false,
+        heard: None,
+        started: Instant::from_millis(99_900),
+        ..state()
+    };
+    assert!(!starting.must_read(NOW, &times()));
+    assert!(starting.must_read(NOW.plus_millis(150), &times()));
+    // Those who hear the store know no more either: there is no more yet.
+    let with_others = CatalogState {
+        heard: Some(NOW),
+        ..starting
+    };
+    assert!(!with_others.must_read(NOW.plus_millis(150), &times()));
+}
+
+proptest! {
+    /// A node without a relay reads the store itself before a configuration
+    /// that it misses must be in force: within the pace, the time for which
+    /// news count as fresh, and one comparison with another node.
+    #[test]
+    fn news_are_missed_for_less_than_the_bound(config_bound_ms in 3_000_u64..60_000) {
+        let times = RelayTimes::within(config_bound_ms);
+        let comparison_ms = 800;
+        prop_assert!(times.fresh_ms + comparison_ms <= config_bound_ms);
+        prop_assert!(times.pace_ms < times.fresh_ms);
+    }
+}
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -15,6 +15,11 @@
     instances_revision: u64,
 }
 
+fn store_age_ms(engine: &Engine) -> u32 {
+    let age = engine.relays.store_age_ms();
+    age.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX)
+}
+
 /// Documents with the revision of their last change that matters: an
 /// instance's heartbeat alone is none.
 #[derive(Debug, Default)]
@@ -69,7 +74,7 @@
         &self,
         config_version: u64,
         instances_revision: u64,
-        nodes_revision: u64,
+        own_revision: u64,
         engine: &Engine,
     ) -> ExchangeReply {
         let state = self.state();
@@ -88,9 +93,10 @@
         ExchangeReply::Catalog {
             config,
             instances,
-            nodes: engine.registry.documents_after(nodes_revision),
-            nodes_revision: engine.registry.known_revision(),
+            own: engine.own_keys.documents_after(own_revision),
+            own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
+            store_age_ms: store_age_ms(engine),
         }
     }
 }
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -2,13 +2,23 @@
 //! store into the directory.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 use millwind_store::{Entry, Listing};
+use tokio::sync::watch;
 
 use crate::node::Engine;
 use crate::ports::CatalogCodec;
-use crate::store_watch::Follower;
+use crate::store_watch::{Follower, MOST_PAUSE, MOST_PAUSE_BEHIND_RELAYS};
+
+/// Longest pause of a node between two tries of a store that does not answer.
+fn most_pause(engine: &Engine) -> Duration {
+    match engine.relays.is_relay(&engine.registry) {
+        true => MOST_PAUSE,
+        false => MOST_PAUSE_BEHIND_RELAYS,
+    }
+}
 
 /// Follows the configuration.
 pub struct ConfigFollower {
@@ -45,6 +55,14 @@
     fn changed(&self, entries: Vec<Entry>) {
         self.apply(entries);
     }
+
+    fn reads(&self) -> Option<watch::Receiver<bool>> {
+        Some(self.engine.relays.reads_store())
+    }
+
+    fn most_pause(&self) -> Duration {
+        most_pause(&self.engine)
+    }
 }
 
 /// Follows the instances' records.
@@ -86,18 +104,26 @@
                 .catalog_cache
                 .keep_instance(&key, None, listing.revision);
         }
-        self.engine.directory.store_heard();
+        self.engine.store_heard();
     }
 
     fn changed(&self, entries: Vec<Entry>) {
         for entry in &entries {
             self.apply(entry);
         }
-        self.engine.directory.store_heard();
+        self.engine.store_heard();
     }
 
     fn heard(&self) {
-        self.engine.directory.store_heard();
+        self.engine.store_heard();
+    }
+
+    fn reads(&self) -> Option<watch::Receiver<bool>> {
+        Some(self.engine.relays.reads_store())
+    }
+
+    fn most_pause(&self) -> Duration {
+        most_pause(&self.engine)
     }
 
     fn is_sentinel(&self) -> bool {
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -24,10 +24,13 @@
 use crate::forward::{OWNERS, Owners, Route, Standing};
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
+use crate::own_keys::OwnKeys;
 use crate::peers::{self, Exchange, PeerClient};
 use crate::ports::{BackEndCodec, CallerCodec, CatalogCodec, Promoter};
-use crate::registry::{NodeRecord, OwnKeys, Registry};
+use crate::registry::{NodeRecord, Registry};
+use crate::relays::Relays;
 use crate::settings::{EngineSettings, SettingsError};
+use crate::store_watch::{Follower, StoreContact};
 use crate::{clock, listener, readiness, store_watch};
 
 /// Hedged reads per hundred reads.
@@ -98,6 +101,12 @@
     pub peers: PeerClient,
     /// Documents for peers that cannot read the store.
     pub catalog_cache: CatalogCache,
+    /// The system's own keys in the store.
+    pub own_keys: Arc<OwnKeys>,
+    /// The nodes that read the store on behalf of others.
+    pub relays: Relays,
+    /// Whether the store is heard.
+    pub store_contact: Arc<StoreContact>,
     /// The nodes that own connections to instances.
     pub owners: Owners,
     /// Connections leased to other nodes.
@@ -264,6 +273,21 @@
         }
     }
 
+    /// The store told this node something about the catalog.
+    pub fn store_heard(&self) {
+        self.directory.store_heard();
+        self.relays.heard(clock::now());
+    }
+
+    /// A peer knows what the store held at `heard`. After an outage that this
+    /// node did not notice itself, its own watches may have been lost.
+    pub fn store_heard_by_peer(&self, heard: Instant) {
+        let is_regained = self.relays.heard(heard);
+        if is_regained && !*self.relays.reads_store().borrow() {
+            self.store_contact.note_regained();
+        }
+    }
+
     /// Puts a configuration in force unless a newer one is.
     pub fn apply_config(&self, config: ConfigSnapshot, source: &str) {
         if self.directory.apply_config(config, source) {
@@ -400,16 +424,21 @@
         if !is_shared {
             return tokio::time::sleep(INSTANCES_PACE).await;
         }
+        let has_relays = !self.relays.to_ask(&self.registry).is_empty();
+        let pace = match has_relays {
+            true => Duration::from_millis(self.relays.times().pace_ms),
+            false => self.shared_pace(),
+        };
         tokio::time::sleep(URGENT_PACE).await;
         tokio::select! {
-            () = tokio::time::sleep(self.shared_pace()) => {}
+            () = tokio::time::sleep(pace.saturating_sub(URGENT_PACE)) => {}
             () = self.leader_doubted.notified() => {}
         }
     }
 
     fn shared_pace(&self) -> Duration {
         let part = self.settings.drain_bound_ms * SHARED_PACE_PERCENT / 100;
-        Duration::from_millis(part.min(MOST_SHARED_PACE_MS)).saturating_sub(URGENT_PACE)
+        Duration::from_millis(part.min(MOST_SHARED_PACE_MS))
     }
 
     /// A leader is in doubt: its record should be read soon.
@@ -504,7 +533,12 @@
         let probes = listen("ready_address", settings.ready_address).await?;
         let peers = listen("peer_address", settings.peer_address).await?;
         let metrics = listen("metrics_address", settings.metrics_address).await?;
-        let engine = new_engine(settings, &ports);
+        let duties = Arc::new(Duties::new(
+            ports.store.clone(),
+            format!("{}duty/", ports.catalog_codec.own_prefix()),
+            settings.name.clone(),
+        ));
+        let engine = new_engine(settings, &ports, duties.clone());
         info!(
             "event=node_started name={} zone={} clients={} peers={}",
             engine.settings.name,
@@ -513,7 +547,7 @@
             engine.settings.peer_address
         );
         let exchange = Exchange::new(engine.clone(), ports.catalog_codec.clone());
-        start_store_watches(&engine, ports);
+        start_store_watches(&engine, ports, duties);
         tokio::spawn(exchange.run());
         tokio::spawn(peers::serve(peers, engine.clone()));
         tokio::spawn(readiness::serve_probes(probes, engine.clone()));
@@ -554,8 +588,15 @@
     (settings.heartbeat_ms * 2).min(settings.drain_bound_ms / 3)
 }
 
-fn new_engine<S: Store + 'static>(settings: EngineSettings, ports: &Ports<S>) -> Arc<Engine> {
+fn new_engine<S: Store + 'static>(
+    settings: EngineSettings,
+    ports: &Ports<S>,
+    duties: Arc<Duties<S>>,
+) -> Arc<Engine> {
     let nodes_prefix = format!("{}nodes/", ports.catalog_codec.own_prefix());
+    let registry = Arc::new(Registry::new(nodes_prefix, settings.name.clone()));
+    let relays = Relays::new(&settings.zone, settings.config_bound_ms);
+    let own_followers: Vec<Arc<dyn Follower>> = vec![registry.clone(), duties];
     Arc::new(Engine {
         directory: Arc::new(Directory::new(&settings.zone, gone_grace_ms(&settings))),
         caller_codec: ports.caller_codec.clone(),
@@ -563,9 +604,12 @@
         request_log: RequestLog::default(),
         retry_budget: SharedBudget(Mutex::new(RetryBudget::new(HEDGE_PERCENT, HEDGE_CEILING))),
         phase: watch::Sender::new(Phase::Running),
-        registry: Arc::new(Registry::new(nodes_prefix, settings.name.clone())),
+        registry,
         peers: PeerClient::default(),
         catalog_cache: CatalogCache::default(),
+        own_keys: Arc::new(OwnKeys::new(own_followers, relays.reads_store())),
+        relays,
+        store_contact: Arc::new(StoreContact::default()),
         owners: Owners::default(),
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
@@ -576,17 +620,11 @@
     })
 }
 
-fn start_store_watches<S: Store + 'static>(engine: &Arc<Engine>, ports: Ports<S>) {
+fn start_store_watches<S: Store + 'static>(engine: &Arc<Engine>, ports: Ports<S>, duties: Arc<Duties<S>>) {
     let catalog = &ports.catalog_codec;
-    let duties = Arc::new(Duties::new(
-        ports.store.clone(),
-        format!("{}duty/", catalog.own_prefix()),
-        engine.settings.name.clone(),
-    ));
-    let own = OwnKeys::new(vec![engine.registry.clone(), duties.clone()]);
     let config = ConfigFollower::new(engine.clone(), catalog.clone());
     let instances = InstanceFollower::new(engine.clone(), catalog.clone());
-    let contact = Arc::new(store_watch::StoreContact::default());
+    let contact = engine.store_contact.clone();
     let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>| {
         let store = ports.store.clone();
         let prefix = prefix.to_owned();
@@ -594,7 +632,7 @@
     };
     follow(catalog.config_key(), Arc::new(config));
     follow(catalog.instances_prefix(), Arc::new(instances));
-    follow(catalog.own_prefix(), Arc::new(own));
+    follow(catalog.own_prefix(), engine.own_keys.clone());
     let record = NodeRecord {
         peer_address: engine.settings.peer_address,
         zone: engine.settings.zone.clone(),
--- /dev/null
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -0,0 +1,197 @@
+//! The system's own keys in the store: read by the relays, told on to the other
+//! nodes, and passed to everything that is kept there.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use millwind_store::{Entry, Listing};
+use millwind_wire::exchange::StoredDocument;
+use tokio::sync::watch;
+
+use crate::store_watch::Follower;
+
+/// Between two reports of the system's own keys: at a start every node
+/// registers.
+const PACE: Duration = Duration::from_millis(1_500);
+
+#[derive(Debug, Default)]
+struct State {
+    /// By key; removed ones too, so that peers hear of the removal.
+    documents: BTreeMap<String, StoredDocument>,
+    /// Store revision up to which everything is known; zero for none.
+    known_revision: u64,
+}
+
+/// Follows the system's own keys on behalf of everything kept there.
+pub struct OwnKeys {
+    followers: Vec<Arc<dyn Follower>>,
+    reads_store: watch::Receiver<bool>,
+    state: Mutex<State>,
+}
+
+impl std::fmt::Debug for OwnKeys {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "OwnKeys({})", self.known_revision())
+    }
+}
+
+impl OwnKeys {
+    /// Passes everything on to all of `followers`; read from the store itself
+    /// while `reads_store` says so.
+    pub fn new(followers: Vec<Arc<dyn Follower>>, reads_store: watch::Receiver<bool>) -> Self {
+        OwnKeys {
+            followers,
+            reads_store,
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Store revision up to which everything is known; zero for none.
+    pub fn known_revision(&self) -> u64 {
+        self.state().known_revision
+    }
+
+    /// Documents that changed after `revision`, for a peer.
+    pub fn documents_after(&self, revision: u64) -> Vec<StoredDocument> {
+        let state = self.state();
+        let documents = state.documents.values();
+        documents
+            .filter(|document| document.revision > revision)
+            .cloned()
+            .collect()
+    }
+
+    /// Takes in the documents that a peer told of, which knows all of them up
+    /// to `revision`.
+    pub fn learn(&self, documents: Vec<StoredDocument>, revision: u64) {
+        if revision == 0 {
+            return;
+        }
+        let (fresh, is_first) = {
+            let mut state = self.state();
+            let is_first = state.known_revision == 0;
+            let news = |entry: &Entry| state.keep(entry);
+            let fresh: Vec<Entry> = documents.into_iter().map(entry_of).filter(news).collect();
+            state.known_revision = state.known_revision.max(revision);
+            (fresh, is_first)
+        };
+        if is_first {
+            let known = self.state().as_listing();
+            self.tell_listed(&known);
+        } else if !fresh.is_empty() {
+            self.tell_changed(&fresh);
+        }
+    }
+
+    fn tell_listed(&self, listing: &Listing) {
+        for follower in &self.followers {
+            follower.listed(listing.clone());
+        }
+    }
+
+    fn tell_changed(&self, entries: &[Entry]) {
+        for follower in &self.followers {
+            follower.changed(entries.to_vec());
+        }
+    }
+}
+
+impl State {
+    fn is_news(&self, document: &StoredDocument) -> bool {
+        let held = self.documents.get(&document.key);
+        held.is_none_or(|held| held.revision < document.revision)
+    }
+
+    /// Takes an entry in; false if it is known, or a newer one.
+    fn keep(&mut self, entry: &Entry) -> bool {
+        self.known_revision = self.known_revision.max(entry.revision);
+        let document = StoredDocument {
+            key: entry.key.clone(),
+            revision: entry.revision,
+            removed: u8::from(entry.value.is_none()),
+            value: entry.value.clone().unwrap_or_default(),
+        };
+        let is_news = self.is_news(&document);
+        if is_news {
+            self.documents.insert(entry.key.clone(), document);
+        }
+        is_news
+    }
+
+    /// Everything that is there.
+    fn as_listing(&self) -> Listing {
+        let present = self.documents.values().filter(|document| document.removed == 0);
+        Listing {
+            revision: self.known_revision,
+            entries: present.cloned().map(entry_of).collect(),
+        }
+    }
+
+    /// Marks everything as removed that a listing does not hold.
+    fn remove_all_but(&mut self, listing: &Listing) {
+        let present: std::collections::BTreeSet<&str> =
+            listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+        for document in self.documents.values_mut() {
+            let is_gone = document.removed == 0
+                && document.revision <= listing.revision
+                && !present.contains(document.key.as_str());
+            if is_gone {
+                document.removed = 1;
+                document.revision = listing.revision;
+                document.value.clear();
+            }
+        }
+    }
+}
+
+fn entry_of(document: StoredDocument) -> Entry {
+    Entry {
+        key: document.key,
+        value: (document.removed == 0).then_some(document.value),
+        revision: document.revision,
+    }
+}
+
+impl Follower for OwnKeys {
+    fn name(&self) -> &'static str {
+        "own_keys"
+    }
+
+    fn reads(&self) -> Option<watch::Receiver<bool>> {
+        Some(self.reads_store.clone())
+    }
+
+    fn rest(&self) -> BoxFuture<'_, ()> {
+        Box::pin(tokio::time::sleep(PACE))
+    }
+
+    fn listed(&self, listing: Listing) {
+        let known = {
+            let mut state = self.state();
+            state.remove_all_but(&listing);
+            for entry in &listing.entries {
+                state.keep(entry);
+            }
+            state.known_revision = state.known_revision.max(listing.revision);
+            state.as_listing()
+        };
+        self.tell_listed(&known);
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        let fresh: Vec<Entry> = {
+            let mut state = self.state();
+            let news = |entry: &Entry| state.keep(entry);
+            entries.into_iter().filter(news).collect()
+        };
+        if !fresh.is_empty() {
+            self.tell_changed(&fresh);
+        }
+    }
+}
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -59,14 +59,40 @@
                 URGENT_INTERVAL
             };
             tokio::time::sleep(interval).await;
-            if let Some(address) = self.pick() {
-                self.compare(address).await;
+            if let Some(source) = self.pick() {
+                self.compare(source).await;
             }
+            self.engine.relays.judge(&self.engine);
+        }
+    }
+
+    /// Whom to compare with: a relay where this node leaves the store to them
+    /// and they have fresh news, else a neighbour.
+    fn pick(&self) -> Option<Source> {
+        let relays = &self.engine.relays;
+        let reads_store = *relays.reads_store().borrow();
+        let is_relay = relays.is_relay(&self.engine.registry);
+        let relay = match is_relay {
+            true => None,
+            false => random_of(&relays.to_ask(&self.engine.registry)),
+        };
+        // A node without fresh news asks neighbours as well: they may hear the
+        // store where the relays don't.
+        let prefers_neighbour = reads_store && rand::rng().random_bool(0.5);
+        match relay {
+            Some(address) if !prefers_neighbour => Some(Source {
+                address,
+                is_relay: true,
+            }),
+            _ => self.neighbour().map(|address| Source {
+                address,
+                is_relay: false,
+            }),
         }
     }
 
     /// A random neighbour, or a seed while no peer is known.
-    fn pick(&self) -> Option<SocketAddr> {
+    fn neighbour(&self) -> Option<SocketAddr> {
         let zone = &self.engine.settings.zone;
         let neighbours = self
             .engine
@@ -76,28 +102,32 @@
             true => self.engine.peer_addresses(),
             false => neighbours,
         };
-        if addresses.is_empty() {
-            return None;
-        }
-        let index = rand::rng().random_range(0..addresses.len());
-        Some(addresses[index])
+        random_of(&addresses)
     }
 
-    async fn compare(&self, address: SocketAddr) {
+    async fn compare(&self, source: Source) {
+        let address = source.address;
         let request = ExchangeRequest::Catalog {
             config_version: self.engine.config_version(),
             instances_revision: self.engine.catalog_cache.instances_revision(),
-            nodes_revision: self.engine.registry.known_revision(),
+            own_revision: self.engine.own_keys.known_revision(),
+            as_relay: u8::from(source.is_relay),
         };
+        let sent = clock::now();
         let reply = self.engine.peers.ask(address, &request).await;
         let Some(ExchangeReply::Catalog {
             config,
             instances,
-            nodes,
-            nodes_revision,
+            own,
+            own_revision,
             complete,
+            store_age_ms,
         }) = reply
         else {
+            if source.is_relay {
+                info!("event=relay_unreachable relay={address}");
+                self.engine.relays.avoid(address);
+            }
             return;
         };
         if !config.is_empty() || !instances.is_empty() {
@@ -118,8 +148,28 @@
         if complete == 1 {
             self.engine.directory.listing_known();
         }
-        self.engine.registry.learn(&nodes, nodes_revision);
+        self.engine.own_keys.learn(own, own_revision);
+        if store_age_ms < u32::MAX {
+            let heard = clock::minus_millis(sent, u64::from(store_age_ms));
+            self.engine.store_heard_by_peer(heard);
+        }
+    }
+}
+
+/// A node to compare catalogs with.
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    address: SocketAddr,
+    /// It is asked to read the store on this node's behalf.
+    is_relay: bool,
+}
+
+fn random_of(addresses: &[SocketAddr]) -> Option<SocketAddr> {
+    if addresses.is_empty() {
+        return None;
     }
+    let index = rand::rng().random_range(0..addresses.len());
+    Some(addresses[index])
 }
 
 /// At most `count` of the addresses, at random.
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -63,10 +63,16 @@
         ExchangeRequest::Catalog {
             config_version,
             instances_revision,
-            nodes_revision,
-        } => engine
-            .catalog_cache
-            .newer_than(*config_version, *instances_revision, *nodes_revision, engine),
+            own_revision,
+            as_relay,
+        } => {
+            if *as_relay == 1 {
+                engine.relays.asked_as_relay();
+            }
+            engine
+                .catalog_cache
+                .newer_than(*config_version, *instances_revision, *own_revision, engine)
+        }
         ExchangeRequest::Reach { instance } => {
             let instance = InstanceName::from(instance.as_str());
             engine.directory.doubt(&instance);
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -2,24 +2,22 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures::future::BoxFuture;
 use log::{info, warn};
 use millwind_store::{Condition, Entry, Listing, Store, Swap, Write};
-use millwind_wire::exchange::StoredDocument;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::store_watch::Follower;
 
-/// Between two reports of the system's own keys: at a start every node
-/// registers.
-const OWN_KEYS_PACE: Duration = Duration::from_millis(1_500);
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// Key under which the nodes of a zone are ranked as its relays.
+const RELAY_KEY: &str = "relay";
+
 /// What a node tells of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -47,8 +45,7 @@
     /// This node's rank by key, with the version that it follows from.
     ranks: Mutex<HashMap<String, (u64, usize)>>,
     version: AtomicU64,
-    /// Store revision up to which all records are known; zero for none.
-    known_revision: AtomicU64,
+    is_listed: AtomicBool,
 }
 
 fn weight(key: &str, node: &str) -> u64 {
@@ -64,7 +61,7 @@
             nodes: Mutex::new(BTreeMap::new()),
             ranks: Mutex::new(HashMap::new()),
             version: AtomicU64::new(0),
-            known_revision: AtomicU64::new(0),
+            is_listed: AtomicBool::new(false),
         }
     }
 
@@ -75,16 +72,7 @@
 
     /// Whether the store or a peer has told of the other nodes.
     pub fn is_listed(&self) -> bool {
-        self.known_revision() > 0
-    }
-
-    /// Store revision up to which all records are known; zero for none.
-    pub fn known_revision(&self) -> u64 {
-        self.known_revision.load(Ordering::Relaxed)
-    }
-
-    fn known_up_to(&self, revision: u64) {
-        self.known_revision.fetch_max(revision, Ordering::Relaxed);
+        self.is_listed.load(Ordering::Relaxed)
     }
 
     fn changed(&self) {
@@ -128,6 +116,34 @@
         chosen.map(|(_, record)| record.peer_address).collect()
     }
 
+    /// Nodes of a zone, this one included if it runs there and is registered.
+    pub fn zone_count(&self, zone: &str) -> usize {
+        let nodes = self.nodes();
+        nodes.values().filter(|(record, _)| record.zone == zone).count()
+    }
+
+    /// How many nodes of a zone come before this one as its relays.
+    pub fn zone_rank(&self, zone: &str) -> usize {
+        let own = weight(RELAY_KEY, &self.node);
+        let nodes = self.nodes();
+        let in_zone = nodes.iter().filter(|(_, (record, _))| record.zone == zone);
+        in_zone
+            .filter(|(name, _)| **name != self.node && weight(RELAY_KEY, name) > own)
+            .count()
+    }
+
+    /// The other nodes of a zone in the order in which they are its relays.
+    pub fn zone_peers(&self, zone: &str) -> Vec<SocketAddr> {
+        let nodes = self.nodes();
+        let mut ranked: Vec<_> = nodes
+            .iter()
+            .filter(|(name, (record, _))| **name != self.node && record.zone == zone)
+            .map(|(name, (record, _))| (weight(RELAY_KEY, name), record.peer_address))
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
     fn nodes(&self) -> MutexGuard<'_, BTreeMap<String, (NodeRecord, u64)>> {
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -167,36 +183,6 @@
         rank
     }
 
-    /// Records that changed after `revision` as documents, for a peer.
-    pub fn documents_after(&self, revision: u64) -> Vec<StoredDocument> {
-        let nodes = self.nodes();
-        let is_newer = |entry: &(&String, &(NodeRecord, u64))| entry.1.1 > revision;
-        let document = |(name, (record, revision)): (&String, &(NodeRecord, u64))| StoredDocument {
-            key: name.clone(),
-            revision: *revision,
-            removed: 0,
-            value: serde_json::to_vec(record).unwrap_or_default(),
-        };
-        nodes.iter().filter(is_newer).map(document).collect()
-    }
-
-    /// Takes in the records that a peer told of, which knows all of them up to
-    /// `revision`.
-    pub fn learn(&self, documents: &[StoredDocument], revision: u64) {
-        let mut nodes = self.nodes();
-        for document in documents {
-            let held = nodes.get(&document.key).map_or(0, |(_, revision)| *revision);
-            if document.revision <= held {
-                continue;
-            }
-            if let Ok(record) = serde_json::from_slice(&document.value) {
-                nodes.insert(document.key.clone(), (record, document.revision));
-                self.changed();
-            }
-        }
-        self.known_up_to(revision);
-    }
-
     /// Writes this node's record, trying until the store has taken it.
     pub async fn register<S: Store>(&self, store: &S, record: NodeRecord) {
         let key = format!("{}{}", self.prefix, self.node);
@@ -253,56 +239,19 @@
     }
 }
 
-/// Follows the system's own keys on behalf of everything kept there.
-pub struct OwnKeys {
-    followers: Vec<Arc<dyn Follower>>,
-}
-
-impl OwnKeys {
-    /// Passes everything on to all of `followers`.
-    pub fn new(followers: Vec<Arc<dyn Follower>>) -> Self {
-        OwnKeys { followers }
-    }
-}
-
-impl Follower for OwnKeys {
-    fn name(&self) -> &'static str {
-        "own_keys"
-    }
-
-    fn rest(&self) -> BoxFuture<'_, ()> {
-        Box::pin(tokio::time::sleep(OWN_KEYS_PACE))
-    }
-
-    fn listed(&self, listing: Listing) {
-        for follower in &self.followers {
-            follower.listed(listing.clone());
-        }
-    }
-
-    fn changed(&self, entries: Vec<Entry>) {
-        for follower in &self.followers {
-            follower.changed(entries.clone());
-        }
-    }
-}
-
 impl Follower for Registry {
     fn name(&self) -> &'static str {
         "nodes"
     }
 
     fn listed(&self, listing: Listing) {
-        let revision = listing.revision;
         self.nodes().clear();
         self.apply(listing.entries);
         self.changed();
-        self.known_up_to(revision);
+        self.is_listed.store(true, Ordering::Relaxed);
     }
 
     fn changed(&self, entries: Vec<Entry>) {
-        let newest = entries.iter().map(|entry| entry.revision).max();
         self.apply(entries);
-        self.known_up_to(newest.unwrap_or_default());
     }
 }
--- /dev/null
+++ b/crates/millwind-engine/src/relays.rs
@@ -0,0 +1,150 @@
+//! Whether this node reads the catalog from the store itself, and which nodes
+//! it hears it from otherwise.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use log::info;
+use millwind_core::Instant;
+use millwind_core::catalog_relay::{CatalogState, RelayTimes, relays_of_zone};
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::node::Engine;
+use crate::registry::Registry;
+
+/// A relay that gave no answer is left alone for this time, in milliseconds.
+const AVOID_MS: u64 = 8_000;
+
+#[derive(Debug, Default)]
+struct State {
+    /// When another node last asked this one as a relay.
+    asked: Option<Instant>,
+    /// The newest time at which the store had told this node or one it asked.
+    heard: Option<Instant>,
+    /// Relays that gave no answer, and until when they are left alone.
+    avoided: HashMap<SocketAddr, Instant>,
+}
+
+/// What this node knows of the relays.
+#[derive(Debug)]
+pub struct Relays {
+    zone: String,
+    started: Instant,
+    times: RelayTimes,
+    state: Mutex<State>,
+    reads_store: watch::Sender<bool>,
+}
+
+impl Relays {
+    /// Relays as a node of `zone` sees them, where a configuration must be in
+    /// force within `config_bound_ms`. The node reads the store until it knows
+    /// of others that do.
+    pub fn new(zone: &str, config_bound_ms: u64) -> Self {
+        Relays {
+            zone: zone.to_owned(),
+            started: clock::now(),
+            times: RelayTimes::within(config_bound_ms),
+            state: Mutex::new(State::default()),
+            reads_store: watch::Sender::new(true),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Times of the relays.
+    pub fn times(&self) -> &RelayTimes {
+        &self.times
+    }
+
+    /// Whether this node reads the store, as it changes.
+    pub fn reads_store(&self) -> watch::Receiver<bool> {
+        self.reads_store.subscribe()
+    }
+
+    /// Another node asks this one as a relay.
+    pub fn asked_as_relay(&self) {
+        self.state().asked = Some(clock::now());
+    }
+
+    /// The store told this node, or one that it asked, something as of
+    /// `heard`; true if that ends a silence so long that the store must have
+    /// been out.
+    pub fn heard(&self, heard: Instant) -> bool {
+        let mut state = self.state();
+        let silence_ms = state.heard.map(|last| heard.millis_since(last));
+        state.heard = state.heard.max(Some(heard));
+        silence_ms.is_some_and(|silence| silence >= self.times.fresh_ms)
+    }
+
+    /// Time since the store was heard here or through others, in milliseconds;
+    /// none if it never was.
+    pub fn store_age_ms(&self) -> Option<u64> {
+        let heard = self.state().heard?;
+        Some(clock::now().millis_since(heard))
+    }
+
+    /// A relay gave no answer.
+    pub fn avoid(&self, relay: SocketAddr) {
+        let now = clock::now();
+        let mut state = self.state();
+        state.avoided.retain(|_, until| *until > now);
+        state.avoided.insert(relay, now.plus_millis(AVOID_MS));
+    }
+
+    /// Whether the deployment has no relays, or this node is one by its own
+    /// view.
+    pub fn is_relay(&self, registry: &Registry) -> bool {
+        if !registry.is_listed() {
+            return true;
+        }
+        let zone_nodes = registry.zone_count(&self.zone);
+        relays_of_zone(zone_nodes, registry.count())
+            .is_none_or(|relays| registry.zone_rank(&self.zone) < relays)
+    }
+
+    /// The relays that this node asks: those of its zone that come first and
+    /// have answered; empty where there are none.
+    pub fn to_ask(&self, registry: &Registry) -> Vec<SocketAddr> {
+        let zone_nodes = registry.zone_count(&self.zone);
+        let Some(count) = relays_of_zone(zone_nodes, registry.count()) else {
+            return Vec::new();
+        };
+        let now = clock::now();
+        let state = self.state();
+        let is_usable = |address: &SocketAddr| state.avoided.get(address).is_none_or(|until| *until <= now);
+        let ranked = registry.zone_peers(&self.zone).into_iter();
+        ranked.filter(is_usable).take(count).collect()
+    }
+
+    /// Judges anew whether this node must read the store.
+    pub fn judge(&self, engine: &Engine) {
+        let is_relay = self.is_relay(&engine.registry);
+        let (asked, heard) = {
+            let state = self.state();
+            (state.asked, state.heard)
+        };
+        let catalog = CatalogState {
+            is_relay,
+            asked,
+            is_complete: engine.directory.is_complete(),
+            started: self.started,
+            heard,
+        };
+        let must_read = catalog.must_read(clock::now(), &self.times);
+        let has_changed = self.reads_store.send_if_modified(|reads| {
+            let has_changed = *reads != must_read;
+            *reads = must_read;
+            has_changed
+        });
+        if has_changed {
+            let age = self
+                .store_age_ms()
+                .map_or("none".to_owned(), |age| age.to_string());
+            info!("event=catalog_source reads_store={must_read} relay={is_relay} store_age_ms={age}");
+        }
+    }
+}
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -33,6 +33,9 @@
     /// An instance that announced its end must get nothing new after this
     /// time, in milliseconds.
     pub drain_bound_ms: u64,
+    /// A configuration must be in force everywhere within this time after the
+    /// operators were told that it is accepted, in milliseconds.
+    pub config_bound_ms: u64,
 }
 
 /// Why settings are refused.
@@ -54,6 +57,8 @@
         check_text("zone", &self.zone)?;
         check_range("heartbeat_ms", self.heartbeat_ms, 50, 600_000, "50 to 600000 ms")?;
         check_range("grace_ms", self.grace_ms, 100, 600_000, "100 to 600000 ms")?;
+        let config_bound = self.config_bound_ms;
+        check_range("config_bound_ms", config_bound, 500, 600_000, "500 to 600000 ms")?;
         let clients = self.maximum_clients as u64;
         check_range("maximum_clients", clients, 1, 1_000_000, "1 to 1000000")
     }
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -16,7 +16,9 @@
 /// doubles, since each call is paid for and loads a store in trouble.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause between two tries.
-const MOST_PAUSE: Duration = Duration::from_millis(1_500);
+pub const MOST_PAUSE: Duration = Duration::from_millis(1_500);
+/// The same for a node that others tell when the store is heard again.
+pub const MOST_PAUSE_BEHIND_RELAYS: Duration = Duration::from_millis(5_000);
 
 /// Whether the store is heard, shared by all followers of a node: the one whose
 /// keys change all the time notices an outage and its end before the others.
@@ -27,7 +29,8 @@
 }
 
 impl StoreContact {
-    fn note_regained(&self) {
+    /// An outage is over: watches may have been lost in silence.
+    pub fn note_regained(&self) {
         self.regained.send_modify(|count| *count += 1);
     }
 }
@@ -47,6 +50,15 @@
     fn is_sentinel(&self) -> bool {
         false
     }
+    /// Whether this node follows the prefix itself, as it changes; none for
+    /// always.
+    fn reads(&self) -> Option<watch::Receiver<bool>> {
+        None
+    }
+    /// Longest pause between two tries while the store does not answer.
+    fn most_pause(&self) -> Duration {
+        MOST_PAUSE
+    }
     /// Waits between two reports, so that changes come in batches.
     fn rest(&self) -> BoxFuture<'_, ()> {
         Box::pin(std::future::ready(()))
@@ -64,7 +76,11 @@
     let mut lost_at = None;
     let mut pause = RETRY_PAUSE;
     let mut has_listed = false;
+    let mut reads = follower.reads();
     loop {
+        if until_reads(&mut reads, true).await {
+            lost_at = None;
+        }
         let mut regained = contact.regained.subscribe();
         let following = follow_once(
             &*store,
@@ -81,6 +97,7 @@
             },
             // The watch may have been lost in silence.
             Ok(()) = regained.changed(), if !follower.is_sentinel() => continue,
+            _ = until_reads(&mut reads, false) => continue,
         };
         if lost_at.is_none() {
             warn!(
@@ -95,14 +112,30 @@
         tokio::select! {
             () = tokio::time::sleep(jittered) => {}
             Ok(()) = regained.changed(), if !follower.is_sentinel() => {}
+            _ = until_reads(&mut reads, false) => {}
         }
         // A node that knows nothing yet cannot serve: it asks on.
         if has_listed {
-            pause = (pause * 2).min(MOST_PAUSE);
+            pause = (pause * 2).min(follower.most_pause());
         }
     }
 }
 
+/// Waits until this node follows the prefix itself, or no longer does; true if
+/// it had to wait.
+async fn until_reads(reads: &mut Option<watch::Receiver<bool>>, wanted: bool) -> bool {
+    let Some(reads) = reads else {
+        return match wanted {
+            true => false,
+            false => std::future::pending().await,
+        };
+    };
+    let is_now = *reads.borrow_and_update() == wanted;
+    // The sender lives as long as the node.
+    let _ = reads.wait_for(|reads| *reads == wanted).await;
+    !is_now
+}
+
 async fn follow_once<S: Store>(
     store: &S,
     prefix: &str,
--- a/crates/millwind-engine/tests/neighbours.rs
+++ b/crates/millwind-engine/tests/neighbours.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use millwind_engine::registry::{NodeRecord, Registry};
-use millwind_wire::exchange::StoredDocument;
+use millwind_engine::store_watch::Follower;
+use millwind_store::{Entry, Listing};
 
 const NEAR: usize = 4;
 const FAR: usize = 4;
@@ -28,20 +29,21 @@
 /// A registry of the node `own` that knows all of `nodes`.
 fn registry_of(own: &TestNode, nodes: &[TestNode]) -> Registry {
     let registry = Registry::new("nodes/".to_owned(), own.name.clone());
-    let document = |(index, node): (usize, &TestNode)| {
+    let entry = |(index, node): (usize, &TestNode)| {
         let record = NodeRecord {
             peer_address: node.address,
             zone: node.zone.clone(),
         };
-        StoredDocument {
-            key: node.name.clone(),
+        Entry {
+            key: format!("nodes/{}", node.name),
             revision: index as u64 + 1,
-            removed: 0,
-            value: serde_json::to_vec(&record).unwrap(),
+            value: Some(serde_json::to_vec(&record).unwrap()),
         }
     };
-    let documents: Vec<_> = nodes.iter().enumerate().map(document).collect();
-    registry.learn(&documents, nodes.len() as u64);
+    registry.listed(Listing {
+        revision: nodes.len() as u64,
+        entries: nodes.iter().enumerate().map(entry).collect(),
+    });
     registry
 }
 
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 3;
+pub const EXCHANGE_VERSION: u8 = 4;
 
 /// One document of the store.
 #[binrw]
@@ -42,8 +42,12 @@
         config_version: u64,
         /// Store revision up to which it knows the instances, zero for none.
         instances_revision: u64,
-        /// Store revision up to which it knows the nodes, zero for none.
-        nodes_revision: u64,
+        /// Store revision up to which it knows the system's own keys, zero for
+        /// none.
+        own_revision: u64,
+        /// One if the answering node is asked as a relay, which reads the
+        /// store on behalf of others.
+        as_relay: u8,
     },
     /// Whether the node reaches an instance.
     #[brw(magic = 2u8)]
@@ -92,14 +96,17 @@
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
         instances: Vec<StoredDocument>,
-        /// Nodes that changed since.
+        /// The system's own keys that changed since.
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
-        nodes: Vec<StoredDocument>,
-        /// Store revision up to which the answering node knows the nodes.
-        nodes_revision: u64,
+        own: Vec<StoredDocument>,
+        /// Store revision up to which the answering node knows its own keys.
+        own_revision: u64,
         /// One if the answering node knows all instances.
         complete: u8,
+        /// Time since the answering node heard the store, itself or through
+        /// others, in milliseconds; the greatest value for never.
+        store_age_ms: u32,
     },
     /// Whether the instance is reached.
     #[brw(magic = 2u8)]
