Nodes compare instances by the revision up to which they are known; pools follow recent demand

Nodes compared instances by the newest document they kept. One that had read the records later held them at the revisions of later heartbeats, and sent all of them at every comparison, because the other one kept its own, equal records. Now a node tells the revision up to which it knows everything, as it did for its own keys.

Now idle connections beyond the peak of the last two seconds and one spare are closed.

--- a/crates/millwind-engine/src/backend/mod.rs
+++ b/crates/millwind-engine/src/backend/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to back-end instances and the pools that share them.
 
 pub mod connection;
+pub mod demand;
 pub mod link_error;
 pub mod pool;
 pub mod pools;
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::connection::Connection;
+use super::demand::PeakDemand;
 use super::link_error::LinkError;
 use crate::catalog::InstanceRecord;
 use crate::clock;
@@ -70,11 +71,6 @@
     Open(Permit),
 }
 
-struct Idle {
-    connection: Connection,
-    since: Instant,
-}
-
 struct Waiter {
     priority: u8,
     grant: oneshot::Sender<Grant>,
@@ -83,7 +79,7 @@
 #[derive(Default)]
 struct PoolState {
     /// Least recently used first.
-    idle: Vec<Idle>,
+    idle: Vec<Connection>,
     open: usize,
     share: usize,
     waiters: VecDeque<Waiter>,
@@ -91,11 +87,19 @@
     mean_use_us: u64,
     /// Connections that are being opened.
     opening: usize,
+    /// How many were needed at the same time lately.
+    demand: PeakDemand,
     no_open_before: Instant,
     is_retired: bool,
 }
 
 impl PoolState {
+    /// Notes how many connections are needed now.
+    fn note_demand(&mut self) {
+        let needed = self.open - self.idle.len() + self.waiters.len();
+        self.demand.note(clock::now(), needed);
+    }
+
     /// Whether a connection may be opened now: not right after the instance
     /// said that it takes no more, and for a while after that one at a time.
     fn may_open(&self, now: Instant) -> bool {
@@ -165,19 +169,18 @@
         drop(waiters);
     }
 
-    /// Closes connections that have not been used for `rest_ms`, but for the
-    /// last `keep`: what one node does not need is there for others, also
-    /// while an instance still counts those of a node that lost its power.
-    pub fn trim(&self, rest_ms: u64, keep: usize) {
-        let now = clock::now();
-        let resting = {
+    /// Closes idle connections beyond `spare` more than were needed at the same
+    /// time lately, those first that were used least lately: what one node does
+    /// not need is there for others, also while an instance still counts those
+    /// of nodes that lost their power.
+    pub fn trim(&self, spare: usize) {
+        let unneeded = {
             let mut state = self.state();
-            let spare = state.idle.len().saturating_sub(keep);
-            let is_resting = |idle: &&Idle| now.millis_since(idle.since) > rest_ms;
-            let count = state.idle.iter().take(spare).take_while(is_resting).count();
-            state.idle.drain(..count).collect::<Vec<_>>()
+            let needed = state.demand.lately(clock::now()) + spare;
+            let surplus = state.open.saturating_sub(needed).min(state.idle.len());
+            state.idle.drain(..surplus).collect::<Vec<_>>()
         };
-        drop(resting);
+        drop(unneeded);
     }
 
     /// Open connections.
@@ -196,6 +199,7 @@
     ) -> Result<PooledConnection, LinkError> {
         loop {
             if let Some(connection) = self.take_idle(session, needed)? {
+                self.state().note_demand();
                 return Ok(PooledConnection::new(self.clone(), connection));
             }
             if let Some(permit) = self.take_permit(purpose) {
@@ -263,10 +267,10 @@
                     .iter()
                     .enumerate()
                     .rev()
-                    .min_by_key(|(_, idle)| idle.connection.steps_to(session, needed))
+                    .min_by_key(|(_, idle)| idle.steps_to(session, needed))
                     .map(|(index, _)| index);
                 let Some(index) = best else { break None };
-                let connection = state.idle.remove(index).connection;
+                let connection = state.idle.remove(index);
                 if connection.is_alive() {
                     break Some(connection);
                 }
@@ -289,6 +293,7 @@
         }
         state.open += 1;
         state.opening += 1;
+        state.note_demand();
         Some(Permit { pool: self.clone() })
     }
 
@@ -338,6 +343,7 @@
                 .position(|other| other.priority > priority)
                 .unwrap_or(state.waiters.len());
             state.waiters.insert(index, waiter);
+            state.note_demand();
         }
         match tokio::time::timeout_at(clock::deadline(deadline), receiver).await {
             Ok(Ok(grant)) => Ok(grant),
@@ -358,10 +364,7 @@
                     Some(waiter)
                 } else {
                     if let Grant::Idle(connection) = grant {
-                        state.idle.push(Idle {
-                            connection: *connection,
-                            since: clock::now(),
-                        });
+                        state.idle.push(*connection);
                     }
                     return;
                 }
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -12,11 +12,8 @@
 
 /// Between two connections that are opened ahead of need.
 const OPEN_PACE: Duration = Duration::from_millis(20);
-/// A connection that has not been used for this time is closed, in
-/// milliseconds.
-const REST_MS: u64 = 2_000;
-/// Idle connections kept to each instance in any case.
-const KEPT_IDLE: usize = 1;
+/// Connections kept to each instance beyond those that were needed lately.
+const SPARE: usize = 1;
 
 /// Pools by instance.
 pub struct Pools {
@@ -67,7 +64,7 @@
     /// Closes connections that nobody needs.
     pub fn trim(&self) {
         for pool in self.all() {
-            pool.trim(REST_MS, KEPT_IDLE);
+            pool.trim(SPARE);
         }
     }
 
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -12,6 +12,10 @@
 struct State {
     config: Option<(u64, StoredDocument)>,
     instances: BTreeMap<String, StoredDocument>,
+    /// By instance, the newest revision of its record that was taken in; a
+    /// heartbeat alone changes nothing else.
+    seen: BTreeMap<String, u64>,
+    /// Store revision up to which all instances are known; zero for none.
     instances_revision: u64,
 }
 
@@ -52,19 +56,35 @@
             removed: u8::from(value.is_none()),
             value: value.unwrap_or_default().to_vec(),
         };
-        state.instances_revision = state.instances_revision.max(revision);
         state.instances.insert(key.to_owned(), document);
     }
 
-    /// Revision of an instance's document; zero if there is none.
-    pub fn instance_revision(&self, key: &str) -> u64 {
-        self.state()
-            .instances
-            .get(key)
-            .map_or(0, |document| document.revision)
+    /// Notes that an instance's record of `revision` is taken in; false if a
+    /// newer one was.
+    pub fn see_instance(&self, key: &str, revision: u64) -> bool {
+        let mut state = self.state();
+        match state.seen.get_mut(key) {
+            Some(seen) if *seen > revision => false,
+            Some(seen) => {
+                *seen = revision;
+                true
+            }
+            None => {
+                state.seen.insert(key.to_owned(), revision);
+                true
+            }
+        }
+    }
+
+    /// All instances are known up to this store revision. Comparing by the
+    /// newest document instead would send a record again and again whose
+    /// heartbeat another node has seen later.
+    pub fn instances_known_to(&self, revision: u64) {
+        let mut state = self.state();
+        state.instances_revision = state.instances_revision.max(revision);
     }
 
-    /// Newest revision of any instance's document.
+    /// Store revision up to which all instances are known; zero for none.
     pub fn instances_revision(&self) -> u64 {
         self.state().instances_revision
     }
@@ -93,6 +113,7 @@
         ExchangeReply::Catalog {
             config,
             instances,
+            instances_revision: state.instances_revision,
             own: engine.own_keys.documents_after(own_revision),
             own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -98,12 +98,12 @@
             .iter()
             .filter_map(|entry| self.apply(entry))
             .collect();
+        let revision = listing.revision;
         for missing in self.engine.directory.listing_applied(&present) {
             let key = format!("{}{missing}", self.codec.instances_prefix());
-            self.engine
-                .catalog_cache
-                .keep_instance(&key, None, listing.revision);
+            self.engine.catalog_cache.keep_instance(&key, None, revision);
         }
+        self.engine.catalog_cache.instances_known_to(revision);
         self.engine.store_heard();
     }
 
@@ -111,6 +111,9 @@
         for entry in &entries {
             self.apply(entry);
         }
+        let newest = entries.iter().map(|entry| entry.revision).max();
+        let cache = &self.engine.catalog_cache;
+        cache.instances_known_to(newest.unwrap_or_default());
         self.engine.store_heard();
     }
 
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -48,6 +48,10 @@
     pub promotions: Counter,
     /// Sessions opened.
     pub sessions: Counter,
+    /// Comparisons of the catalog with another node that were answered.
+    pub catalog_comparisons: Counter,
+    /// Documents that other nodes sent in them.
+    pub catalog_documents: Counter,
     /// Statements passed on to other nodes.
     pub forwarded_out: Counter,
     /// Statements run for other nodes.
@@ -68,6 +72,8 @@
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
             sessions: Counter::default(),
+            catalog_comparisons: Counter::default(),
+            catalog_documents: Counter::default(),
             forwarded_out: Counter::default(),
             forwarded_in: Counter::default(),
             registry: Registry::default(),
@@ -95,6 +101,16 @@
         );
         registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
         registry.register("sessions", "Sessions opened", metrics.sessions.clone());
+        registry.register(
+            "catalog_comparisons",
+            "Comparisons of the catalog with another node that were answered",
+            metrics.catalog_comparisons.clone(),
+        );
+        registry.register(
+            "catalog_documents",
+            "Documents that other nodes sent when catalogs were compared",
+            metrics.catalog_documents.clone(),
+        );
         registry.register(
             "forwarded_out",
             "Statements passed on to nodes that own connections",
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -328,7 +328,7 @@
     /// Takes in an instance's document of `revision`, or that it was removed,
     /// unless a newer one is known.
     pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
-        if revision < self.catalog_cache.instance_revision(key) {
+        if !self.catalog_cache.see_instance(key, revision) {
             return;
         }
         let Some(value) = value else {
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -118,6 +118,7 @@
         let Some(ExchangeReply::Catalog {
             config,
             instances,
+            instances_revision,
             own,
             own_revision,
             complete,
@@ -130,6 +131,9 @@
             }
             return;
         };
+        let documents = config.len() + instances.len() + own.len();
+        self.engine.metrics.catalog_comparisons.inc();
+        self.engine.metrics.catalog_documents.inc_by(documents as u64);
         if !config.is_empty() || !instances.is_empty() {
             info!(
                 "event=catalog_from_peer peer={address} config={} instances={}",
@@ -146,6 +150,7 @@
                 .take_instance(&*self.codec, &document.key, value, document.revision);
         }
         if complete == 1 {
+            self.engine.catalog_cache.instances_known_to(instances_revision);
             self.engine.directory.listing_known();
         }
         self.engine.own_keys.learn(own, own_revision);
--- /dev/null
+++ b/crates/millwind-engine/tests/demand.rs
@@ -0,0 +1,27 @@
+//! The peak of a pool's demand.
+
+use millwind_core::Instant;
+use millwind_engine::backend::demand::PeakDemand;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+#[test]
+fn a_peak_counts_for_a_while_and_is_then_forgotten() {
+    let mut demand = PeakDemand::default();
+    demand.note(at(10_000), 7);
+    demand.note(at(10_100), 2);
+    assert_eq!(demand.lately(at(10_900)), 7);
+    demand.note(at(11_100), 3);
+    assert_eq!(demand.lately(at(11_900)), 7);
+    demand.note(at(12_200), 1);
+    assert_eq!(demand.lately(at(12_300)), 3);
+}
+
+#[test]
+fn a_pool_that_rests_needs_nothing() {
+    let mut demand = PeakDemand::default();
+    demand.note(at(10_000), 7);
+    assert_eq!(demand.lately(at(60_000)), 0);
+}
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -96,6 +96,8 @@
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
         instances: Vec<StoredDocument>,
+        /// Store revision up to which the answering node knows the instances.
+        instances_revision: u64,
         /// The system's own keys that changed since.
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
