Fewer nodes watch a leader, and none before it knows the others

Cause: a trial with pools logged showed why a deployment serves little in the 1.5 s after a common loss of power: 32 of 51 connections of a leader were open again, 25 of them idle, one each at nodes that own nothing there, while 143 statements waited at its owners. A starting node knew the instances before the nodes, took itself for the owner of all, and searched every group for a leader. In calm times twelve nodes kept a connection to each leader for health checks.

Ruled out: connections used directly for want of an owner (none in that time), idle connections of owners (cut before).

Change: a node is owner and watcher of nothing before it knows the others; a group is watched by the owners of its leader and the first three of its order; owners of replicas ask these for the leader's position, ahead of need and once at a time (GroupMarks); only owners keep a spare connection.

--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -12,8 +12,6 @@
 
 /// Between two connections that are opened ahead of need.
 const OPEN_PACE: Duration = Duration::from_millis(20);
-/// Connections kept to each instance beyond those that were needed lately.
-const SPARE: usize = 1;
 
 /// Pools by instance.
 pub struct Pools {
@@ -61,10 +59,11 @@
         pools.values().cloned().collect()
     }
 
-    /// Closes connections that nobody needs.
-    pub fn trim(&self) {
+    /// Closes connections that nobody needs; `spare_of` tells how many are kept
+    /// beyond those that were needed lately.
+    pub fn trim(&self, spare_of: impl Fn(&InstanceRecord) -> usize) {
         for pool in self.all() {
-            pool.trim(SPARE);
+            pool.trim(spare_of(pool.record()));
         }
     }
 
--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -65,16 +65,26 @@
     if known.contact.is_doubted {
         return true;
     }
-    let (last_use, staleness) = engine.directory.usage(group);
+    let (last_use, _) = engine.directory.usage(group);
     if age(last_use) > UNUSED_MS {
         return heard > UNUSED_INTERVAL_MS;
     }
-    let observed = age(engine
-        .directory
-        .newest_observation(group)
-        .map(|newest| newest.asked));
-    let renew = staleness.map_or(u64::MAX, |staleness| staleness / STALENESS_PARTS);
-    heard > HEARD_MS || observed > renew
+    heard > HEARD_MS || is_observation_due(engine, group)
+}
+
+/// Whether reads that may be stale will soon need a newer position of the
+/// leader.
+pub(super) fn is_observation_due(engine: &Engine, group: &GroupName) -> bool {
+    let now = clock::now();
+    let (last_use, staleness) = engine.directory.usage(group);
+    let (Some(last_use), Some(staleness)) = (last_use, staleness) else {
+        return false;
+    };
+    if now.millis_since(last_use) > UNUSED_MS {
+        return false;
+    }
+    let newest = engine.directory.newest_observation(group);
+    newest.is_none_or(|newest| now.millis_since(newest.asked) > staleness / STALENESS_PARTS)
 }
 
 /// Asks all instances of a group whether they lead.
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -105,7 +105,9 @@
                 continue;
             };
             for group in config.groups.keys() {
-                if self.engine.watches(group) && enter(&self.busy, group) {
+                if !self.engine.watches(group) {
+                    self.observe(group);
+                } else if enter(&self.busy, group) {
                     let monitor = self.clone();
                     let group = group.clone();
                     tokio::spawn(async move {
@@ -117,6 +119,16 @@
         }
     }
 
+    /// Asks the watchers of a group for its leader's position ahead of need,
+    /// where this node runs reads on its replicas.
+    fn observe(&self, group: &GroupName) {
+        if health::is_observation_due(&self.engine, group) && self.engine.owns_any_of(group) {
+            let engine = self.engine.clone();
+            let group = group.clone();
+            tokio::spawn(async move { peers::observe_leader(&engine, &group).await });
+        }
+    }
+
     /// Checks the health of one group, and starts a replacement if needed.
     async fn look_at(self: &Arc<Self>, group: &GroupName) {
         self.hold_duty_ahead(group);
--- a/crates/millwind-engine/src/floor.rs
+++ b/crates/millwind-engine/src/floor.rs
@@ -8,6 +8,11 @@
 
 use crate::directory::Written;
 use crate::node::Engine;
+use crate::{clock, peers};
+
+/// Between two rounds of questions to those who watch a group, in
+/// milliseconds.
+const OBSERVE_PAUSE_MS: u64 = 60;
 
 /// What a read must see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,15 +70,35 @@
     /// The position, waiting for an observation until `deadline`.
     pub async fn await_position(
         &self,
-        engine: &Engine,
+        engine: &Arc<Engine>,
         group: &GroupName,
         deadline: Instant,
     ) -> Option<Position> {
-        let known = self.known_position(engine, group);
-        if known.is_some() {
-            return known;
+        loop {
+            let known = self.known_position(engine, group);
+            if known.is_some() {
+                return known;
+            }
+            if engine.watches(group) {
+                engine.wake_monitor();
+                return self.await_observation(engine, group, deadline).await;
+            }
+            // Those who watch the group have asked its leader, or will.
+            peers::observe_leader(engine, group).await;
+            let step = clock::now().plus_millis(OBSERVE_PAUSE_MS).min(deadline);
+            let observed = self.await_observation(engine, group, step).await;
+            if observed.is_some() || clock::now() >= deadline {
+                return observed;
+            }
         }
-        engine.wake_monitor();
+    }
+
+    async fn await_observation(
+        &self,
+        engine: &Engine,
+        group: &GroupName,
+        deadline: Instant,
+    ) -> Option<Position> {
         engine
             .directory
             .await_floor(group, self.arrived, self.staleness_ms, self.written, deadline)
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -82,8 +82,12 @@
         owners
     }
 
-    /// What this node is to `record`.
+    /// What this node is to `record`: nothing before it knows the other nodes,
+    /// since it would take itself for the owner of every instance.
     pub fn standing(&self, registry: &Registry, record: &InstanceRecord) -> Standing {
+        if !registry.is_listed() {
+            return Standing::Other;
+        }
         let ranked = self.ranked(registry, record);
         match ranked.iter().position(|owner| owner.is_self) {
             Some(index) if index < OWNERS => Standing::Owner,
--- /dev/null
+++ b/crates/millwind-engine/src/group_marks.rs
@@ -0,0 +1,38 @@
+//! Groups that something is being done for, so that it is done once at a time.
+
+use std::collections::HashSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use millwind_core::ids::GroupName;
+
+/// Marked groups.
+#[derive(Debug, Default)]
+pub struct GroupMarks(Mutex<HashSet<GroupName>>);
+
+/// The mark of one group; gone when dropped.
+#[derive(Debug)]
+pub struct GroupMark<'a> {
+    marks: &'a GroupMarks,
+    group: GroupName,
+}
+
+impl GroupMarks {
+    fn groups(&self) -> MutexGuard<'_, HashSet<GroupName>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Marks a group; none if it is marked already.
+    pub fn enter(&self, group: &GroupName) -> Option<GroupMark<'_>> {
+        let is_new = self.groups().insert(group.clone());
+        is_new.then(|| GroupMark {
+            marks: self,
+            group: group.clone(),
+        })
+    }
+}
+
+impl Drop for GroupMark<'_> {
+    fn drop(&mut self) {
+        self.marks.groups().remove(&self.group);
+    }
+}
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod failover;
 pub mod floor;
 pub mod forward;
+pub mod group_marks;
 pub mod listener;
 pub mod logging;
 pub mod metrics;
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -22,6 +22,7 @@
 use crate::duty::Duties;
 use crate::failover::Monitor;
 use crate::forward::{OWNERS, Owners, Route, Standing};
+use crate::group_marks::GroupMarks;
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::own_keys::OwnKeys;
@@ -66,7 +67,7 @@
 /// Nodes that watch a group whether they use it or not.
 const WATCHERS: usize = 3;
 /// A group counts as used for this time, in milliseconds.
-const USED_MS: u64 = 10_000;
+const USED_MS: u64 = 1_500;
 /// Connections opened ahead of need to a new instance.
 const WARM_CONNECTIONS: usize = 1;
 
@@ -107,6 +108,8 @@
     pub relays: Relays,
     /// Whether the store is heard.
     pub store_contact: Arc<StoreContact>,
+    /// Groups whose watchers this node is asking for the leader.
+    pub leader_inquiries: GroupMarks,
     /// The nodes that own connections to instances.
     pub owners: Owners,
     /// Connections leased to other nodes.
@@ -198,10 +201,8 @@
     /// An owner's share of an instance's connections: what is left when each
     /// watcher of the group has one for health checks.
     fn owner_share(&self, group: &GroupName) -> usize {
-        let instances = self.directory.instances_of(group).len().max(1);
-        let watchers = OWNERS * instances + WATCHERS;
         let limit = self.connection_limit(group);
-        limit.saturating_sub(watchers) / OWNERS
+        limit.saturating_sub(OWNERS + WATCHERS) / OWNERS
     }
 
     /// How many connections to an instance this node may hold.
@@ -249,22 +250,55 @@
     /// Whether this node runs statements on an instance itself, so that it can
     /// tell an instance that hangs from an owner that is busy.
     pub fn runs_statements_on(&self, record: &InstanceRecord) -> bool {
-        self.is_ample(&record.group) || self.owners.standing(&self.registry, record) == Standing::Owner
+        self.is_ample(&record.group) || self.owns(record)
     }
 
     /// Nodes that watch a group, this one apart.
     pub fn watcher_addresses(&self, group: &GroupName) -> Vec<SocketAddr> {
-        let mut addresses: Vec<SocketAddr> = Vec::new();
-        for known in self.directory.instances_of(group) {
-            let ranked = self.owners.ranked(&self.registry, &known.record);
-            let owners = ranked.iter().take(OWNERS).filter(|owner| !owner.is_self);
-            addresses.extend(owners.map(|owner| owner.address));
+        let mut watchers = self.registry.first_for(group.as_str(), WATCHERS);
+        for record in self.watched_instances(group) {
+            let ranked = self.owners.ranked(&self.registry, &record);
+            watchers.extend(ranked.iter().take(OWNERS).cloned());
         }
+        let others = watchers.iter().filter(|watcher| !watcher.is_self);
+        let mut addresses: Vec<SocketAddr> = others.map(|watcher| watcher.address).collect();
         addresses.sort_unstable();
         addresses.dedup();
         addresses
     }
 
+    /// The instances of a group whose owners watch it: its leader, or all while
+    /// none is known.
+    fn watched_instances(&self, group: &GroupName) -> Vec<Arc<InstanceRecord>> {
+        let leader = self.directory.leader(group);
+        let known = leader.and_then(|leader| self.directory.instance(&leader.instance));
+        match known {
+            Some(known) => vec![known.record],
+            None => self
+                .directory
+                .instances_of(group)
+                .into_iter()
+                .map(|known| known.record)
+                .collect(),
+        }
+    }
+
+    fn owns(&self, record: &InstanceRecord) -> bool {
+        self.owners.standing(&self.registry, record) == Standing::Owner
+    }
+
+    /// Whether this node owns connections to an instance of a group.
+    pub fn owns_any_of(&self, group: &GroupName) -> bool {
+        let instances = self.directory.instances_of(group);
+        instances.iter().any(|known| self.owns(&known.record))
+    }
+
+    /// Idle connections that this node keeps to an instance beyond those that
+    /// were needed lately.
+    fn spare_connections(&self, record: &InstanceRecord) -> usize {
+        usize::from(self.is_ample(&record.group) || self.owns(record))
+    }
+
     /// Nodes that may tell whether an instance is reached.
     pub fn witness_addresses(&self, instance: &InstanceName) -> Vec<SocketAddr> {
         match self.directory.instance(instance) {
@@ -378,9 +412,14 @@
     }
 
     /// Whether this node keeps an eye on a group: every group while
-    /// connections are plenty; else one whose connections it owns or uses
-    /// itself, and one that it is among the first to replace the leader of.
+    /// connections are plenty; else one whose leader's connections it owns, one
+    /// that it uses itself, and one that it is among the first to replace the
+    /// leader of. Each of these keeps a connection to the leader, which is not
+    /// there for statements.
     pub fn watches(&self, group: &GroupName) -> bool {
+        if !self.registry.is_listed() {
+            return false;
+        }
         if self.is_ample(group) {
             return true;
         }
@@ -388,12 +427,12 @@
         if last_use.is_some_and(|used| clock::now().millis_since(used) < USED_MS) {
             return true;
         }
-        let is_owner = self
-            .directory
-            .instances_of(group)
-            .iter()
-            .any(|known| self.owners.standing(&self.registry, &known.record) == Standing::Owner);
-        is_owner || self.registry.rank(group.as_str()) < WATCHERS
+        let is_first = self.registry.rank(group.as_str()) < WATCHERS;
+        is_first
+            || self
+                .watched_instances(group)
+                .iter()
+                .any(|record| self.owns(record))
     }
 
     /// Waits until enough is known to serve callers, for `limit` at most.
@@ -610,6 +649,7 @@
         own_keys: Arc::new(OwnKeys::new(own_followers, relays.reads_store())),
         relays,
         store_contact: Arc::new(StoreContact::default()),
+        leader_inquiries: GroupMarks::default(),
         owners: Owners::default(),
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
@@ -654,7 +694,7 @@
     let mut seen = 0;
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
-        engine.pools.trim();
+        engine.pools.trim(|record| engine.spare_connections(record));
         for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
         }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -208,6 +208,14 @@
     testimony
 }
 
+/// Asks some watchers of a group for what its leader reported last, unless this
+/// node is asking already.
+pub(crate) async fn observe_leader(engine: &Arc<Engine>, group: &GroupName) {
+    if let Some(_inquiry) = engine.leader_inquiries.enter(group) {
+        ask_leader(engine, group).await;
+    }
+}
+
 /// Asks some watchers of a group who leads it; true if one of them knows.
 pub(crate) async fn ask_leader(engine: &Arc<Engine>, group: &GroupName) -> bool {
     let addresses = some_of(engine.watcher_addresses(group), LEADER_QUESTIONS);
--- a/crates/millwind-engine/src/peers/mod.rs
+++ b/crates/millwind-engine/src/peers/mod.rs
@@ -11,7 +11,7 @@
 
 pub use client::PeerClient;
 pub use exchange::{Exchange, Testimony};
-pub(crate) use exchange::{ask_leader, ask_witnesses};
+pub(crate) use exchange::{ask_leader, ask_witnesses, observe_leader};
 pub use server::serve;
 
 /// Longest message in bytes.
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -99,6 +99,12 @@
         chosen.take(count).map(owner).collect()
     }
 
+    /// The first `count` nodes for `key` by rendezvous hashing, wherever they
+    /// run.
+    pub fn first_for(&self, key: &str, count: usize) -> Vec<Owner> {
+        self.owners(key, "", 0, count)
+    }
+
     /// The other nodes that this one compares its catalog with: up to `near` of
     /// its own zone and up to `far` of others, by rendezvous hashing, so that
     /// the number of links does not grow with the number of nodes.
