Ranks from stored hashes, instances by group; marks of one kind; the engine's node in three files

Cause: processor time of a node grew with nodes times instances: whenever the nodes change, each node ranks all of them anew for every instance, with a text formatted and hashed per pair and a whole sort; and each look at a group walked all instances.

--- /dev/null
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -0,0 +1,104 @@
+//! Takes the catalog in, from the store or from other nodes.
+
+use log::warn;
+use millwind_core::Instant;
+use millwind_core::ids::InstanceName;
+
+use crate::catalog::{ConfigSnapshot, InstanceRecord};
+use crate::clock;
+use crate::connection_shares::AMPLE_SHARE;
+use crate::node::Engine;
+use crate::ports::CatalogCodec;
+
+/// Connections opened ahead of need to a new instance.
+const WARM_CONNECTIONS: usize = 1;
+
+impl Engine {
+    /// The store told this node something about the catalog.
+    pub fn store_heard(&self) {
+        self.directory.store_heard();
+        self.relays.heard(clock::now());
+    }
+
+    /// A peer knows what the store held at `heard`. After an outage that this
+    /// node did not notice itself, its own watches may have been lost.
+    pub fn store_heard_by_peer(&self, heard: Instant) {
+        let is_regained = self.relays.heard(heard);
+        if is_regained && !*self.relays.reads_store().borrow() {
+            self.store_contact.note_regained();
+        }
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn apply_config(&self, config: ConfigSnapshot, source: &str) {
+        if self.directory.apply_config(config, source) {
+            self.pools.set_shares(|record| self.share_of(record));
+            for known in self.directory.instances() {
+                self.warm_up(&known.record);
+            }
+            self.wake_monitor();
+        }
+    }
+
+    /// Opens connections to an instance of a configured group ahead of need.
+    fn warm_up(&self, record: &InstanceRecord) {
+        let is_configured = self.directory.group_limits(&record.group).is_some();
+        let share = self.share_of(record);
+        if is_configured && !record.is_leaving && share >= AMPLE_SHARE && self.registry.is_listed() {
+            self.pools.warm_up(record, share, WARM_CONNECTIONS);
+        }
+    }
+
+    /// Takes in a configuration's document.
+    pub fn take_config(&self, codec: &dyn CatalogCodec, value: &[u8], source: &str) {
+        match codec.read_config(value) {
+            Ok(config) => {
+                let version = config.version;
+                if version > self.config_version() {
+                    self.catalog_cache.keep_config(version, value);
+                    self.apply_config(config, source);
+                }
+            }
+            Err(error) => warn!(
+                "event=config_refused source={source} error={:?}",
+                error.to_string()
+            ),
+        }
+    }
+
+    /// Takes in an instance's document of `revision`, or that it was removed,
+    /// unless a newer one is known.
+    pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
+        if !self.catalog_cache.see_instance(key, revision) {
+            return;
+        }
+        let Some(value) = value else {
+            let name = key.strip_prefix(codec.instances_prefix()).unwrap_or(key);
+            if self.directory.remove_record(&InstanceName::from(name)) {
+                self.catalog_cache.keep_instance(key, None, revision);
+            }
+            return;
+        };
+        match codec.read_instance(key, value) {
+            Ok(record) => {
+                if self.apply_record(record) {
+                    self.catalog_cache.keep_instance(key, Some(value), revision);
+                }
+            }
+            Err(error) => warn!("event=instance_refused key={key} error={:?}", error.to_string()),
+        }
+    }
+
+    /// Takes in an instance's record; true if more than its heartbeat changed.
+    fn apply_record(&self, record: InstanceRecord) -> bool {
+        let is_new = self
+            .directory
+            .instance(&record.name)
+            .is_none_or(|known| known.is_gone);
+        let has_changed = self.directory.apply_record(record.clone());
+        if is_new {
+            self.warm_up(&record);
+        }
+        has_changed
+    }
+}
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -3,7 +3,7 @@
 
 mod contact;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use log::info;
@@ -70,11 +70,32 @@
 struct State {
     config: Option<Arc<ConfigSnapshot>>,
     instances: BTreeMap<InstanceName, Known>,
+    /// Instances by group: a group's are looked up with every statement.
+    members: HashMap<GroupName, BTreeSet<InstanceName>>,
     has_listing: bool,
     store_heard: Option<Instant>,
     groups: HashMap<GroupName, Group>,
 }
 
+impl State {
+    fn insert(&mut self, known: Known) {
+        let name = known.record.name.clone();
+        self.remove(&name);
+        let members = self.members.entry(known.record.group.clone()).or_default();
+        members.insert(name.clone());
+        self.instances.insert(name, known);
+    }
+
+    fn remove(&mut self, name: &InstanceName) {
+        let Some(known) = self.instances.remove(name) else {
+            return;
+        };
+        if let Some(members) = self.members.get_mut(&known.record.group) {
+            members.remove(name);
+        }
+    }
+}
+
 /// Beliefs of a node.
 #[derive(Debug)]
 pub struct Directory {
@@ -189,7 +210,7 @@
             contact,
             testimony,
         };
-        state.instances.insert(name.clone(), known);
+        state.insert(known);
         if newly_claims {
             self.claimed(&mut state, &group, &name);
         } else if claimed_before {
@@ -286,7 +307,7 @@
             .map(|known| known.record.name.clone())
             .collect();
         for name in &forgotten {
-            state.instances.remove(name);
+            state.remove(name);
         }
         forgotten
     }
@@ -309,10 +330,9 @@
     /// The instances of a group.
     pub fn instances_of(&self, group: &GroupName) -> Vec<Known> {
         let state = self.state();
-        state
-            .instances
-            .values()
-            .filter(|known| known.record.group == *group)
+        let members = state.members.get(group).into_iter().flatten();
+        members
+            .filter_map(|name| state.instances.get(name))
             .map(|known| self.as_of_now(known))
             .collect()
     }
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -3,7 +3,7 @@
 mod health;
 mod replacement;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 use crate::clock;
 use crate::duty::Duties;
+use crate::group_marks::GroupMarks;
 use crate::node::Engine;
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
@@ -53,11 +54,11 @@
     duties: Arc<Duties<S>>,
     promoter: Arc<dyn Promoter>,
     codec: Arc<dyn CatalogCodec>,
-    busy: Mutex<HashSet<GroupName>>,
-    replacing: Mutex<HashSet<GroupName>>,
-    taking: Mutex<HashSet<GroupName>>,
-    asking: Mutex<HashSet<GroupName>>,
-    searching: Mutex<HashSet<GroupName>>,
+    busy: Arc<GroupMarks>,
+    replacing: Arc<GroupMarks>,
+    taking: Arc<GroupMarks>,
+    asking: Arc<GroupMarks>,
+    searching: Arc<GroupMarks>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
     replaced_sick: Mutex<HashMap<GroupName, Instant>>,
 }
@@ -77,11 +78,11 @@
             duties,
             promoter,
             codec,
-            busy: Mutex::new(HashSet::new()),
-            replacing: Mutex::new(HashSet::new()),
-            taking: Mutex::new(HashSet::new()),
-            asking: Mutex::new(HashSet::new()),
-            searching: Mutex::new(HashSet::new()),
+            busy: Arc::default(),
+            replacing: Arc::default(),
+            taking: Arc::default(),
+            asking: Arc::default(),
+            searching: Arc::default(),
             leaderless: Mutex::new(HashMap::new()),
             replaced_sick: Mutex::new(HashMap::new()),
         })
@@ -107,13 +108,9 @@
             for group in config.groups.keys() {
                 if !self.engine.watches(group) {
                     self.observe(group);
-                } else if enter(&self.busy, group) {
+                } else if let Some(mark) = self.busy.enter(group) {
                     let monitor = self.clone();
-                    let group = group.clone();
-                    tokio::spawn(async move {
-                        monitor.look_at(&group).await;
-                        leave(&monitor.busy, &group);
-                    });
+                    tokio::spawn(async move { monitor.look_at(mark.group()).await });
                 }
             }
         }
@@ -151,9 +148,12 @@
         if reason.is_by_statements() && !self.may_replace_sick(group) {
             return;
         }
-        if self.duties.is_ordered_by_other(group) || !enter(&self.replacing, group) {
+        if self.duties.is_ordered_by_other(group) {
             return;
         }
+        let Some(mark) = self.replacing.enter(group) else {
+            return;
+        };
         let monitor = self.clone();
         let lost = LostLeader {
             group: group.clone(),
@@ -162,7 +162,7 @@
         };
         tokio::spawn(async move {
             monitor.replace(&lost).await;
-            leave(&monitor.replacing, &lost.group);
+            drop(mark);
         });
     }
 
@@ -183,50 +183,47 @@
     /// Searches for a leader in the background: instances that are silent must
     /// not hold up the judgement.
     fn search(self: &Arc<Self>, group: &GroupName) {
-        if !enter(&self.searching, group) {
+        let Some(mark) = self.searching.enter(group) else {
             return;
-        }
-        let monitor = self.clone();
-        let group = group.clone();
-        tokio::spawn(async move {
-            health::search(&monitor.engine, &group).await;
-            leave(&monitor.searching, &group);
-        });
+        };
+        let engine = self.engine.clone();
+        tokio::spawn(async move { health::search(&engine, mark.group()).await });
     }
 
     /// The first node in the group's order takes a duty that nobody holds.
     fn hold_duty_ahead(self: &Arc<Self>, group: &GroupName) {
         let is_open = self.duties.is_listed() && self.duties.get(group).is_none();
-        if !is_open || self.rank(group) > 0 || !enter(&self.taking, group) {
+        if !is_open || self.rank(group) > 0 {
             return;
         }
-        let monitor = self.clone();
-        let group = group.clone();
+        let Some(mark) = self.taking.enter(group) else {
+            return;
+        };
+        let duties = self.duties.clone();
         tokio::spawn(async move {
-            monitor.duties.hold_ahead(&group).await;
+            duties.hold_ahead(mark.group()).await;
             tokio::time::sleep(DUTY_PAUSE).await;
-            leave(&monitor.taking, &group);
         });
     }
 
     /// Asks peers about a suspected leader, in the background.
     fn ask_peers(self: &Arc<Self>, group: &GroupName, leader: Option<InstanceName>) {
         let Some(leader) = leader else { return };
-        if !enter(&self.asking, group) {
+        let Some(mark) = self.asking.enter(group) else {
             return;
-        }
-        let monitor = self.clone();
-        let group = group.clone();
+        };
+        let engine = self.engine.clone();
         tokio::spawn(async move {
-            let testimony = peers::ask_witnesses(&monitor.engine, &leader).await;
+            let testimony = peers::ask_witnesses(&engine, &leader).await;
             info!(
-                "event=leader_suspected group={group} instance={leader} peers_reaching={} peers_failing={}",
-                testimony.reaching, testimony.failing
+                "event=leader_suspected group={} instance={leader} peers_reaching={} peers_failing={}",
+                mark.group(),
+                testimony.reaching,
+                testimony.failing
             );
-            monitor.engine.directory.heard_of(&leader, testimony);
-            monitor.engine.wake_monitor();
+            engine.directory.heard_of(&leader, testimony);
+            engine.wake_monitor();
             tokio::time::sleep(ASK_PAUSE).await;
-            leave(&monitor.asking, &group);
         });
     }
 
@@ -298,15 +295,3 @@
             .remove(group);
     }
 }
-
-/// Marks a group as worked on; false if it is already.
-fn enter(marks: &Mutex<HashSet<GroupName>>, group: &GroupName) -> bool {
-    marks
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .insert(group.clone())
-}
-
-fn leave(marks: &Mutex<HashSet<GroupName>>, group: &GroupName) {
-    marks.lock().unwrap_or_else(PoisonError::into_inner).remove(group);
-}
--- a/crates/millwind-engine/src/group_marks.rs
+++ b/crates/millwind-engine/src/group_marks.rs
@@ -1,7 +1,7 @@
 //! Groups that something is being done for, so that it is done once at a time.
 
 use std::collections::HashSet;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millwind_core::ids::GroupName;
 
@@ -11,8 +11,8 @@
 
 /// The mark of one group; gone when dropped.
 #[derive(Debug)]
-pub struct GroupMark<'a> {
-    marks: &'a GroupMarks,
+pub struct GroupMark {
+    marks: Arc<GroupMarks>,
     group: GroupName,
 }
 
@@ -22,16 +22,23 @@
     }
 
     /// Marks a group; none if it is marked already.
-    pub fn enter(&self, group: &GroupName) -> Option<GroupMark<'_>> {
+    pub fn enter(self: &Arc<Self>, group: &GroupName) -> Option<GroupMark> {
         let is_new = self.groups().insert(group.clone());
         is_new.then(|| GroupMark {
-            marks: self,
+            marks: self.clone(),
             group: group.clone(),
         })
     }
 }
 
-impl Drop for GroupMark<'_> {
+impl GroupMark {
+    /// The marked group.
+    pub fn group(&self) -> &GroupName {
+        &self.group
+    }
+}
+
+impl Drop for GroupMark {
     fn drop(&mut self) {
         self.marks.groups().remove(&self.group);
     }
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -7,7 +7,6 @@
 
 use log::{info, warn};
 use millwind_core::Instant;
-use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::retry::RetryBudget;
 use millwind_store::Store;
 use thiserror::Error;
@@ -15,13 +14,13 @@
 use tokio::sync::{Notify, watch};
 
 use crate::backend::{Pool, Pools};
-use crate::catalog::{ConfigSnapshot, InstanceRecord};
+use crate::catalog::InstanceRecord;
 use crate::catalog_cache::CatalogCache;
 use crate::catalog_watch::{ConfigFollower, InstanceFollower};
 use crate::directory::{Directory, Known};
 use crate::duty::Duties;
 use crate::failover::Monitor;
-use crate::forward::{OWNERS, Owners, Route, Standing};
+use crate::forward::Owners;
 use crate::group_marks::GroupMarks;
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
@@ -59,17 +58,6 @@
 const PROBES_NOTICE: Duration = Duration::from_millis(2_200);
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
-/// Connections to an instance per node from which on none is scarce.
-const AMPLE_SHARE: usize = 3;
-/// Connections that a node may hold that stands in for owners, in percent of
-/// those that the instance accepts.
-const STAND_IN_PERCENT: usize = 10;
-/// Nodes that watch a group whether they use it or not.
-const WATCHERS: usize = 3;
-/// A group counts as used for this time, in milliseconds.
-const USED_MS: u64 = 1_500;
-/// Connections opened ahead of need to a new instance.
-const WARM_CONNECTIONS: usize = 1;
 
 /// Where the life of the process stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,12 +97,12 @@
     /// Whether the store is heard.
     pub store_contact: Arc<StoreContact>,
     /// Groups whose watchers this node is asking for the leader.
-    pub leader_inquiries: GroupMarks,
+    pub leader_inquiries: Arc<GroupMarks>,
     /// The nodes that own connections to instances.
     pub owners: Owners,
     /// Connections leased to other nodes.
     pub forwarded_leases: AtomicUsize,
-    pools: Pools,
+    pub(crate) pools: Pools,
     monitor_wake: Notify,
     leader_doubted: Notify,
     sessions: AtomicUsize,
@@ -181,220 +169,6 @@
         self.pools.codec()
     }
 
-    fn connection_limit(&self, group: &GroupName) -> usize {
-        let limits = self.directory.group_limits(group);
-        limits.map_or(1, |limits| limits.connections as usize)
-    }
-
-    /// An even part of an instance's connections, less the one kept for health
-    /// checks.
-    fn even_share(&self, group: &GroupName) -> usize {
-        (self.connection_limit(group) / self.registry.count()).saturating_sub(1)
-    }
-
-    /// Whether connections are so plenty that each node holds its share of
-    /// them; else a few nodes own them.
-    pub fn is_ample(&self, group: &GroupName) -> bool {
-        self.registry.is_listed() && self.even_share(group) >= AMPLE_SHARE
-    }
-
-    /// An owner's share of an instance's connections: what is left when each
-    /// watcher of the group has one for health checks.
-    fn owner_share(&self, group: &GroupName) -> usize {
-        let limit = self.connection_limit(group);
-        limit.saturating_sub(OWNERS + WATCHERS) / OWNERS
-    }
-
-    /// How many connections to an instance this node may hold.
-    fn share_of(&self, record: &InstanceRecord) -> usize {
-        if self.is_ample(&record.group) {
-            return self.even_share(&record.group);
-        }
-        let limit = self.connection_limit(&record.group);
-        let share = match self.owners.standing(&self.registry, record) {
-            Standing::Owner => self.owner_share(&record.group),
-            Standing::StandIn => limit * STAND_IN_PERCENT / 100,
-            Standing::Other => 1,
-        };
-        share.max(1)
-    }
-
-    /// The way of a statement to an instance.
-    pub async fn route(&self, record: &InstanceRecord) -> Route {
-        if self.is_ample(&record.group) {
-            return Route::Own;
-        }
-        let is_reached = self
-            .directory
-            .instance(&record.name)
-            .is_none_or(|known| known.contact.failing_since.is_none());
-        let route = self.owners.route(&self.registry, record, is_reached).await;
-        if matches!(route, Route::Own) && !self.runs_statements_on(record) {
-            self.note_direct_use(record);
-        }
-        route
-    }
-
-    /// No owner was reached: this node uses a connection of its own.
-    fn note_direct_use(&self, record: &InstanceRecord) {
-        let last = self.directory.last_direct_use(&record.group);
-        if last.is_none_or(|used| clock::now().millis_since(used) > USED_MS) {
-            info!(
-                "event=owners_unreached group={} instance={}",
-                record.group, record.name
-            );
-        }
-        self.directory.used_directly(&record.group);
-    }
-
-    /// Whether this node runs statements on an instance itself, so that it can
-    /// tell an instance that hangs from an owner that is busy.
-    pub fn runs_statements_on(&self, record: &InstanceRecord) -> bool {
-        self.is_ample(&record.group) || self.owns(record)
-    }
-
-    /// Nodes that watch a group, this one apart.
-    pub fn watcher_addresses(&self, group: &GroupName) -> Vec<SocketAddr> {
-        let mut watchers = self.registry.first_for(group.as_str(), WATCHERS);
-        for record in self.watched_instances(group) {
-            let ranked = self.owners.ranked(&self.registry, &record);
-            watchers.extend(ranked.iter().take(OWNERS).cloned());
-        }
-        let others = watchers.iter().filter(|watcher| !watcher.is_self);
-        let mut addresses: Vec<SocketAddr> = others.map(|watcher| watcher.address).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
-    }
-
-    /// The instances of a group whose owners watch it: its leader, or all while
-    /// none is known.
-    fn watched_instances(&self, group: &GroupName) -> Vec<Arc<InstanceRecord>> {
-        let leader = self.directory.leader(group);
-        let known = leader.and_then(|leader| self.directory.instance(&leader.instance));
-        match known {
-            Some(known) => vec![known.record],
-            None => self
-                .directory
-                .instances_of(group)
-                .into_iter()
-                .map(|known| known.record)
-                .collect(),
-        }
-    }
-
-    fn owns(&self, record: &InstanceRecord) -> bool {
-        self.owners.standing(&self.registry, record) == Standing::Owner
-    }
-
-    /// Whether this node owns connections to an instance of a group.
-    pub fn owns_any_of(&self, group: &GroupName) -> bool {
-        let instances = self.directory.instances_of(group);
-        instances.iter().any(|known| self.owns(&known.record))
-    }
-
-    /// Idle connections that this node keeps to an instance beyond those that
-    /// were needed lately.
-    fn spare_connections(&self, record: &InstanceRecord) -> usize {
-        usize::from(self.is_ample(&record.group) || self.owns(record))
-    }
-
-    /// Nodes that may tell whether an instance is reached.
-    pub fn witness_addresses(&self, instance: &InstanceName) -> Vec<SocketAddr> {
-        match self.directory.instance(instance) {
-            Some(known) if !self.is_ample(&known.record.group) => self.watcher_addresses(&known.record.group),
-            _ => self.peer_addresses(),
-        }
-    }
-
-    /// The store told this node something about the catalog.
-    pub fn store_heard(&self) {
-        self.directory.store_heard();
-        self.relays.heard(clock::now());
-    }
-
-    /// A peer knows what the store held at `heard`. After an outage that this
-    /// node did not notice itself, its own watches may have been lost.
-    pub fn store_heard_by_peer(&self, heard: Instant) {
-        let is_regained = self.relays.heard(heard);
-        if is_regained && !*self.relays.reads_store().borrow() {
-            self.store_contact.note_regained();
-        }
-    }
-
-    /// Puts a configuration in force unless a newer one is.
-    pub fn apply_config(&self, config: ConfigSnapshot, source: &str) {
-        if self.directory.apply_config(config, source) {
-            self.pools.set_shares(|record| self.share_of(record));
-            for known in self.directory.instances() {
-                self.warm_up(&known.record);
-            }
-            self.wake_monitor();
-        }
-    }
-
-    /// Opens connections to an instance of a configured group ahead of need.
-    fn warm_up(&self, record: &InstanceRecord) {
-        let is_configured = self.directory.group_limits(&record.group).is_some();
-        let share = self.share_of(record);
-        if is_configured && !record.is_leaving && share >= AMPLE_SHARE && self.registry.is_listed() {
-            self.pools.warm_up(record, share, WARM_CONNECTIONS);
-        }
-    }
-
-    /// Takes in a configuration's document.
-    pub fn take_config(&self, codec: &dyn CatalogCodec, value: &[u8], source: &str) {
-        match codec.read_config(value) {
-            Ok(config) => {
-                let version = config.version;
-                if version > self.config_version() {
-                    self.catalog_cache.keep_config(version, value);
-                    self.apply_config(config, source);
-                }
-            }
-            Err(error) => warn!(
-                "event=config_refused source={source} error={:?}",
-                error.to_string()
-            ),
-        }
-    }
-
-    /// Takes in an instance's document of `revision`, or that it was removed,
-    /// unless a newer one is known.
-    pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
-        if !self.catalog_cache.see_instance(key, revision) {
-            return;
-        }
-        let Some(value) = value else {
-            let name = key.strip_prefix(codec.instances_prefix()).unwrap_or(key);
-            if self.directory.remove_record(&InstanceName::from(name)) {
-                self.catalog_cache.keep_instance(key, None, revision);
-            }
-            return;
-        };
-        match codec.read_instance(key, value) {
-            Ok(record) => {
-                if self.apply_record(record) {
-                    self.catalog_cache.keep_instance(key, Some(value), revision);
-                }
-            }
-            Err(error) => warn!("event=instance_refused key={key} error={:?}", error.to_string()),
-        }
-    }
-
-    /// Takes in an instance's record; true if more than its heartbeat changed.
-    fn apply_record(&self, record: InstanceRecord) -> bool {
-        let is_new = self
-            .directory
-            .instance(&record.name)
-            .is_none_or(|known| known.is_gone);
-        let has_changed = self.directory.apply_record(record.clone());
-        if is_new {
-            self.warm_up(&record);
-        }
-        has_changed
-    }
-
     /// Addresses of the other nodes, or of seeds while none is known.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         let own = self.settings.peer_address;
@@ -411,30 +185,6 @@
         seeds.filter(|address| *address != own).collect()
     }
 
-    /// Whether this node keeps an eye on a group: every group while
-    /// connections are plenty; else one whose leader's connections it owns, one
-    /// that it uses itself, and one that it is among the first to replace the
-    /// leader of. Each of these keeps a connection to the leader, which is not
-    /// there for statements.
-    pub fn watches(&self, group: &GroupName) -> bool {
-        if !self.registry.is_listed() {
-            return false;
-        }
-        if self.is_ample(group) {
-            return true;
-        }
-        let last_use = self.directory.last_direct_use(group);
-        if last_use.is_some_and(|used| clock::now().millis_since(used) < USED_MS) {
-            return true;
-        }
-        let is_first = self.registry.rank(group.as_str()) < WATCHERS;
-        is_first
-            || self
-                .watched_instances(group)
-                .iter()
-                .any(|record| self.owns(record))
-    }
-
     /// Waits until enough is known to serve callers, for `limit` at most.
     pub async fn await_complete(&self, limit: Duration) {
         let deadline = clock::now().plus_millis(limit.as_millis() as u64);
@@ -649,7 +399,7 @@
         own_keys: Arc::new(OwnKeys::new(own_followers, relays.reads_store())),
         relays,
         store_contact: Arc::new(StoreContact::default()),
-        leader_inquiries: GroupMarks::default(),
+        leader_inquiries: Arc::default(),
         owners: Owners::default(),
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -41,15 +41,59 @@
 pub struct Registry {
     prefix: String,
     node: String,
-    nodes: Mutex<BTreeMap<String, (NodeRecord, u64)>>,
+    nodes: Mutex<BTreeMap<String, RegisteredNode>>,
     /// This node's rank by key, with the version that it follows from.
     ranks: Mutex<HashMap<String, (u64, usize)>>,
     version: AtomicU64,
     is_listed: AtomicBool,
 }
 
-fn weight(key: &str, node: &str) -> u64 {
-    xxh3_64(format!("{key}/{node}").as_bytes())
+/// A registered node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RegisteredNode {
+    record: NodeRecord,
+    /// Store revision of its record.
+    revision: u64,
+    /// Hash of its name.
+    hash: u64,
+}
+
+impl RegisteredNode {
+    fn new(name: &str, record: NodeRecord, revision: u64) -> Self {
+        RegisteredNode {
+            record,
+            revision,
+            hash: hash_of(name),
+        }
+    }
+}
+
+/// A node with its weight for some key.
+type Weighted<'a> = (u64, &'a String, &'a RegisteredNode);
+
+fn hash_of(text: &str) -> u64 {
+    xxh3_64(text.as_bytes())
+}
+
+/// Weight of a node for a key in rendezvous hashing, from the hashes of both:
+/// every instance is ranked over every node whenever the nodes change.
+fn weight(key: u64, node: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&node.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// The `count` heaviest, heaviest first.
+fn heaviest(mut nodes: Vec<Weighted<'_>>, count: usize) -> Vec<Weighted<'_>> {
+    let order =
+        |left: &Weighted<'_>, right: &Weighted<'_>| right.0.cmp(&left.0).then_with(|| left.1.cmp(right.1));
+    if nodes.len() > count {
+        nodes.select_nth_unstable_by(count, order);
+        nodes.truncate(count);
+    }
+    nodes.sort_unstable_by(order);
+    nodes
 }
 
 impl Registry {
@@ -83,16 +127,16 @@
     /// them from `zone` come first.
     pub fn owners(&self, key: &str, zone: &str, near: usize, count: usize) -> Vec<Owner> {
         let nodes = self.nodes();
-        let mut ranked: Vec<_> = nodes
+        let key = hash_of(key);
+        let weighted = nodes
             .iter()
-            .map(|(name, (record, _))| (weight(key, name), name, record))
-            .collect();
-        ranked.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.1.cmp(right.1)));
-        let (inside, outside): (Vec<_>, Vec<_>) =
-            ranked.into_iter().partition(|(_, _, record)| record.zone == zone);
+            .map(|(name, node)| (weight(key, node.hash), name, node));
+        let (inside, outside): (Vec<_>, Vec<_>) = weighted.partition(|(_, _, node)| node.record.zone == zone);
+        let inside = heaviest(inside, near + count);
+        let outside = heaviest(outside, count);
         let (first, rest) = inside.split_at(inside.len().min(near));
-        let owner = |(_, name, record): &(u64, &String, &NodeRecord)| Owner {
-            address: record.peer_address,
+        let owner = |(_, name, node): &Weighted<'_>| Owner {
+            address: node.record.peer_address,
             is_self: **name == self.node,
         };
         let chosen = first.iter().chain(&outside).chain(rest);
@@ -110,47 +154,53 @@
     /// the number of links does not grow with the number of nodes.
     pub fn neighbours(&self, zone: &str, near: usize, far: usize) -> Vec<SocketAddr> {
         let nodes = self.nodes();
-        let mut ranked: Vec<_> = nodes
+        let key = hash_of(&self.node);
+        let others = nodes
             .iter()
             .filter(|(name, _)| **name != self.node)
-            .map(|(name, (record, _))| (weight(&self.node, name), record))
-            .collect();
-        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        let (inside, outside): (Vec<_>, Vec<_>) =
-            ranked.into_iter().partition(|(_, record)| record.zone == zone);
-        let chosen = inside.iter().take(near).chain(outside.iter().take(far));
-        chosen.map(|(_, record)| record.peer_address).collect()
+            .map(|(name, node)| (weight(key, node.hash), name, node));
+        let (inside, outside): (Vec<_>, Vec<_>) = others.partition(|(_, _, node)| node.record.zone == zone);
+        let inside = heaviest(inside, near);
+        let outside = heaviest(outside, far);
+        let chosen = inside.iter().chain(&outside);
+        chosen.map(|(_, _, node)| node.record.peer_address).collect()
     }
 
     /// Nodes of a zone, this one included if it runs there and is registered.
     pub fn zone_count(&self, zone: &str) -> usize {
         let nodes = self.nodes();
-        nodes.values().filter(|(record, _)| record.zone == zone).count()
+        nodes.values().filter(|node| node.record.zone == zone).count()
     }
 
     /// How many nodes of a zone come before this one as its relays.
     pub fn zone_rank(&self, zone: &str) -> usize {
-        let own = weight(RELAY_KEY, &self.node);
+        let key = hash_of(RELAY_KEY);
+        let own = weight(key, hash_of(&self.node));
         let nodes = self.nodes();
-        let in_zone = nodes.iter().filter(|(_, (record, _))| record.zone == zone);
+        let in_zone = nodes.iter().filter(|(_, node)| node.record.zone == zone);
         in_zone
-            .filter(|(name, _)| **name != self.node && weight(RELAY_KEY, name) > own)
+            .filter(|(name, node)| **name != self.node && weight(key, node.hash) > own)
             .count()
     }
 
     /// The other nodes of a zone in the order in which they are its relays.
     pub fn zone_peers(&self, zone: &str) -> Vec<SocketAddr> {
         let nodes = self.nodes();
-        let mut ranked: Vec<_> = nodes
+        let key = hash_of(RELAY_KEY);
+        let in_zone: Vec<_> = nodes
             .iter()
-            .filter(|(name, (record, _))| **name != self.node && record.zone == zone)
-            .map(|(name, (record, _))| (weight(RELAY_KEY, name), record.peer_address))
+            .filter(|(name, node)| **name != self.node && node.record.zone == zone)
+            .map(|(name, node)| (weight(key, node.hash), name, node))
             .collect();
-        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        ranked.into_iter().map(|(_, address)| address).collect()
+        let count = in_zone.len();
+        let ranked = heaviest(in_zone, count);
+        ranked
+            .iter()
+            .map(|(_, _, node)| node.record.peer_address)
+            .collect()
     }
 
-    fn nodes(&self) -> MutexGuard<'_, BTreeMap<String, (NodeRecord, u64)>> {
+    fn nodes(&self) -> MutexGuard<'_, BTreeMap<String, RegisteredNode>> {
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -159,7 +209,7 @@
         self.nodes()
             .iter()
             .filter(|(name, _)| **name != self.node)
-            .map(|(name, (record, _))| (name.clone(), record.clone()))
+            .map(|(name, node)| (name.clone(), node.record.clone()))
             .collect()
     }
 
@@ -179,11 +229,12 @@
         {
             return *rank;
         }
-        let own = weight(key, &self.node);
+        let hash = hash_of(key);
+        let own = weight(hash, hash_of(&self.node));
         let rank = self
             .nodes()
-            .keys()
-            .filter(|name| **name != self.node && weight(key, name) > own)
+            .iter()
+            .filter(|(name, node)| **name != self.node && weight(hash, node.hash) > own)
             .count();
         ranks.insert(key.to_owned(), (version, rank));
         rank
@@ -195,8 +246,8 @@
         loop {
             let held = self.nodes().get(&self.node).cloned();
             let revision = match held {
-                Some((same, _)) if same == record => return,
-                Some((_, revision)) => revision,
+                Some(same) if same.record == record => return,
+                Some(other) => other.revision,
                 None => 0,
             };
             let write = Write {
@@ -210,7 +261,8 @@
             match store.swap(&[condition], &[write]).await {
                 Ok(Swap::Done { revision }) => {
                     info!("event=node_registered revision={revision}");
-                    self.nodes().insert(self.node.clone(), (record, revision));
+                    let node = RegisteredNode::new(&self.node, record, revision);
+                    self.nodes().insert(self.node.clone(), node);
                     self.changed();
                     return;
                 }
@@ -234,7 +286,8 @@
                 .and_then(|value| serde_json::from_slice::<NodeRecord>(&value).ok());
             match record {
                 Some(record) => {
-                    nodes.insert(name.to_owned(), (record, entry.revision));
+                    let node = RegisteredNode::new(name, record, entry.revision);
+                    nodes.insert(name.to_owned(), node);
                 }
                 None => {
                     nodes.remove(name);
