No relays where a configuration must be in force within two seconds

Read once more: with a bound below 2.7 s a node cut off from its relays could have read the store too late. News now count as fresh for 60% of the bound at most, and below 2 s every node reads the store itself. Sites with a bound of 4 s or more behave as before.

--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -24,6 +24,12 @@
 /// The pace as a part of the time in which a configuration must be in force,
 /// in percent.
 const PACE_PERCENT: u64 = 25;
+/// News never count as fresh for longer than this part of that time, in
+/// percent.
+const MOST_FRESH_PERCENT: u64 = 60;
+/// Where a configuration must be in force sooner than this, in milliseconds,
+/// every node reads the store itself.
+const LEAST_BOUND_MS: u64 = 2_000;
 /// Beyond a relay's pace its word counts as fresh for this time, in
 /// milliseconds.
 const FRESH_MS: u64 = 1_400;
@@ -42,6 +48,8 @@
     pub pace_ms: u64,
     /// A word of the store older than this is not fresh.
     pub fresh_ms: u64,
+    /// Relays are quick enough for the bound on configurations.
+    pub allow_relays: bool,
 }
 
 impl RelayTimes {
@@ -49,9 +57,11 @@
     /// `config_bound_ms`.
     pub fn within(config_bound_ms: u64) -> Self {
         let pace_ms = (config_bound_ms * PACE_PERCENT / 100).min(MOST_PACE_MS);
+        let most_fresh_ms = config_bound_ms * MOST_FRESH_PERCENT / 100;
         RelayTimes {
             pace_ms,
-            fresh_ms: pace_ms + FRESH_MS,
+            fresh_ms: (pace_ms + FRESH_MS).min(most_fresh_ms),
+            allow_relays: config_bound_ms >= LEAST_BOUND_MS,
         }
     }
 }
--- a/crates/millwind-core/tests/catalog_relay.rs
+++ b/crates/millwind-core/tests/catalog_relay.rs
@@ -84,13 +84,20 @@
     assert!(!with_others.must_read(NOW.plus_millis(150), &times()));
 }
 
+#[test]
+fn a_bound_that_relays_cannot_keep_has_every_node_read_the_store() {
+    assert!(!RelayTimes::within(1_500).allow_relays);
+    assert!(RelayTimes::within(2_000).allow_relays);
+}
+
 proptest! {
     /// A node without a relay reads the store itself before a configuration
     /// that it misses must be in force: within the pace, the time for which
     /// news count as fresh, and one comparison with another node.
     #[test]
-    fn news_are_missed_for_less_than_the_bound(config_bound_ms in 3_000_u64..60_000) {
+    fn news_are_missed_for_less_than_the_bound(config_bound_ms in 500_u64..60_000) {
         let times = RelayTimes::within(config_bound_ms);
+        prop_assume!(times.allow_relays);
         let comparison_ms = 800;
         prop_assert!(times.fresh_ms + comparison_ms <= config_bound_ms);
         prop_assert!(times.pace_ms < times.fresh_ms);
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -101,16 +101,22 @@
         if !registry.is_listed() {
             return true;
         }
-        let zone_nodes = registry.zone_count(&self.zone);
-        relays_of_zone(zone_nodes, registry.count())
+        self.relay_count(registry)
             .is_none_or(|relays| registry.zone_rank(&self.zone) < relays)
     }
 
+    /// Relays of this node's zone; none where every node reads the store.
+    fn relay_count(&self, registry: &Registry) -> Option<usize> {
+        if !self.times.allow_relays {
+            return None;
+        }
+        relays_of_zone(registry.zone_count(&self.zone), registry.count())
+    }
+
     /// The relays that this node asks: those of its zone that come first and
     /// have answered; empty where there are none.
     pub fn to_ask(&self, registry: &Registry) -> Vec<SocketAddr> {
-        let zone_nodes = registry.zone_count(&self.zone);
-        let Some(count) = relays_of_zone(zone_nodes, registry.count()) else {
+        let Some(count) = self.relay_count(registry) else {
             return Vec::new();
         };
         let now = clock::now();
