A leader that never lets a node in is doubted also while statements compete for it

Found by the soak: without faults any more, three nodes served no write for a minute and a half. Logs: after their restart they believed a former leader by its record; every opening met too_many_connections, and no line told of a doubt. Health checks waited behind statements for a turn to open a connection, and their 'no connection' counted as no evidence, where 'turned away' does.

Ruled out: the replacement's new condition on positions (no no_successor line, no replacement was tried).

Change: a check that gets no connection in its time counts as turned away, if the instance was not heard for 1.5 s either.

--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -136,8 +136,10 @@
 
 fn note_failure(engine: &Engine, record: &InstanceRecord, asked: Instant, error: &LinkError) {
     // An instance over its limit turns connections away, and one that never
-    // lets this node in serves it no better than a dead one.
-    let is_shut_out = *error == LinkError::TurnedAway && !is_heard_lately(engine, record);
+    // lets this node in serves it no better than a dead one. While statements
+    // try to open connections as well, a check may not even get its turn.
+    let is_turned_away = matches!(error, LinkError::TurnedAway | LinkError::NoConnection);
+    let is_shut_out = is_turned_away && !is_heard_lately(engine, record);
     if error.is_evidence() || error.is_wrong_instance() || is_shut_out {
         engine.directory.failed(&record.name, asked, error.is_refusing());
     }
