Read once more: one weighing of nodes, nothing copied before it is looked at, dead parts out

The registry weighed nodes in three places and counted those ahead in two; both are one function now. OwnKeys built a document before it looked whether it was news. spare_connections asked what runs_statements_on answers. A look at whether this node reads the store subscribed to the channel each time. Nothing called PeerClient::kept and Directory::await_leader any more.

--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -99,7 +99,7 @@
     }
 
     /// Whether the store was heard lately, here or through others.
-    pub fn is_fresh(&self, now: Instant, times: &RelayTimes) -> bool {
+    fn is_fresh(&self, now: Instant, times: &RelayTimes) -> bool {
         self.heard
             .is_some_and(|heard| now.millis_since(heard) < times.fresh_ms)
     }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -24,7 +24,7 @@
     /// node did not notice itself, its own watches may have been lost.
     pub fn store_heard_by_peer(&self, heard: Instant) {
         let is_regained = self.relays.heard(heard);
-        if is_regained && !*self.relays.reads_store().borrow() {
+        if is_regained && !self.relays.is_reading_store() {
             self.store_contact.note_regained();
         }
     }
--- a/crates/millwind-engine/src/connection_shares.rs
+++ b/crates/millwind-engine/src/connection_shares.rs
@@ -138,7 +138,7 @@
     /// Idle connections that this node keeps to an instance beyond those that
     /// were needed lately.
     pub(crate) fn spare_connections(&self, record: &InstanceRecord) -> usize {
-        usize::from(self.is_ample(&record.group) || self.owns(record))
+        usize::from(self.runs_statements_on(record))
     }
 
     /// Nodes that may tell whether an instance is reached.
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -358,22 +358,6 @@
         let _ = tokio::time::timeout_at(clock::deadline(deadline), changed).await;
     }
 
-    /// The leader of a group, waiting for one to be known until `deadline`.
-    pub async fn await_leader(&self, group: &GroupName, deadline: Instant) -> Option<InstanceName> {
-        loop {
-            let changed = self.leaders_changed.notified();
-            if let Some(leader) = self.leader(group) {
-                return Some(leader.instance);
-            }
-            if tokio::time::timeout_at(clock::deadline(deadline), changed)
-                .await
-                .is_err()
-            {
-                return self.leader(group).map(|leader| leader.instance);
-            }
-        }
-    }
-
     /// `instance` proved that it led when it answered a question sent at
     /// `asked`, with its log at `position`.
     pub fn leader_proved(
--- a/crates/millwind-engine/src/own_keys.rs
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -1,7 +1,7 @@
 //! The system's own keys in the store: read by the relays, told on to the other
 //! nodes, and passed to everything that is kept there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -103,25 +103,21 @@
 }
 
 impl State {
-    fn is_news(&self, document: &StoredDocument) -> bool {
-        let held = self.documents.get(&document.key);
-        held.is_none_or(|held| held.revision < document.revision)
-    }
-
     /// Takes an entry in; false if it is known, or a newer one.
     fn keep(&mut self, entry: &Entry) -> bool {
         self.known_revision = self.known_revision.max(entry.revision);
+        let held = self.documents.get(&entry.key);
+        if held.is_some_and(|held| held.revision >= entry.revision) {
+            return false;
+        }
         let document = StoredDocument {
             key: entry.key.clone(),
             revision: entry.revision,
             removed: u8::from(entry.value.is_none()),
             value: entry.value.clone().unwrap_or_default(),
         };
-        let is_news = self.is_news(&document);
-        if is_news {
-            self.documents.insert(entry.key.clone(), document);
-        }
-        is_news
+        self.documents.insert(entry.key.clone(), document);
+        true
     }
 
     /// Everything that is there.
@@ -135,8 +131,7 @@
 
     /// Marks everything as removed that a listing does not hold.
     fn remove_all_but(&mut self, listing: &Listing) {
-        let present: std::collections::BTreeSet<&str> =
-            listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+        let present: BTreeSet<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
         for document in self.documents.values_mut() {
             let is_gone = document.removed == 0
                 && document.revision <= listing.revision
--- a/crates/millwind-engine/src/peers/client.rs
+++ b/crates/millwind-engine/src/peers/client.rs
@@ -52,11 +52,6 @@
         tokio::time::timeout(ANSWER_LIMIT, asking).await.ok().flatten()
     }
 
-    /// Nodes to which a connection is kept, or being opened.
-    pub fn kept(&self) -> usize {
-        self.links().len()
-    }
-
     fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, Kept>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -70,7 +70,6 @@
     /// and they have fresh news, else a neighbour.
     fn pick(&self) -> Option<Source> {
         let relays = &self.engine.relays;
-        let reads_store = *relays.reads_store().borrow();
         let is_relay = relays.is_relay(&self.engine.registry);
         let relay = match is_relay {
             true => None,
@@ -78,7 +77,7 @@
         };
         // A node without fresh news asks neighbours as well: they may hear the
         // store where the relays don't.
-        let prefers_neighbour = reads_store && rand::rng().random_bool(0.5);
+        let prefers_neighbour = relays.is_reading_store() && rand::rng().random_bool(0.5);
         match relay {
             Some(address) if !prefers_neighbour => Some(Source {
                 address,
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -84,6 +84,17 @@
     xxh3_64(&bytes)
 }
 
+/// All nodes with their weights for `key`.
+fn weigh<'a>(
+    nodes: &'a BTreeMap<String, RegisteredNode>,
+    key: &str,
+) -> impl Iterator<Item = Weighted<'a>> + use<'a> {
+    let key = hash_of(key);
+    nodes
+        .iter()
+        .map(move |(name, node)| (weight(key, node.hash), name, node))
+}
+
 /// The `count` heaviest, heaviest first.
 fn heaviest(mut nodes: Vec<Weighted<'_>>, count: usize) -> Vec<Weighted<'_>> {
     let order =
@@ -127,11 +138,8 @@
     /// them from `zone` come first.
     pub fn owners(&self, key: &str, zone: &str, near: usize, count: usize) -> Vec<Owner> {
         let nodes = self.nodes();
-        let key = hash_of(key);
-        let weighted = nodes
-            .iter()
-            .map(|(name, node)| (weight(key, node.hash), name, node));
-        let (inside, outside): (Vec<_>, Vec<_>) = weighted.partition(|(_, _, node)| node.record.zone == zone);
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            weigh(&nodes, key).partition(|(_, _, node)| node.record.zone == zone);
         let inside = heaviest(inside, near + count);
         let outside = heaviest(outside, count);
         let (first, rest) = inside.split_at(inside.len().min(near));
@@ -154,11 +162,7 @@
     /// the number of links does not grow with the number of nodes.
     pub fn neighbours(&self, zone: &str, near: usize, far: usize) -> Vec<SocketAddr> {
         let nodes = self.nodes();
-        let key = hash_of(&self.node);
-        let others = nodes
-            .iter()
-            .filter(|(name, _)| **name != self.node)
-            .map(|(name, node)| (weight(key, node.hash), name, node));
+        let others = weigh(&nodes, &self.node).filter(|(_, name, _)| **name != self.node);
         let (inside, outside): (Vec<_>, Vec<_>) = others.partition(|(_, _, node)| node.record.zone == zone);
         let inside = heaviest(inside, near);
         let outside = heaviest(outside, far);
@@ -174,23 +178,26 @@
 
     /// How many nodes of a zone come before this one as its relays.
     pub fn zone_rank(&self, zone: &str) -> usize {
-        let key = hash_of(RELAY_KEY);
+        self.count_ahead(RELAY_KEY, |record| record.zone == zone)
+    }
+
+    /// How many of the other nodes that `is_candidate` takes come before this
+    /// one for `key`.
+    fn count_ahead(&self, key: &str, is_candidate: impl Fn(&NodeRecord) -> bool) -> usize {
+        let key = hash_of(key);
         let own = weight(key, hash_of(&self.node));
-        let nodes = self.nodes();
-        let in_zone = nodes.iter().filter(|(_, node)| node.record.zone == zone);
-        in_zone
-            .filter(|(name, node)| **name != self.node && weight(key, node.hash) > own)
+        self.nodes()
+            .iter()
+            .filter(|(name, node)| **name != self.node && is_candidate(&node.record))
+            .filter(|(_, node)| weight(key, node.hash) > own)
             .count()
     }
 
     /// The other nodes of a zone in the order in which they are its relays.
     pub fn zone_peers(&self, zone: &str) -> Vec<SocketAddr> {
         let nodes = self.nodes();
-        let key = hash_of(RELAY_KEY);
-        let in_zone: Vec<_> = nodes
-            .iter()
-            .filter(|(name, node)| **name != self.node && node.record.zone == zone)
-            .map(|(name, node)| (weight(key, node.hash), name, node))
+        let in_zone: Vec<_> = weigh(&nodes, RELAY_KEY)
+            .filter(|(_, name, node)| **name != self.node && node.record.zone == zone)
             .collect();
         let count = in_zone.len();
         let ranked = heaviest(in_zone, count);
@@ -229,13 +236,7 @@
         {
             return *rank;
         }
-        let hash = hash_of(key);
-        let own = weight(hash, hash_of(&self.node));
-        let rank = self
-            .nodes()
-            .iter()
-            .filter(|(name, node)| **name != self.node && weight(hash, node.hash) > own)
-            .count();
+        let rank = self.count_ahead(key, |_| true);
         ranks.insert(key.to_owned(), (version, rank));
         rank
     }
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -65,6 +65,11 @@
         self.reads_store.subscribe()
     }
 
+    /// Whether this node reads the store now.
+    pub fn is_reading_store(&self) -> bool {
+        *self.reads_store.borrow()
+    }
+
     /// Another node asks this one as a relay.
     pub fn asked_as_relay(&self) {
         self.state().asked = Some(clock::now());
