Leadership without a fence: dated permits, closed terms, step-down

Cause: where the platform does not take the lead from an old leader at a promotion, the old one goes on until it is told to step down or until a second after it reaches the new one.

Change: a leader's answer counts only under a permit for its term (millwind_core::lead_permit): the node has heard within 10 s all that the store holds of closed terms, and the term is open. A promoter first closes the term in the duty record by compare-and-swap, then asks every registered node for its permit, tells the old leader to step down (others that reach it do as well), and orders once the leader has stepped down, all nodes have answered, or 10 s have passed. A leader that still serves is handed over: nothing new is sent, what runs ends, the successor catches up, the leader steps down, the order goes out.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -166,6 +166,9 @@
     pub received: Position,
     /// Whether it will soon end.
     pub is_leaving: bool,
+    /// Whether an earlier order named it, which may still be carried out; breaks
+    /// ties.
+    pub is_named: bool,
     /// Whether it runs in this node's own zone; breaks ties.
     pub is_near: bool,
 }
@@ -198,5 +201,8 @@
         .iter()
         .filter(|successor| sync_replicas == 0 || successor.received == furthest)
         .filter(|successor| must_hold.is_none_or(|least| successor.received >= least))
-        .max_by_key(|successor| (!successor.is_leaving, successor.received, successor.is_near))
+        .max_by_key(|successor| {
+            let furthest = (!successor.is_leaving, successor.received);
+            (furthest, successor.is_named, successor.is_near)
+        })
 }
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod group_view;
 pub mod ids;
 pub mod invariant;
+pub mod lead_permit;
 pub mod leader_observation;
 pub mod membership;
 pub mod outcome;
--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -42,6 +42,9 @@
     /// No answer came in time after bytes were sent.
     #[error("no answer in time")]
     Silent,
+    /// The answer came from an instance that may no longer lead.
+    #[error("the instance that answered may no longer lead")]
+    NoPermit,
     /// The answer was no message of the protocol.
     #[error("answer cannot be read")]
     Protocol,
@@ -62,13 +65,17 @@
             LinkError::NoObservation => "no_observation",
             LinkError::Lost => "lost",
             LinkError::Silent => "silent",
+            LinkError::NoPermit => "no_permit",
             LinkError::Protocol => "protocol",
         }
     }
 
     /// Whether a statement may have reached the instance.
     pub const fn may_have_run(&self) -> bool {
-        matches!(self, LinkError::Lost | LinkError::Silent | LinkError::Protocol)
+        matches!(
+            self,
+            LinkError::Lost | LinkError::Silent | LinkError::NoPermit | LinkError::Protocol
+        )
     }
 
     /// Whether the instance itself showed that it is in trouble.
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -188,6 +188,13 @@
         self.state().open
     }
 
+    /// Connections that a statement, a transaction or a health check holds.
+    pub fn connections_in_use(&self) -> usize {
+        let state = self.state();
+        let unused = state.idle.len() + state.opening;
+        state.open.saturating_sub(unused)
+    }
+
     /// A connection outside of any transaction, for one statement or
     /// transaction of `session`.
     pub async fn acquire(
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -19,9 +19,9 @@
     instances_revision: u64,
 }
 
-fn store_age_ms(engine: &Engine) -> u32 {
-    let age = engine.relays.store_age_ms();
-    age.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX)
+/// An age as it travels; the greatest value for never.
+fn write_age(age_ms: Option<u64>) -> u32 {
+    age_ms.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX)
 }
 
 /// Documents with the revision of their last change that matters: an
@@ -117,7 +117,8 @@
             own: engine.own_keys.documents_after(own_revision),
             own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
-            store_age_ms: store_age_ms(engine),
+            store_age_ms: write_age(engine.relays.store_age_ms()),
+            own_age_ms: write_age(engine.directory.terms_age_ms()),
         }
     }
 }
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -2,6 +2,7 @@
 //! group, what the leaders reported, and how each instance answers.
 
 mod contact;
+mod permits;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,6 +10,7 @@
 use log::info;
 use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
 use tokio::sync::Notify;
@@ -60,6 +62,13 @@
 #[derive(Debug, Default)]
 struct Group {
     leader: Option<Leader>,
+    /// Where promotions don't fence: the terms that are closed.
+    closed_terms: ClosedTerms,
+    /// The newest term whose leader has told this node that it leads no longer.
+    stepped_down: Term,
+    /// The leader whose term was closed last: its word that it leads is not
+    /// believed without proof of a later term.
+    retired: Option<InstanceName>,
     observations: LeaderObservations,
     last_use: Option<Instant>,
     last_direct_use: Option<Instant>,
@@ -74,6 +83,8 @@
     members: HashMap<GroupName, BTreeSet<InstanceName>>,
     has_listing: bool,
     store_heard: Option<Instant>,
+    /// Everything that the store held of closed terms at this time is known.
+    terms_confirmed: Option<Instant>,
     groups: HashMap<GroupName, Group>,
 }
 
@@ -101,6 +112,8 @@
 pub struct Directory {
     zone: String,
     gone_grace_ms: u64,
+    /// A promotion takes the lead from the old leader by itself.
+    is_fenced: bool,
     state: Mutex<State>,
     leaders_changed: Notify,
     observed: Notify,
@@ -112,11 +125,13 @@
     ///
     /// A record that goes without an announcement counts as leaving after
     /// `gone_grace_ms`: a store that was out takes records back that are
-    /// written again with the next heartbeat.
-    pub fn new(zone: &str, gone_grace_ms: u64) -> Self {
+    /// written again with the next heartbeat. Unless promotions fence
+    /// (`is_fenced`), a leader's answers count only under a permit.
+    pub fn new(zone: &str, gone_grace_ms: u64, is_fenced: bool) -> Self {
         Directory {
             zone: zone.to_owned(),
             gone_grace_ms,
+            is_fenced,
             state: Mutex::new(State::default()),
             leaders_changed: Notify::new(),
             observed: Notify::new(),
@@ -224,7 +239,7 @@
     fn claimed(&self, state: &mut State, group: &GroupName, instance: &InstanceName) {
         let entry = state.groups.entry(group.clone()).or_default();
         let current = entry.leader.as_ref().map(|leader| leader.instance.clone());
-        if current.as_ref() == Some(instance) {
+        if current.as_ref() == Some(instance) || entry.retired.as_ref() == Some(instance) {
             return;
         }
         info!(
@@ -358,29 +373,37 @@
         let _ = tokio::time::timeout_at(clock::deadline(deadline), changed).await;
     }
 
-    /// `instance` proved that it led when it answered a question sent at
-    /// `asked`, with its log at `position`.
+    /// `instance` answered a question sent at `asked` as the leader of its term,
+    /// with its log at `position`; false if that proves nothing, since the
+    /// permit for the term is not good.
     pub fn leader_proved(
         &self,
         group: &GroupName,
         instance: &InstanceName,
         asked: Instant,
         position: Position,
-    ) {
+    ) -> bool {
         let mut state = self.state();
+        if !self.permit_in(&state, group, position.term).covers_answer() {
+            return false;
+        }
         let entry = state.groups.entry(group.clone()).or_default();
         entry.observations.record(asked, position);
         self.observed.notify_waiters();
         let newest_term = entry.observations.newest().map(|newest| newest.position.term);
         if newest_term.is_some_and(|newest| position.term < newest) {
-            return;
+            return true;
         }
+        if position.term <= entry.closed_terms.closed() {
+            return true;
+        }
+        entry.retired = None;
         let leader = Leader {
             instance: instance.clone(),
             term: Some(position.term),
         };
         if entry.leader.as_ref() == Some(&leader) {
-            return;
+            return true;
         }
         let is_other = entry
             .leader
@@ -394,6 +417,7 @@
         if is_other {
             self.leaders_changed.notify_waiters();
         }
+        true
     }
 
     /// `instance` denied that it leads.
--- /dev/null
+++ b/crates/millwind-engine/src/directory/permits.rs
@@ -0,0 +1,117 @@
+//! Permits to count on leaders, where promotions don't fence: which terms are
+//! closed, and how fresh that knowledge is.
+
+use log::info;
+use millwind_core::Instant;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::lead_permit::{ClosedTerms, Permit, is_confirmed};
+use millwind_core::position::Term;
+
+use super::{Directory, State};
+use crate::clock;
+
+impl Directory {
+    /// Whether a promotion takes the lead from the old leader by itself.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// Everything that the store held of closed terms at `asked` is known.
+    pub fn confirm_terms(&self, asked: Instant) {
+        let mut state = self.state();
+        state.terms_confirmed = state.terms_confirmed.max(Some(asked));
+    }
+
+    /// Time since all closed terms in the store were known, in milliseconds;
+    /// none if they never were.
+    pub fn terms_age_ms(&self) -> Option<u64> {
+        let confirmed = self.state().terms_confirmed?;
+        Some(clock::now().millis_since(confirmed))
+    }
+
+    /// Whether the news of closed terms are fresh enough to count on leaders.
+    pub fn has_permits(&self) -> bool {
+        self.is_fenced || is_confirmed(clock::now(), self.state().terms_confirmed)
+    }
+
+    /// Takes in that `term` of a group and all before it are closed, and that
+    /// `retired` led it.
+    pub fn close_term(&self, group: &GroupName, term: Term, retired: Option<&InstanceName>) {
+        let mut state = self.state();
+        let confirmed = state.terms_confirmed;
+        let entry = state.groups.entry(group.clone()).or_default();
+        if !entry.closed_terms.close(term, clock::now(), confirmed) {
+            return;
+        }
+        entry.retired = retired.cloned();
+        let is_closed = |led: Option<Term>| led.is_none_or(|led| led <= term);
+        let believed = entry.leader.take_if(|leader| is_closed(leader.term));
+        info!(
+            "event=term_closed group={group} term={term} retired={} believed={}",
+            retired.map_or("none", InstanceName::as_str),
+            believed
+                .as_ref()
+                .map_or("none", |leader| leader.instance.as_str())
+        );
+        self.leaders_changed.notify_waiters();
+    }
+
+    /// Gives up the permits for `term` of a group and all before it.
+    pub fn hand_back(&self, group: &GroupName, term: Term) {
+        let mut state = self.state();
+        let entry = state.groups.entry(group.clone()).or_default();
+        entry.closed_terms.hand_back(term);
+    }
+
+    /// The leader of `term` has told this node that it leads no longer.
+    pub fn has_stepped_down(&self, group: &GroupName, term: Term) {
+        let mut state = self.state();
+        let entry = state.groups.entry(group.clone()).or_default();
+        entry.stepped_down = entry.stepped_down.max(term);
+    }
+
+    /// The newest term whose leader has told this node that it leads no longer.
+    pub fn stepped_down(&self, group: &GroupName) -> Term {
+        let state = self.state();
+        state
+            .groups
+            .get(group)
+            .map_or(Term(0), |entry| entry.stepped_down)
+    }
+
+    /// The leader whose term was closed last, until another has proved its lead.
+    pub fn retired(&self, group: &GroupName) -> Option<InstanceName> {
+        self.state().groups.get(group)?.retired.clone()
+    }
+
+    /// What is known of the closed terms of a group.
+    pub fn closed_terms(&self, group: &GroupName) -> ClosedTerms {
+        let state = self.state();
+        let entry = state.groups.get(group);
+        entry.map_or_else(ClosedTerms::default, |entry| entry.closed_terms)
+    }
+
+    /// Whether a new statement may be sent to `instance` as the leader of its
+    /// group.
+    pub fn may_lead(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        if self.is_fenced {
+            return true;
+        }
+        let state = self.state();
+        if !is_confirmed(clock::now(), state.terms_confirmed) {
+            return false;
+        }
+        let entry = state.groups.get(group);
+        entry.is_none_or(|entry| entry.retired.as_ref() != Some(instance))
+    }
+
+    /// The permit for a leader of `term`.
+    pub(super) fn permit_in(&self, state: &State, group: &GroupName, term: Term) -> Permit {
+        if self.is_fenced {
+            return Permit::Good;
+        }
+        let entry = state.groups.get(group);
+        let closed = entry.map_or_else(ClosedTerms::default, |entry| entry.closed_terms);
+        closed.permit(term, clock::now(), state.terms_confirmed)
+    }
+}
--- a/crates/millwind-engine/src/duty.rs
+++ b/crates/millwind-engine/src/duty.rs
@@ -14,10 +14,13 @@
 use log::{info, warn};
 use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::Term;
 use millwind_store::{Condition, Entry, Listing, Store, StoreError, Swap, Write};
+use millwind_wire::exchange::StoredDocument;
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
+use crate::directory::Directory;
 use crate::store_watch::Follower;
 
 /// Other nodes' orders are left alone for this long, in milliseconds.
@@ -31,6 +34,69 @@
     /// Replica it chose last; none when it only took the duty.
     #[serde(default)]
     pub chosen: Option<InstanceName>,
+    /// Terms up to this one are closed: nobody counts on their leaders. Zero
+    /// where promotions fence.
+    #[serde(default)]
+    pub closed_term: Term,
+    /// The leader of the closed term, where it was known.
+    #[serde(default)]
+    pub retired: Option<InstanceName>,
+    /// An order for `chosen` may have been sent in the closed term.
+    #[serde(default)]
+    pub is_ordered: bool,
+}
+
+/// What a node writes when it takes a duty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claim {
+    /// Only the duty.
+    Hold,
+    /// The replica that will be ordered to take over, under the new token.
+    Order(InstanceName),
+    /// The same, where the old leader's term must be closed first; the order
+    /// follows under a later token.
+    Close {
+        /// The replica that will be ordered to take over.
+        chosen: InstanceName,
+        /// The term to close.
+        term: Term,
+        /// Its leader, where it is known.
+        retired: Option<InstanceName>,
+    },
+}
+
+impl Claim {
+    /// The record that `holder` writes in place of `held`: closed terms stay
+    /// closed.
+    fn record(self, holder: &str, held: Option<DutyRecord>) -> DutyRecord {
+        let (closed_term, retired) =
+            held.map_or_else(Default::default, |held| (held.closed_term, held.retired));
+        let record = DutyRecord {
+            holder: holder.to_owned(),
+            chosen: None,
+            closed_term,
+            retired,
+            is_ordered: false,
+        };
+        match self {
+            Claim::Hold => record,
+            Claim::Order(chosen) => DutyRecord {
+                chosen: Some(chosen),
+                is_ordered: true,
+                ..record
+            },
+            Claim::Close {
+                chosen,
+                term,
+                retired,
+            } => DutyRecord {
+                chosen: Some(chosen),
+                closed_term: term.max(closed_term),
+                retired,
+                ..record
+            },
+        }
+    }
 }
 
 /// A duty record as this node last saw it.
@@ -58,6 +124,7 @@
     store: Arc<S>,
     prefix: String,
     node: String,
+    directory: Arc<Directory>,
     seen: Mutex<HashMap<GroupName, SeenDuty>>,
     is_listed: AtomicBool,
 }
@@ -69,12 +136,14 @@
 }
 
 impl<S: Store + 'static> Duties<S> {
-    /// Duties kept under `prefix`, taken in the name of `node`.
-    pub fn new(store: Arc<S>, prefix: String, node: String) -> Self {
+    /// Duties kept under `prefix`, taken in the name of `node`; closed terms are
+    /// told to `directory`.
+    pub fn new(store: Arc<S>, prefix: String, node: String, directory: Arc<Directory>) -> Self {
         Duties {
             store,
             prefix,
             node,
+            directory,
             seen: Mutex::new(HashMap::new()),
             is_listed: AtomicBool::new(false),
         }
@@ -94,7 +163,7 @@
     pub async fn hold_ahead(&self, group: &GroupName) {
         if self.get(group).is_none() {
             // Whoever writes first holds it; the others see the record.
-            let _ = self.take(group, None).await;
+            let _ = self.take(group, Claim::Hold).await;
         }
     }
 
@@ -103,6 +172,17 @@
         self.seen().get(group).cloned()
     }
 
+    /// The record of `group` as the store holds it, for other nodes.
+    pub fn document(&self, group: &GroupName) -> Option<StoredDocument> {
+        let duty = self.get(group)?;
+        Some(StoredDocument {
+            key: self.key(group),
+            revision: duty.revision,
+            removed: 0,
+            value: encode(&duty.record),
+        })
+    }
+
     /// Whether the store has told of all records once.
     pub fn is_listed(&self) -> bool {
         self.is_listed.load(Ordering::Relaxed)
@@ -124,17 +204,20 @@
         (duty.record.holder == self.node).then_some(duty.revision)
     }
 
-    /// Writes the record with `chosen`; returns the new fencing token.
-    pub async fn take(&self, group: &GroupName, chosen: Option<InstanceName>) -> Result<u64, DutyError> {
-        let key = format!("{}{}", self.prefix, group);
-        let known = self.get(group).map_or(0, |duty| duty.revision);
-        let record = DutyRecord {
-            holder: self.node.clone(),
-            chosen,
-        };
+    /// The key of a group's record.
+    pub fn key(&self, group: &GroupName) -> String {
+        format!("{}{}", self.prefix, group)
+    }
+
+    /// Writes the record with a claim; returns the new fencing token.
+    pub async fn take(&self, group: &GroupName, claim: Claim) -> Result<u64, DutyError> {
+        let key = self.key(group);
+        let held = self.get(group);
+        let known = held.as_ref().map_or(0, |duty| duty.revision);
+        let record = claim.record(&self.node, held.map(|duty| duty.record));
         let write = Write {
             key: key.clone(),
-            value: serde_json::to_vec(&record).unwrap_or_default(),
+            value: encode(&record),
         };
         let condition = Condition { key, revision: known };
         match self.store.swap(&[condition], &[write]).await {
@@ -156,6 +239,10 @@
     }
 
     fn note(&self, group: GroupName, record: DutyRecord, revision: u64) {
+        if record.closed_term > Term::default() {
+            self.directory
+                .close_term(&group, record.closed_term, record.retired.as_ref());
+        }
         let mut seen = self.seen();
         if seen.get(&group).is_some_and(|held| held.revision >= revision) {
             return;
@@ -187,6 +274,12 @@
     }
 }
 
+/// The bytes of a record in the store.
+fn encode(record: &DutyRecord) -> Vec<u8> {
+    // A record of texts and numbers always has a form.
+    serde_json::to_vec(record).unwrap_or_default()
+}
+
 impl<S: Store + 'static> Follower for Duties<S> {
     fn name(&self) -> &'static str {
         "duties"
@@ -200,4 +293,8 @@
     fn changed(&self, entries: Vec<Entry>) {
         self.apply(entries);
     }
+
+    fn complete(&self, asked: Instant) {
+        self.directory.confirm_terms(asked);
+    }
 }
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -181,8 +181,8 @@
         note_error(engine, record, &error);
         return Err(AttemptError::BackEnd(error));
     }
-    if !read_only {
-        prove_leader(engine, record, inquiry.asked, reply.position);
+    if !read_only && !prove_leader(engine, record, inquiry.asked, reply.position) {
+        return Err(AttemptError::Link(LinkError::NoPermit));
     }
     Ok(())
 }
@@ -218,8 +218,8 @@
         note_error(engine, record, error);
         return Err(AttemptError::BackEnd(error.clone()));
     }
-    if proves_leader {
-        prove_leader(engine, record, inquiry.asked, reply.position);
+    if proves_leader && !prove_leader(engine, record, inquiry.asked, reply.position) {
+        return Err(AttemptError::Link(LinkError::NoPermit));
     }
     Ok(reply)
 }
@@ -236,14 +236,25 @@
     }
 }
 
-/// Takes in that `record` proved its lead when it answered a question sent at
-/// `asked`.
-pub fn prove_leader(engine: &Engine, record: &InstanceRecord, asked: Instant, position: Option<Position>) {
-    if let Some(position) = position {
-        engine
-            .directory
-            .leader_proved(&record.group, &record.name, asked, position);
+/// Takes in that `record` answered a question sent at `asked` as a leader; false
+/// if the answer does not count, since another may lead by now.
+pub fn prove_leader(
+    engine: &Engine,
+    record: &InstanceRecord,
+    asked: Instant,
+    position: Option<Position>,
+) -> bool {
+    let Some(position) = position else {
+        return engine.directory.is_fenced();
+    };
+    let counts = engine
+        .directory
+        .leader_proved(&record.group, &record.name, asked, position);
+    if !counts {
+        engine.metrics.answers_without_permit.inc();
+        engine.wake_monitor();
     }
+    counts
 }
 
 /// Takes in what an instance's error tells of it.
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -2,6 +2,7 @@
 
 mod health;
 mod replacement;
+mod revocation;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -135,6 +136,10 @@
         } else {
             health::check(&self.engine, group).await;
         }
+        if !self.engine.directory.has_permits() {
+            // Without news from the store nothing can be ordered.
+            return;
+        }
         let evidence = self.evidence(group, leader.as_ref());
         let verdict = judge_leader(clock::now(), &evidence, &self.times());
         let reason = match verdict {
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -9,25 +9,22 @@
 use log::{info, warn};
 use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
 use millwind_core::ids::{GroupName, InstanceName};
-use millwind_core::position::Position;
-use millwind_core::session_state::SessionState;
+use millwind_core::lead_permit::term_to_close;
+use millwind_core::position::{Position, Term};
 use millwind_store::Store;
 
+use super::revocation::ClosedTerm;
 use super::{Monitor, health};
-use crate::backend::Purpose;
-use crate::catalog::InstanceRecord;
 use crate::clock;
-use crate::duty::DutyError;
-use crate::node::Engine;
+use crate::duty::{Claim, DutyError};
 use crate::ports::{PromotionAnswer, PromotionOrder};
-use crate::statement::{Command, Envelope, InstanceStatus};
+use crate::statement::{Command, InstanceStatus};
+use crate::term_closing::ask_status;
 
 /// Each node that comes later in the order waits this much longer.
 const RANK_STEP: Duration = Duration::from_millis(500);
 /// No node waits longer than this many steps.
 const MOST_RANKS: usize = 4;
-/// A replica tells its position within this time, in milliseconds.
-const STATUS_MS: u64 = 300;
 /// The promotion service answers within this time.
 const ORDER_LIMIT: Duration = Duration::from_millis(700);
 /// A promoted replica leads within this time, in milliseconds.
@@ -44,6 +41,10 @@
     /// More than half of the group's instances answered; else this node may be
     /// the one that is cut off.
     is_by_majority: bool,
+    /// The newest term that an instance has told of.
+    newest_term: Term,
+    /// Another instance that says that it leads.
+    leading: Option<InstanceName>,
 }
 
 /// A leader that is being replaced.
@@ -99,7 +100,10 @@
             if self.is_settled(lost) {
                 return;
             }
-            let ended = self.order(lost, &excluded, attempt == 0).await;
+            let ended = match self.engine.directory.is_fenced() {
+                true => self.order(lost, &excluded, attempt == 0).await,
+                false => self.order_unfenced(lost, &excluded, attempt == 0).await,
+            };
             match ended {
                 Ended::Replaced => {
                     info!(
@@ -189,7 +193,8 @@
             self.record_in_background(group, &choice.instance);
             return self.promote(group, choice.instance, token).await;
         }
-        let token = match self.duties.take(group, Some(choice.instance.clone())).await {
+        let claim = Claim::Order(choice.instance.clone());
+        let token = match self.duties.take(group, claim).await {
             Ok(token) => token,
             Err(DutyError::Taken) => return Ended::Yield,
             Err(DutyError::Store(_)) => match held {
@@ -216,6 +221,82 @@
         }
     }
 
+    /// Orders one promotion where the old leader does not lose its lead by it:
+    /// its term is closed first, and every permit for it revoked. All this is
+    /// agreed through the store; without it nothing is ordered.
+    async fn order_unfenced(
+        self: &Arc<Self>,
+        lost: &LostLeader,
+        excluded: &HashSet<InstanceName>,
+        is_first: bool,
+    ) -> Ended {
+        let group = &lost.group;
+        if !is_first {
+            // The last order may have been carried out.
+            health::search(&self.engine, group).await;
+            if self.is_settled(lost) {
+                return Ended::Yield;
+            }
+        }
+        let Some(choice) = self.choose(lost, excluded).await else {
+            return Ended::Again;
+        };
+        let chosen_at = clock::now();
+        let term = self.term_to_close(group, &choice);
+        // Where another node closed the term before, its leader may be back.
+        let leader = lost.instance.clone();
+        let leader = leader.or_else(|| choice.leading.clone());
+        let leader = leader.or_else(|| self.engine.directory.retired(group));
+        let claim = Claim::Close {
+            chosen: choice.instance.clone(),
+            term,
+            retired: leader.clone(),
+        };
+        let token = match self.duties.take(group, claim).await {
+            Ok(token) => token,
+            Err(DutyError::Taken) => return Ended::Yield,
+            Err(DutyError::Store(_)) => return Ended::Again,
+        };
+        let closed = ClosedTerm {
+            group: group.clone(),
+            term,
+            leader,
+            successor: choice.instance.clone(),
+            is_live: lost.reason.is_of_live_leader(),
+            token,
+        };
+        if !self.revoke(&closed).await {
+            return Ended::Yield;
+        }
+        let is_old = clock::now().millis_since(chosen_at) > CHOICE_MS;
+        let chosen = match is_old {
+            false => Some(choice),
+            true => self.choose(lost, excluded).await,
+        };
+        let Some(choice) = chosen else {
+            return Ended::Again;
+        };
+        let claim = Claim::Order(choice.instance.clone());
+        match self.duties.take(group, claim).await {
+            Ok(token) => self.promote(group, choice.instance, token).await,
+            Err(DutyError::Taken) => Ended::Yield,
+            Err(DutyError::Store(_)) => Ended::Again,
+        }
+    }
+
+    /// The term that must be closed before `choice` is promoted.
+    fn term_to_close(&self, group: &GroupName, choice: &Choice) -> Term {
+        let directory = &self.engine.directory;
+        let observed = directory.newest_observation(group);
+        let observed = observed.map_or(Term(0), |newest| newest.position.term);
+        let duty = self.duties.get(group);
+        let has_open_order = duty.is_some_and(|duty| {
+            duty.record.is_ordered && duty.record.chosen.as_ref() != Some(&choice.instance)
+        });
+        let closed = directory.closed_terms(group).closed();
+        term_to_close(observed.max(choice.newest_term), closed, has_open_order)
+    }
+
     /// Reads all instances' records from the store, which tell who sees itself
     /// as a leader; false if the store gave no answer.
     async fn read_records(&self) -> bool {
@@ -235,7 +316,7 @@
         let monitor = self.clone();
         let group = group.clone();
         let chosen = chosen.clone();
-        tokio::spawn(async move { monitor.duties.take(&group, Some(chosen)).await });
+        tokio::spawn(async move { monitor.duties.take(&group, Claim::Order(chosen)).await });
     }
 
     /// Orders the promotion, and waits until the replica leads.
@@ -297,15 +378,20 @@
             .iter()
             .zip(statuses)
             .filter_map(|(known, status)| Some((known, status?)))
+            .collect();
+        let named_before = self.duties.get(group).and_then(|duty| duty.record.chosen);
+        let successors: Vec<_> = answered
+            .iter()
             .map(|(known, status)| Successor {
                 instance: known.record.name.clone(),
                 received: status.received,
                 is_leaving: known.is_leaving,
+                is_named: named_before.as_ref() == Some(&known.record.name),
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
             .collect();
         let total = known.iter().filter(|known| !lost.is(&known.record.name)).count();
-        let Some(chosen) = choose_successor(&answered, total, sync_replicas, must_hold) else {
+        let Some(chosen) = choose_successor(&successors, total, sync_replicas, must_hold) else {
             info!(
                 "event=no_successor group={group} lost={} answered={} replicas={total} must_hold={}",
                 lost.name(),
@@ -324,6 +410,11 @@
         Some(Choice {
             instance: chosen.instance.clone(),
             is_by_majority: answered.len() * 2 > members,
+            newest_term: newest_term(answered.iter().map(|(_, status)| status)),
+            leading: answered
+                .iter()
+                .find(|(_, status)| status.is_leader)
+                .map(|(known, _)| known.record.name.clone()),
         })
     }
 
@@ -357,19 +448,8 @@
     }
 }
 
-async fn ask_status(
-    engine: &Arc<Engine>,
-    record: &InstanceRecord,
-    command: Command<'static>,
-) -> Option<InstanceStatus> {
-    let deadline = clock::now().plus_millis(STATUS_MS);
-    let session = SessionState::default();
-    let mut connection = engine
-        .pool(record)
-        .acquire(Purpose::Probe, &session, None, deadline)
-        .await
-        .ok()?;
-    let envelope = Envelope::own(command);
-    let reply = connection.exchange(&envelope, deadline).await.ok()?;
-    engine.backend_codec().read_status(&reply)
+/// The newest term that any of the instances has told of.
+fn newest_term<'a>(statuses: impl Iterator<Item = &'a InstanceStatus>) -> Term {
+    let terms = statuses.map(|status| Term(status.term).max(status.received.term));
+    terms.max().unwrap_or_default()
 }
--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -33,7 +33,7 @@
 ];
 
 /// Numbers of the failures of links on the wire.
-const LINK_ERRORS: [(u8, LinkError); 10] = [
+const LINK_ERRORS: [(u8, LinkError); 11] = [
     (1, LinkError::Refused),
     (2, LinkError::ConnectTimeout),
     (3, LinkError::TurnedAway),
@@ -44,6 +44,7 @@
     (8, LinkError::InstanceFailing),
     (9, LinkError::NoObservation),
     (10, LinkError::OwnerUnreachable),
+    (11, LinkError::NoPermit),
 ];
 
 fn micros_since(time: Instant) -> u64 {
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -308,6 +308,10 @@
         return Err(AttemptError::Link(LinkError::OwnerUnreachable));
     }
     let record = usable_instance(engine, &start.instance, start.begin == ForwardedBegin::ReadOnly)?;
+    let wants_leader = start.begin == ForwardedBegin::ReadWrite || statement.proves_leader == 1;
+    if wants_leader && !engine.directory.may_lead(&record.group, &record.name) {
+        return Err(AttemptError::Link(LinkError::InstanceFailing));
+    }
     let floor = read_floor(&start.floor);
     let staleness = match floor {
         ReadFloor::Staleness(terms) => Some(terms.staleness_ms),
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod settings;
 pub mod statement;
 pub mod store_watch;
+pub mod term_closing;
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -46,6 +46,12 @@
     pub transactions_abandoned: Counter,
     /// Promotions ordered.
     pub promotions: Counter,
+    /// Leaders that were told to step down and did.
+    pub step_downs: Counter,
+    /// Promotions that waited until permits had run out.
+    pub permits_waited_out: Counter,
+    /// Answers that did not count, since another instance may have led.
+    pub answers_without_permit: Counter,
     /// Sessions opened.
     pub sessions: Counter,
     /// Comparisons of the catalog with another node that were answered.
@@ -71,6 +77,9 @@
             hedged: Counter::default(),
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
+            step_downs: Counter::default(),
+            permits_waited_out: Counter::default(),
+            answers_without_permit: Counter::default(),
             sessions: Counter::default(),
             catalog_comparisons: Counter::default(),
             catalog_documents: Counter::default(),
@@ -100,6 +109,21 @@
             metrics.transactions_abandoned.clone(),
         );
         registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
+        registry.register(
+            "step_downs",
+            "Leaders that stepped down when told to",
+            metrics.step_downs.clone(),
+        );
+        registry.register(
+            "permits_waited_out",
+            "Promotions that waited until permits had run out",
+            metrics.permits_waited_out.clone(),
+        );
+        registry.register(
+            "answers_without_permit",
+            "Answers that did not count, since another instance may have led",
+            metrics.answers_without_permit.clone(),
+        );
         registry.register("sessions", "Sessions opened", metrics.sessions.clone());
         registry.register(
             "catalog_comparisons",
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -98,6 +98,8 @@
     pub store_contact: Arc<StoreContact>,
     /// Groups whose watchers this node is asking for the leader.
     pub leader_inquiries: Arc<GroupMarks>,
+    /// Groups whose old leader this node is telling to step down.
+    pub stepping_down: Arc<GroupMarks>,
     /// The nodes that own connections to instances.
     pub owners: Owners,
     /// Connections leased to other nodes.
@@ -322,12 +324,18 @@
         let probes = listen("ready_address", settings.ready_address).await?;
         let peers = listen("peer_address", settings.peer_address).await?;
         let metrics = listen("metrics_address", settings.metrics_address).await?;
+        let directory = Arc::new(Directory::new(
+            &settings.zone,
+            gone_grace_ms(&settings),
+            settings.promotion_fences,
+        ));
         let duties = Arc::new(Duties::new(
             ports.store.clone(),
             format!("{}duty/", ports.catalog_codec.own_prefix()),
             settings.name.clone(),
+            directory.clone(),
         ));
-        let engine = new_engine(settings, &ports, duties.clone());
+        let engine = new_engine(settings, &ports, directory, duties.clone());
         info!(
             "event=node_started name={} zone={} clients={} peers={}",
             engine.settings.name,
@@ -380,6 +388,7 @@
 fn new_engine<S: Store + 'static>(
     settings: EngineSettings,
     ports: &Ports<S>,
+    directory: Arc<Directory>,
     duties: Arc<Duties<S>>,
 ) -> Arc<Engine> {
     let nodes_prefix = format!("{}nodes/", ports.catalog_codec.own_prefix());
@@ -387,7 +396,7 @@
     let relays = Relays::new(&settings.zone, settings.config_bound_ms);
     let own_followers: Vec<Arc<dyn Follower>> = vec![registry.clone(), duties];
     Arc::new(Engine {
-        directory: Arc::new(Directory::new(&settings.zone, gone_grace_ms(&settings))),
+        directory,
         caller_codec: ports.caller_codec.clone(),
         metrics: Metrics::default(),
         request_log: RequestLog::default(),
@@ -400,6 +409,7 @@
         relays,
         store_contact: Arc::new(StoreContact::default()),
         leader_inquiries: Arc::default(),
+        stepping_down: Arc::default(),
         owners: Owners::default(),
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
--- a/crates/millwind-engine/src/own_keys.rs
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use millwind_core::Instant;
 use millwind_store::{Entry, Listing};
 use millwind_wire::exchange::StoredDocument;
 use tokio::sync::watch;
@@ -89,6 +90,16 @@
         }
     }
 
+    /// Takes in one document that a peer told of ahead of the store; others
+    /// that changed before it may still be unknown.
+    pub fn told(&self, document: StoredDocument) {
+        let entry = entry_of(document);
+        let is_news = self.state().keep(&entry);
+        if is_news {
+            self.tell_changed(&[entry]);
+        }
+    }
+
     fn tell_listed(&self, listing: &Listing) {
         for follower in &self.followers {
             follower.listed(listing.clone());
@@ -105,7 +116,6 @@
 impl State {
     /// Takes an entry in; false if it is known, or a newer one.
     fn keep(&mut self, entry: &Entry) -> bool {
-        self.known_revision = self.known_revision.max(entry.revision);
         let held = self.documents.get(&entry.key);
         if held.is_some_and(|held| held.revision >= entry.revision) {
             return false;
@@ -179,9 +189,17 @@
         self.tell_listed(&known);
     }
 
+    fn complete(&self, asked: Instant) {
+        for follower in &self.followers {
+            follower.complete(asked);
+        }
+    }
+
     fn changed(&self, entries: Vec<Entry>) {
         let fresh: Vec<Entry> = {
             let mut state = self.state();
+            let newest = entries.iter().map(|entry| entry.revision).max();
+            state.known_revision = state.known_revision.max(newest.unwrap_or_default());
             let news = |entry: &Entry| state.keep(entry);
             entries.into_iter().filter(news).collect()
         };
--- a/crates/millwind-engine/src/peers/client.rs
+++ b/crates/millwind-engine/src/peers/client.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -52,6 +53,21 @@
         tokio::time::timeout(ANSWER_LIMIT, asking).await.ok().flatten()
     }
 
+    /// As [`PeerClient::ask`], over a connection of its own that is not kept, for
+    /// a question to every node; the answer comes within `limit`.
+    pub async fn ask_apart(
+        &self,
+        address: SocketAddr,
+        request: &ExchangeRequest,
+        limit: Duration,
+    ) -> Option<ExchangeReply> {
+        let asking = async {
+            let mut link = connect(address).await?;
+            exchange(&mut link, request).await
+        };
+        tokio::time::timeout(limit, asking).await.ok().flatten()
+    }
+
     fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, Kept>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -122,6 +122,7 @@
             own_revision,
             complete,
             store_age_ms,
+            own_age_ms,
         }) = reply
         else {
             if source.is_relay {
@@ -153,6 +154,10 @@
             self.engine.directory.listing_known();
         }
         self.engine.own_keys.learn(own, own_revision);
+        if own_age_ms < u32::MAX {
+            let known = clock::minus_millis(sent, u64::from(own_age_ms));
+            self.engine.directory.confirm_terms(known);
+        }
         if store_age_ms < u32::MAX {
             let heard = clock::minus_millis(sent, u64::from(store_age_ms));
             self.engine.store_heard_by_peer(heard);
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::forward;
 use crate::node::Engine;
+use crate::term_closing;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -48,7 +49,7 @@
             debug!("event=peer_message_refused bytes={}", message.len());
             return;
         };
-        let reply = answer(&engine, &request);
+        let reply = answer(&engine, &request).await;
         let Ok(bytes) = encode_exchange(&reply) else {
             return;
         };
@@ -58,7 +59,7 @@
     }
 }
 
-fn answer(engine: &Engine, request: &ExchangeRequest) -> ExchangeReply {
+async fn answer(engine: &Arc<Engine>, request: &ExchangeRequest) -> ExchangeReply {
     match request {
         ExchangeRequest::Catalog {
             config_version,
@@ -85,6 +86,9 @@
                 leader: forward::leader_report(engine, &group).into_iter().collect(),
             }
         }
+        ExchangeRequest::CloseTerm(closing) => ExchangeReply::TermClosed {
+            has_stepped_down: u8::from(term_closing::hand_back(engine, closing).await),
+        },
     }
 }
 
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -99,7 +99,8 @@
 /// contact with it: the owner that runs the statement judges.
 fn is_usable(engine: &Engine, known: &Known, watches: bool) -> bool {
     let is_reached = !watches || known.contact.failing_since.is_none();
-    is_reached && engine.takes_new_work(known)
+    let may_lead = engine.directory.may_lead(&known.record.group, &known.record.name);
+    is_reached && may_lead && engine.takes_new_work(known)
 }
 
 /// A busy or changing instance is asked again after a moment.
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -30,6 +30,10 @@
     /// Two holders of the promotion duty must not act within this time of
     /// each other, in milliseconds; zero where fencing alone decides.
     pub duty_lease_ms: u64,
+    /// A promotion takes the lead from the old leader at that moment, and an
+    /// order under an old token is refused. Where it does not, nodes stop
+    /// counting on the old leader before a promotion is ordered.
+    pub promotion_fences: bool,
     /// An instance that announced its end must get nothing new after this
     /// time, in milliseconds.
     pub drain_bound_ms: u64,
--- a/crates/millwind-engine/src/statement.rs
+++ b/crates/millwind-engine/src/statement.rs
@@ -124,6 +124,11 @@
     },
     /// Lets a paused replica receive again.
     Resume,
+    /// Makes a leader of an earlier term a replica.
+    StepDown {
+        /// Term above the leader's.
+        term: u64,
+    },
 }
 
 /// A command with its envelope.
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -6,6 +6,7 @@
 
 use futures::future::BoxFuture;
 use log::{info, warn};
+use millwind_core::Instant;
 use millwind_store::{Entry, Listing, Store, StoreError, Watch};
 use rand::RngExt;
 use tokio::sync::watch;
@@ -45,6 +46,8 @@
     fn changed(&self, entries: Vec<Entry>);
     /// The store was heard, though nothing changed.
     fn heard(&self) {}
+    /// Everything that the store held at `asked` was told.
+    fn complete(&self, _asked: Instant) {}
     /// Whether its keys change so often that it notices an outage on behalf of
     /// all followers.
     fn is_sentinel(&self) -> bool {
@@ -141,21 +144,25 @@
     prefix: &str,
     follower: &dyn Follower,
     contact: &StoreContact,
-    lost_at: &mut Option<millwind_core::Instant>,
+    lost_at: &mut Option<Instant>,
     has_listed: &mut bool,
 ) -> Result<(), StoreError> {
+    let asked = clock::now();
     let listing = store.list(prefix).await?;
     let revision = listing.revision;
     follower.listed(listing);
+    follower.complete(asked);
     *has_listed = true;
     if regained(follower, lost_at) && follower.is_sentinel() {
         contact.note_regained();
     }
     let mut watch = store.watch(prefix, revision).await?;
     loop {
+        let asked = clock::now();
         let report = watch.next().await?;
         if report.changes.is_empty() {
             follower.heard();
+            follower.complete(asked);
         } else {
             follower.changed(report.changes);
         }
@@ -164,7 +171,7 @@
 }
 
 /// Notes that the store is heard; true if it was not before.
-fn regained(follower: &dyn Follower, lost_at: &mut Option<millwind_core::Instant>) -> bool {
+fn regained(follower: &dyn Follower, lost_at: &mut Option<Instant>) -> bool {
     let was_lost = lost_at.take();
     if let Some(lost) = was_lost {
         info!(
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 4;
+pub const EXCHANGE_VERSION: u8 = 5;
 
 /// One document of the store.
 #[binrw]
@@ -65,6 +65,31 @@
         #[bw(write_with = text::write_text)]
         group: String,
     },
+    /// A group's term is closed: hand the permit for it back.
+    #[brw(magic = 4u8)]
+    CloseTerm(TermClosing),
+}
+
+/// A closed term, as the store holds it.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TermClosing {
+    /// The group.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub group: String,
+    /// The term.
+    pub term: u64,
+    /// Its leader, empty where it is not known.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub leader: String,
+    /// One if the answering node should tell the leader to step down, where it
+    /// reaches it; else statements under way may end first.
+    pub steps_down: u8,
+    /// The record that closes the term.
+    pub record: StoredDocument,
 }
 
 /// Whether a node reaches an instance.
@@ -109,6 +134,9 @@
         /// Time since the answering node heard the store, itself or through
         /// others, in milliseconds; the greatest value for never.
         store_age_ms: u32,
+        /// Time since the answering node knew all of the system's own keys, in
+        /// milliseconds; the greatest value for never.
+        own_age_ms: u32,
     },
     /// Whether the instance is reached.
     #[brw(magic = 2u8)]
@@ -121,6 +149,13 @@
         #[bw(write_with = text::write_list)]
         leader: Vec<LeaderReport>,
     },
+    /// The permit for a closed term is handed back.
+    #[brw(magic = 4u8)]
+    TermClosed {
+        /// One if the old leader has told the answering node that it leads no
+        /// longer.
+        has_stepped_down: u8,
+    },
 }
 
 /// Writes a message with its version.
