Nodes that have gone are not waited for; permits only for registered nodes

Also the promoter asked only the nodes that it knew by its watch, while one that had just registered could hold a permit already.

Change: a node that stops as planned says so in its record once its last session has ended; one that no comparison of catalogs has reached for 5 s is marked by those who compare with it, and is waited for no longer once 10 s have passed since. A marked node that lives writes its record anew. News give permits only if they are later than the node's registration, and a promoter reads the nodes from the store after it has closed the term. Where promotions fence nothing changes.

--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -85,6 +85,9 @@
     store_heard: Option<Instant>,
     /// Everything that the store held of closed terms at this time is known.
     terms_confirmed: Option<Instant>,
+    /// Since when this node is registered, so that a promoter asks it for its
+    /// permits; news of before give it none.
+    registered_since: Option<Instant>,
     groups: HashMap<GroupName, Group>,
 }
 
--- a/crates/millwind-engine/src/directory/permits.rs
+++ b/crates/millwind-engine/src/directory/permits.rs
@@ -16,9 +16,31 @@
         self.is_fenced
     }
 
-    /// Everything that the store held of closed terms at `asked` is known.
+    /// Since when this node is registered, or that it is not.
+    pub fn registered(&self, since: Option<Instant>) {
+        self.state().registered_since = since;
+    }
+
+    /// Since when this node is registered.
+    pub fn registered_since(&self) -> Option<Instant> {
+        self.state().registered_since
+    }
+
+    /// Gives up all permits for good: this node ends.
+    pub fn drop_permits(&self) {
+        let mut state = self.state();
+        state.registered_since = None;
+        state.terms_confirmed = None;
+    }
+
+    /// Everything that the store held of closed terms at `asked` is known. That
+    /// gives permits only if this node was registered by then: else no promoter
+    /// would ask for them.
     pub fn confirm_terms(&self, asked: Instant) {
         let mut state = self.state();
+        if state.registered_since.is_none_or(|since| asked < since) {
+            return;
+        }
         state.terms_confirmed = state.terms_confirmed.max(Some(asked));
     }
 
@@ -92,13 +114,13 @@
     }
 
     /// Whether a new statement may be sent to `instance` as the leader of its
-    /// group.
-    pub fn may_lead(&self, group: &GroupName, instance: &InstanceName) -> bool {
+    /// group; `needs_permit` where this node sends it itself.
+    pub fn may_lead(&self, group: &GroupName, instance: &InstanceName, needs_permit: bool) -> bool {
         if self.is_fenced {
             return true;
         }
         let state = self.state();
-        if !is_confirmed(clock::now(), state.terms_confirmed) {
+        if needs_permit && !is_confirmed(clock::now(), state.terms_confirmed) {
             return false;
         }
         let entry = state.groups.get(group);
--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -53,6 +53,7 @@
     pub(super) async fn revoke(self: &Arc<Self>, closed: &ClosedTerm) -> bool {
         let started = clock::now();
         let mut has_stepped_down = false;
+        let mut is_complete = self.read_nodes().await;
         if closed.is_live {
             has_stepped_down = self.hand_over(closed).await;
         }
@@ -62,10 +63,13 @@
             if !has_stepped_down {
                 has_stepped_down = self.ask_round(closed, true, &mut answered).await;
             }
+            if !is_complete {
+                is_complete = self.read_nodes().await;
+            }
             let missing = self.missing(&answered);
             let revocation = Revocation {
                 closed: since,
-                missing: missing.len(),
+                missing: missing.len() + usize::from(!is_complete),
                 has_stepped_down,
             };
             if may_promote(clock::now(), &revocation) {
@@ -83,6 +87,17 @@
         }
     }
 
+    /// Reads from the store which nodes are registered: one that registers later
+    /// has heard of the closed term; false if the store gave no answer.
+    async fn read_nodes(&self) -> bool {
+        let registry = &self.engine.registry;
+        let Ok(listing) = self.duties.list(registry.prefix()).await else {
+            return false;
+        };
+        registry.apply(listing.entries);
+        true
+    }
+
     /// When this node knew that the term is closed.
     fn closed_since(&self, closed: &ClosedTerm) -> Instant {
         let terms = self.engine.directory.closed_terms(&closed.group);
@@ -104,14 +119,12 @@
         );
     }
 
-    /// The other registered nodes that have not handed their permits back.
+    /// The other nodes that may hold permits and have not handed them back.
     fn missing(&self, answered: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
-        let peers = self.engine.registry.peers().into_iter();
-        let addresses = peers.map(|(_, record)| record.peer_address);
         let own = self.engine.settings.peer_address;
-        addresses
-            .filter(|address| *address != own && !answered.contains(address))
-            .collect()
+        let mut missing = self.engine.registry.permit_holders();
+        missing.retain(|address| *address != own && !answered.contains(address));
+        missing
     }
 
     /// Asks this node and all others that have not answered for their permits;
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -309,7 +309,7 @@
     }
     let record = usable_instance(engine, &start.instance, start.begin == ForwardedBegin::ReadOnly)?;
     let wants_leader = start.begin == ForwardedBegin::ReadWrite || statement.proves_leader == 1;
-    if wants_leader && !engine.directory.may_lead(&record.group, &record.name) {
+    if wants_leader && !engine.directory.may_lead(&record.group, &record.name, true) {
         return Err(AttemptError::Link(LinkError::InstanceFailing));
     }
     let floor = read_floor(&start.floor);
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peers;
 pub mod ports;
 pub mod readiness;
+pub mod registration;
 pub mod registry;
 pub mod relays;
 pub mod session;
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -27,7 +27,8 @@
 use crate::own_keys::OwnKeys;
 use crate::peers::{self, Exchange, PeerClient};
 use crate::ports::{BackEndCodec, CallerCodec, CatalogCodec, Promoter};
-use crate::registry::{NodeRecord, Registry};
+use crate::registration::{Unreached, keep_registered, mark_gone};
+use crate::registry::{Departure, NodeRecord, Registry};
 use crate::relays::Relays;
 use crate::settings::{EngineSettings, SettingsError};
 use crate::store_watch::{Follower, StoreContact};
@@ -56,6 +57,11 @@
 const LAST_GRACE_PERCENT: u64 = 85;
 /// Probes must have failed twice before sessions are closed.
 const PROBES_NOTICE: Duration = Duration::from_millis(2_200);
+/// A node that stops waits so long for the store to take that, in milliseconds:
+/// a few times an answer's usual time between regions.
+const SIGN_OFF_MS: u64 = 300;
+/// Between two looks at whether it has.
+const SIGN_OFF_PAUSE: Duration = Duration::from_millis(10);
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 
@@ -98,6 +104,10 @@
     pub store_contact: Arc<StoreContact>,
     /// Groups whose watchers this node is asking for the leader.
     pub leader_inquiries: Arc<GroupMarks>,
+    /// How this node goes, once it does.
+    pub departure: watch::Sender<Option<Departure>>,
+    /// Nodes that comparisons of the catalog did not reach.
+    pub unreached: Unreached,
     /// Groups whose old leader this node is telling to step down.
     pub stepping_down: Arc<GroupMarks>,
     /// The nodes that own connections to instances.
@@ -354,6 +364,24 @@
         Ok(Node { engine })
     }
 
+    /// Gives up all permits and says so in the store, so that no promoter waits
+    /// for this node.
+    async fn sign_off(&self) {
+        if self.engine.settings.promotion_fences {
+            return;
+        }
+        self.engine.directory.drop_permits();
+        self.engine.departure.send_replace(Some(Departure::Stopped));
+        let deadline = clock::now().plus_millis(SIGN_OFF_MS);
+        let is_told = || {
+            let own = self.engine.registry.own_record().0;
+            own.is_some_and(|own| own.departure == Some(Departure::Stopped))
+        };
+        while !is_told() && clock::now() < deadline {
+            tokio::time::sleep(SIGN_OFF_PAUSE).await;
+        }
+    }
+
     /// Stops as planned: takes no new callers, lets open work end, closes
     /// resting sessions; true when all had ended in time.
     pub async fn stop(&self) -> bool {
@@ -365,6 +393,7 @@
         while clock::now() < last {
             let leases = self.engine.forwarded_leases.load(Ordering::Relaxed);
             if clock::now() >= first && self.engine.sessions() == 0 && leases == 0 {
+                self.sign_off().await;
                 info!("event=stop_finished ms={}", clock::now().millis_since(since));
                 return true;
             }
@@ -392,7 +421,11 @@
     duties: Arc<Duties<S>>,
 ) -> Arc<Engine> {
     let nodes_prefix = format!("{}nodes/", ports.catalog_codec.own_prefix());
-    let registry = Arc::new(Registry::new(nodes_prefix, settings.name.clone()));
+    let registry = Arc::new(Registry::new(
+        nodes_prefix,
+        settings.name.clone(),
+        directory.clone(),
+    ));
     let relays = Relays::new(&settings.zone, settings.config_bound_ms);
     let own_followers: Vec<Arc<dyn Follower>> = vec![registry.clone(), duties];
     Arc::new(Engine {
@@ -409,6 +442,8 @@
         relays,
         store_contact: Arc::new(StoreContact::default()),
         leader_inquiries: Arc::default(),
+        departure: watch::Sender::new(None),
+        unreached: Unreached::default(),
         stepping_down: Arc::default(),
         owners: Owners::default(),
         forwarded_leases: AtomicUsize::new(0),
@@ -436,10 +471,17 @@
     let record = NodeRecord {
         peer_address: engine.settings.peer_address,
         zone: engine.settings.zone.clone(),
+        departure: None,
     };
-    let registry = engine.registry.clone();
+    let keeper = engine.clone();
     let store = ports.store.clone();
-    tokio::spawn(async move { registry.register(&*store, record).await });
+    let departure = engine.departure.subscribe();
+    tokio::spawn(async move { keep_registered(&keeper.registry, &*store, record, departure).await });
+    if !engine.settings.promotion_fences {
+        let marker = engine.clone();
+        let store = ports.store.clone();
+        tokio::spawn(async move { mark_gone(&marker.registry, &*store, &marker.unreached).await });
+    }
     let monitor = Monitor::new(
         engine.clone(),
         duties,
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -125,12 +125,14 @@
             own_age_ms,
         }) = reply
         else {
+            self.engine.unreached.failed(address, sent);
             if source.is_relay {
                 info!("event=relay_unreachable relay={address}");
                 self.engine.relays.avoid(address);
             }
             return;
         };
+        self.engine.unreached.answered(address);
         let documents = config.len() + instances.len() + own.len();
         self.engine.metrics.catalog_comparisons.inc();
         self.engine.metrics.catalog_documents.inc_by(documents as u64);
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -1,20 +1,21 @@
 //! The nodes of the deployment, each under a key of its own in the store.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use log::{info, warn};
-use millwind_store::{Condition, Entry, Listing, Store, Swap, Write};
+use millwind_core::Instant;
+use millwind_core::lead_permit::PERMIT_MS;
+use millwind_store::{Entry, Listing};
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clock;
+use crate::directory::Directory;
 use crate::store_watch::Follower;
 
-const RETRY_PAUSE: Duration = Duration::from_millis(700);
-
 /// Key under which the nodes of a zone are ranked as its relays.
 const RELAY_KEY: &str = "relay";
 
@@ -25,6 +26,20 @@
     pub peer_address: SocketAddr,
     /// Zone it runs in.
     pub zone: String,
+    /// How it went, if it did: it holds no permits to count on leaders, or none
+    /// that do not run out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departure: Option<Departure>,
+}
+
+/// How a node went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Departure {
+    /// It stopped as planned, and said so itself.
+    Stopped,
+    /// Other nodes have not reached it for a while.
+    Unreachable,
 }
 
 /// A node that owns connections, or stands in for one that does.
@@ -41,6 +56,8 @@
 pub struct Registry {
     prefix: String,
     node: String,
+    directory: Arc<Directory>,
+    own_changed: Notify,
     nodes: Mutex<BTreeMap<String, RegisteredNode>>,
     /// This node's rank by key, with the version that it follows from.
     ranks: Mutex<HashMap<String, (u64, usize)>>,
@@ -56,6 +73,9 @@
     revision: u64,
     /// Hash of its name.
     hash: u64,
+    /// When this record was first seen here; what counts is that of a node that
+    /// went.
+    left_since: Instant,
 }
 
 impl RegisteredNode {
@@ -64,6 +84,7 @@
             record,
             revision,
             hash: hash_of(name),
+            left_since: clock::now(),
         }
     }
 }
@@ -108,11 +129,14 @@
 }
 
 impl Registry {
-    /// Records under `prefix`, seen by `node`.
-    pub fn new(prefix: String, node: String) -> Self {
+    /// Records under `prefix`, seen by `node`; whether it is registered is told
+    /// to `directory`.
+    pub fn new(prefix: String, node: String, directory: Arc<Directory>) -> Self {
         Registry {
             prefix,
             node,
+            directory,
+            own_changed: Notify::new(),
             nodes: Mutex::new(BTreeMap::new()),
             ranks: Mutex::new(HashMap::new()),
             version: AtomicU64::new(0),
@@ -241,43 +265,115 @@
         rank
     }
 
-    /// Writes this node's record, trying until the store has taken it.
-    pub async fn register<S: Store>(&self, store: &S, record: NodeRecord) {
-        let key = format!("{}{}", self.prefix, self.node);
-        loop {
-            let held = self.nodes().get(&self.node).cloned();
-            let revision = match held {
-                Some(same) if same.record == record => return,
-                Some(other) => other.revision,
-                None => 0,
-            };
-            let write = Write {
-                key: key.clone(),
-                value: serde_json::to_vec(&record).unwrap_or_default(),
-            };
-            let condition = Condition {
-                key: key.clone(),
-                revision,
-            };
-            match store.swap(&[condition], &[write]).await {
-                Ok(Swap::Done { revision }) => {
-                    info!("event=node_registered revision={revision}");
-                    let node = RegisteredNode::new(&self.node, record, revision);
-                    self.nodes().insert(self.node.clone(), node);
-                    self.changed();
-                    return;
-                }
-                Ok(Swap::Conflict { current }) => self.apply(current),
-                Err(error) => {
-                    warn!("event=node_not_registered error={:?}", error.to_string());
-                }
+    /// This node's record as it is known, with its revision; revision zero where
+    /// there is none.
+    pub fn own_record(&self) -> (Option<NodeRecord>, u64) {
+        let nodes = self.nodes();
+        let own = nodes.get(&self.node);
+        let revision = own.map_or(0, |own| own.revision);
+        (own.map(|own| own.record.clone()), revision)
+    }
+
+    /// The key of a node's record.
+    pub fn key(&self, node: &str) -> String {
+        format!("{}{node}", self.prefix)
+    }
+
+    /// Name of this node.
+    pub fn own_name(&self) -> &str {
+        &self.node
+    }
+
+    /// The prefix of all records.
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// The store has taken `record` of a node under `revision`.
+    pub fn written(&self, name: &str, record: NodeRecord, revision: u64) {
+        self.keep(&mut self.nodes(), name, record, revision);
+        self.changed();
+        if name == self.node {
+            self.tell_registration(Some(clock::now()));
+        }
+    }
+
+    /// Addresses of the other nodes that may hold permits to count on leaders:
+    /// all that are registered, but for those that stopped as planned, and those
+    /// that were marked so long ago that theirs have run out.
+    pub fn permit_holders(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let nodes = self.nodes();
+        let others = nodes.iter().filter(|(name, _)| **name != self.node);
+        others
+            .filter(|(_, node)| match node.record.departure {
+                None => true,
+                Some(Departure::Stopped) => false,
+                Some(Departure::Unreachable) => now.millis_since(node.left_since) < PERMIT_MS,
+            })
+            .map(|(_, node)| node.record.peer_address)
+            .collect()
+    }
+
+    /// A node with its record's revision, by its address; none for one that is
+    /// known to have gone.
+    pub fn present_at(&self, address: SocketAddr) -> Option<(String, NodeRecord, u64)> {
+        let nodes = self.nodes();
+        let mut present = nodes.iter().filter(|(_, node)| node.record.departure.is_none());
+        let (name, node) = present.find(|(_, node)| node.record.peer_address == address)?;
+        Some((name.clone(), node.record.clone(), node.revision))
+    }
+
+    fn keep(
+        &self,
+        nodes: &mut BTreeMap<String, RegisteredNode>,
+        name: &str,
+        record: NodeRecord,
+        revision: u64,
+    ) {
+        let mut node = RegisteredNode::new(name, record, revision);
+        if let Some(held) = nodes.get(name) {
+            if held.revision > revision {
+                return;
+            }
+            if held.record == node.record {
+                node.left_since = held.left_since;
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        nodes.insert(name.to_owned(), node);
+    }
+
+    /// Tells the directory since when this node is registered, which is what its
+    /// permits rest on, and those who wait for a change of its record.
+    fn tell_registration(&self, since: Option<Instant>) {
+        self.directory.registered(since);
+        self.own_changed.notify_one();
+    }
+
+    /// Waits until this node's record may have changed.
+    pub async fn own_changed(&self) {
+        self.own_changed.notified().await;
+    }
+
+    /// Takes in what is now known of this node's own record.
+    fn judge_registration(&self) {
+        let is_present = self.own_record().0.is_some_and(|own| own.departure.is_none());
+        match (is_present, self.directory.registered_since()) {
+            // A record of an earlier life of this node: how long it has been there
+            // is not known.
+            (true, None) => self.tell_registration(Some(clock::now())),
+            (false, Some(_)) => self.tell_registration(None),
+            _ => {}
         }
     }
 
-    fn apply(&self, entries: Vec<Entry>) {
-        let mut nodes = self.nodes();
+    /// Takes in records as the store holds them.
+    pub fn apply(&self, entries: Vec<Entry>) {
+        self.apply_to(&mut self.nodes(), entries);
+        self.judge_registration();
+    }
+
+    fn apply_to(&self, nodes: &mut BTreeMap<String, RegisteredNode>, entries: Vec<Entry>) {
         for entry in entries {
             let Some(name) = entry.key.strip_prefix(&self.prefix) else {
                 continue;
@@ -286,10 +382,7 @@
                 .value
                 .and_then(|value| serde_json::from_slice::<NodeRecord>(&value).ok());
             match record {
-                Some(record) => {
-                    let node = RegisteredNode::new(name, record, entry.revision);
-                    nodes.insert(name.to_owned(), node);
-                }
+                Some(record) => self.keep(nodes, name, record, entry.revision),
                 None => {
                     nodes.remove(name);
                 }
@@ -305,7 +398,15 @@
     }
 
     fn listed(&self, listing: Listing) {
-        self.nodes().clear();
+        {
+            let mut nodes = self.nodes();
+            let names: BTreeSet<&str> = listing
+                .entries
+                .iter()
+                .filter_map(|entry| entry.key.strip_prefix(&self.prefix))
+                .collect();
+            nodes.retain(|name, _| names.contains(name.as_str()));
+        }
         self.apply(listing.entries);
         self.changed();
         self.is_listed.store(true, Ordering::Relaxed);
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -96,10 +96,14 @@
 }
 
 /// Whether a leader may be used. A node that does not watch the group has no
-/// contact with it: the owner that runs the statement judges.
+/// contact with it, and one that does not run statements there needs no permit:
+/// the owner that runs the statement judges.
 fn is_usable(engine: &Engine, known: &Known, watches: bool) -> bool {
     let is_reached = !watches || known.contact.failing_since.is_none();
-    let may_lead = engine.directory.may_lead(&known.record.group, &known.record.name);
+    let runs_here = engine.runs_statements_on(&known.record);
+    let may_lead = engine
+        .directory
+        .may_lead(&known.record.group, &known.record.name, runs_here);
     is_reached && may_lead && engine.takes_new_work(known)
 }
 
--- a/crates/millwind-engine/tests/neighbours.rs
+++ b/crates/millwind-engine/tests/neighbours.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use millwind_engine::directory::Directory;
 use millwind_engine::registry::{NodeRecord, Registry};
 use millwind_engine::store_watch::Follower;
 use millwind_store::{Entry, Listing};
@@ -28,11 +30,13 @@
 
 /// A registry of the node `own` that knows all of `nodes`.
 fn registry_of(own: &TestNode, nodes: &[TestNode]) -> Registry {
-    let registry = Registry::new("nodes/".to_owned(), own.name.clone());
+    let directory = Arc::new(Directory::new(&own.zone, 0, true));
+    let registry = Registry::new("nodes/".to_owned(), own.name.clone(), directory);
     let entry = |(index, node): (usize, &TestNode)| {
         let record = NodeRecord {
             peer_address: node.address,
             zone: node.zone.clone(),
+            departure: None,
         };
         Entry {
             key: format!("nodes/{}", node.name),
