--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -476,7 +476,7 @@
     let keeper = engine.clone();
     let store = ports.store.clone();
     let departure = engine.departure.subscribe();
-    tokio::spawn(async move { keep_registered(&keeper.registry, &*store, record, departure).await });
+    tokio::spawn(async move { keep_registered(&keeper, &*store, record, departure).await });
     if !engine.settings.promotion_fences {
         let marker = engine.clone();
         let store = ports.store.clone();
--- a/crates/millwind-engine/src/registration.rs
+++ b/crates/millwind-engine/src/registration.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::node::Engine;
 use crate::registry::{Departure, NodeRecord, Registry};
 
 /// Between two tries to write this node's record.
@@ -82,11 +83,12 @@
 /// `departure` says how it goes, with that. Each change of the record by others
 /// is undone.
 pub async fn keep_registered<S: Store>(
-    registry: &Registry,
+    engine: &Engine,
     store: &S,
     record: NodeRecord,
     mut departure: watch::Receiver<Option<Departure>>,
 ) {
+    let registry = &engine.registry;
     loop {
         let wanted = NodeRecord {
             departure: *departure.borrow_and_update(),
@@ -100,8 +102,12 @@
             }
             continue;
         }
+        let is_present = wanted.departure.is_none();
         if !write(registry, store, registry.own_name(), wanted, revision).await {
             tokio::time::sleep(RETRY_PAUSE).await;
+        } else if is_present && !engine.settings.promotion_fences {
+            // Only news of after the registration give permits.
+            engine.store_contact.refresh();
         }
     }
 }
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -58,6 +58,8 @@
     node: String,
     directory: Arc<Directory>,
     own_changed: Notify,
+    /// When this life of the node began.
+    started: Instant,
     nodes: Mutex<BTreeMap<String, RegisteredNode>>,
     /// This node's rank by key, with the version that it follows from.
     ranks: Mutex<HashMap<String, (u64, usize)>>,
@@ -137,6 +139,7 @@
             node,
             directory,
             own_changed: Notify::new(),
+            started: clock::now(),
             nodes: Mutex::new(BTreeMap::new()),
             ranks: Mutex::new(HashMap::new()),
             version: AtomicU64::new(0),
@@ -359,9 +362,8 @@
     fn judge_registration(&self) {
         let is_present = self.own_record().0.is_some_and(|own| own.departure.is_none());
         match (is_present, self.directory.registered_since()) {
-            // A record of an earlier life of this node: how long it has been there
-            // is not known.
-            (true, None) => self.tell_registration(Some(clock::now())),
+            // Written by an earlier life of this node, before this one began.
+            (true, None) => self.tell_registration(Some(self.started)),
             (false, Some(_)) => self.tell_registration(None),
             _ => {}
         }
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -25,7 +25,7 @@
 /// keys change all the time notices an outage and its end before the others.
 #[derive(Debug, Default)]
 pub struct StoreContact {
-    /// Counts the ends of outages.
+    /// Counts the ends of outages, and the needs for fresh news.
     regained: watch::Sender<u64>,
 }
 
@@ -34,6 +34,11 @@
     pub fn note_regained(&self) {
         self.regained.send_modify(|count| *count += 1);
     }
+
+    /// Fresh news are needed now: all followers read anew.
+    pub fn refresh(&self) {
+        self.regained.send_modify(|count| *count += 1);
+    }
 }
 
 /// Takes in what lies under one prefix of the store.
