--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -16,6 +16,13 @@
 /// Between the first two tries while the store does not answer; the pause
 /// doubles, since each call is paid for and loads a store in trouble.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// A node that knows nothing yet gives a listing up after this time, and after
+/// twice as long the next time: a store that comes back does not answer what it
+/// was asked while it was out. Above the answers of a slow store (some 0.4 s on
+/// the users' days).
+const FIRST_LISTING_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time for a listing.
+const MOST_LISTING_LIMIT: Duration = Duration::from_millis(2_000);
 /// Longest pause between two tries.
 pub const MOST_PAUSE: Duration = Duration::from_millis(1_500);
 /// The same for a node that others tell when the store is heard again.
@@ -84,6 +91,7 @@
     let mut lost_at = None;
     let mut pause = RETRY_PAUSE;
     let mut has_listed = false;
+    let mut listing_limit = FIRST_LISTING_LIMIT;
     let mut reads = follower.reads();
     loop {
         if until_reads(&mut reads, true).await {
@@ -95,6 +103,7 @@
             &prefix,
             &*follower,
             &contact,
+            listing_limit,
             &mut lost_at,
             &mut has_listed,
         );
@@ -122,6 +131,10 @@
             Ok(()) = regained.changed(), if !follower.is_sentinel() => {}
             _ = until_reads(&mut reads, false) => {}
         }
+        listing_limit = match has_listed {
+            true => MOST_LISTING_LIMIT,
+            false => (listing_limit * 2).min(MOST_LISTING_LIMIT),
+        };
         // A node that knows nothing yet cannot serve: it asks on.
         if has_listed {
             pause = (pause * 2).min(follower.most_pause());
@@ -149,11 +162,13 @@
     prefix: &str,
     follower: &dyn Follower,
     contact: &StoreContact,
+    listing_limit: Duration,
     lost_at: &mut Option<Instant>,
     has_listed: &mut bool,
 ) -> Result<(), StoreError> {
     let asked = clock::now();
-    let listing = store.list(prefix).await?;
+    let listing = tokio::time::timeout(listing_limit, store.list(prefix)).await;
+    let listing = listing.map_err(|_| StoreError::NoAnswer("listing took too long".to_owned()))??;
     let revision = listing.revision;
     follower.listed(listing);
     follower.complete(asked);
