A session that comes while a node signs off is not cut

A node that stops waited up to 0.3 s for the store to take its sign-off after its last session had ended; a session that came meanwhile was cut when the process ended.

Change: after the sign-off it waits again until no session is open. A node that ends takes no permits any more, whatever news still come.

--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -88,6 +88,8 @@
     /// Since when this node is registered, so that a promoter asks it for its
     /// permits; news of before give it none.
     registered_since: Option<Instant>,
+    /// This node ends and takes no permits any more.
+    is_ending: bool,
     groups: HashMap<GroupName, Group>,
 }
 
--- a/crates/millwind-engine/src/directory/permits.rs
+++ b/crates/millwind-engine/src/directory/permits.rs
@@ -29,7 +29,7 @@
     /// Gives up all permits for good: this node ends.
     pub fn drop_permits(&self) {
         let mut state = self.state();
-        state.registered_since = None;
+        state.is_ending = true;
         state.terms_confirmed = None;
     }
 
@@ -38,7 +38,8 @@
     /// would ask for them.
     pub fn confirm_terms(&self, asked: Instant) {
         let mut state = self.state();
-        if state.registered_since.is_none_or(|since| asked < since) {
+        let is_asked_for = state.registered_since.is_some_and(|since| asked >= since);
+        if state.is_ending || !is_asked_for {
             return;
         }
         state.terms_confirmed = state.terms_confirmed.max(Some(asked));
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -390,10 +390,17 @@
         self.engine.phase.send_replace(Phase::Stopping(since));
         let last = since.plus_millis(self.engine.settings.grace_ms * LAST_GRACE_PERCENT / 100);
         let first = since.plus_millis(PROBES_NOTICE.as_millis() as u64).min(last);
+        let mut has_signed_off = false;
         while clock::now() < last {
             let leases = self.engine.forwarded_leases.load(Ordering::Relaxed);
-            if clock::now() >= first && self.engine.sessions() == 0 && leases == 0 {
+            let is_idle = self.engine.sessions() == 0 && leases == 0;
+            if clock::now() >= first && is_idle && !has_signed_off {
+                // A session may come meanwhile.
                 self.sign_off().await;
+                has_signed_off = true;
+                continue;
+            }
+            if is_idle && has_signed_off {
                 info!("event=stop_finished ms={}", clock::now().millis_since(since));
                 return true;
             }
--- a/crates/millwind-engine/tests/permits.rs
+++ b/crates/millwind-engine/tests/permits.rs
@@ -129,3 +129,15 @@
     registry.listed(listing(vec![other(Some(Departure::Stopped))]));
     assert!(registry.permit_holders().is_empty());
 }
+
+#[test]
+fn a_node_that_ends_takes_no_permits_any_more() {
+    let (directory, registry) = node();
+    registry.listed(listing(vec![entry(None, 5)]));
+    directory.confirm_terms(clock::now());
+    assert!(counts_leader(&directory, 1));
+    directory.drop_permits();
+    registry.apply(vec![entry(None, 6)]);
+    directory.confirm_terms(clock::now());
+    assert!(!counts_leader(&directory, 1));
+}
