Model of leadership without a fence

Each of the eight rules switched off gives a counterexample: the permit's end, the look at the answer, settling, the age of news, registration first, reading the nodes after the closing, revoking before the order, the step-down that was heard.

--- a/crates/millwind-core/src/lead_permit.rs
+++ b/crates/millwind-core/src/lead_permit.rs
@@ -55,7 +55,7 @@
 }
 
 /// What one node knows of the closed terms of one group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub struct ClosedTerms {
     /// This term and all before it are closed.
     closed: Term,
--- /dev/null
+++ b/crates/millwind-model/src/leadership.rs
@@ -0,0 +1,319 @@
+//! Leadership where a promotion does not take the lead from the old leader: no
+//! write that an old leader commits after a promotion is acknowledged.
+//!
+//! Two nodes send writes to the old leader; one of them registers late. They
+//! ask the store for closed terms, and answers take any time. A promoter closes
+//! the term, reads which nodes are registered, asks them for their permits, tells
+//! the old leader to step down, and orders the promotion. Any message may be
+//! late or never arrive. Time passes in halves of a permit's life.
+
+use millwind_core::Instant;
+use millwind_core::invariant::Invariant;
+use millwind_core::lead_permit::{ClosedTerms, PERMIT_MS, Permit, Revocation, may_promote};
+use millwind_core::position::Term;
+
+use crate::checker::Model;
+use crate::rule::Rule;
+
+const NODES: usize = 2;
+/// One unit of time.
+const UNIT_MS: u64 = PERMIT_MS / 2;
+const START_UNIT: u64 = 10;
+/// The old leader's term.
+const TERM: Term = Term(1);
+
+/// The model, with one rule switched off or none.
+#[derive(Debug, Clone, Copy)]
+pub struct Leadership {
+    /// Rule that does not guard.
+    pub broken: Option<Rule>,
+    /// Units of time that pass at most; a permit lasts for two.
+    pub units: u64,
+}
+
+/// A question for closed terms on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Question {
+    asked_unit: u64,
+    /// The node was registered when it asked.
+    was_registered: bool,
+    /// What the store has answered: whether the term is closed.
+    answer: Option<bool>,
+}
+
+/// A write that a node has sent to the old leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Write {
+    Sent,
+    Committed { is_after_promotion: bool },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+struct Node {
+    terms: ClosedTerms,
+    confirmed_unit: Option<u64>,
+    question: Option<Question>,
+    write: Option<Write>,
+    is_registered: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+struct Promoter {
+    closed_unit: Option<u64>,
+    /// The nodes that it has read from the store.
+    known: Option<[bool; NODES]>,
+    answered: [bool; NODES],
+    has_told_leader: bool,
+    has_heard_leader: bool,
+    has_promoted: bool,
+}
+
+/// A state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    nodes: Vec<Node>,
+    promoter: Promoter,
+    old_leader_leads: bool,
+    unit: u64,
+    /// A node that acknowledged a write which came after the promotion.
+    acknowledged_late: Option<usize>,
+}
+
+fn at(unit: u64) -> Instant {
+    Instant::from_millis(unit * UNIT_MS)
+}
+
+impl Leadership {
+    /// The rules that guard here.
+    pub const RULES: [Rule; 8] = [
+        Rule::PermitExpires,
+        Rule::PermitAtAnswer,
+        Rule::SettleWithinPermit,
+        Rule::NewsFromAsking,
+        Rule::RegisteredFirst,
+        Rule::ListAfterClosing,
+        Rule::RevokeBeforeOrder,
+        Rule::StepDownHeard,
+    ];
+
+    fn keeps(&self, rule: Rule) -> bool {
+        self.broken != Some(rule)
+    }
+
+    fn permit(&self, state: &State, node: &Node) -> Permit {
+        let mut confirmed = node.confirmed_unit.map(at);
+        if !self.keeps(Rule::PermitExpires) {
+            confirmed = confirmed.map(|_| at(state.unit));
+        }
+        node.terms.permit(TERM, at(state.unit), confirmed)
+    }
+
+    /// What a node takes for the time of its news before the term was closed.
+    fn confirmed_before(&self, state: &State, node: &Node) -> Option<Instant> {
+        match self.keeps(Rule::SettleWithinPermit) {
+            true => node.confirmed_unit.map(at),
+            false => Some(at(state.unit)),
+        }
+    }
+
+    fn asking(&self, state: &State, steps: &mut Vec<(String, State)>) {
+        for (index, node) in state.nodes.iter().enumerate() {
+            let mut next = state.clone();
+            let Some(question) = node.question else {
+                next.nodes[index].question = Some(Question {
+                    asked_unit: state.unit,
+                    was_registered: node.is_registered,
+                    answer: None,
+                });
+                steps.push((format!("node {index} asks for closed terms"), next));
+                continue;
+            };
+            let Some(is_closed) = question.answer else {
+                let is_closed = state.promoter.closed_unit.is_some();
+                next.nodes[index].question = Some(Question {
+                    answer: Some(is_closed),
+                    ..question
+                });
+                steps.push((
+                    format!("the store answers node {index}: closed={is_closed}"),
+                    next,
+                ));
+                continue;
+            };
+            self.take_answer(state, &mut next.nodes[index], question, is_closed);
+            steps.push((format!("node {index} takes the answer"), next));
+        }
+    }
+
+    fn take_answer(&self, state: &State, node: &mut Node, question: Question, is_closed: bool) {
+        node.question = None;
+        if is_closed {
+            let before = self.confirmed_before(state, node);
+            node.terms.close(TERM, at(state.unit), before);
+        }
+        if !question.was_registered && self.keeps(Rule::RegisteredFirst) {
+            return;
+        }
+        let known_unit = match self.keeps(Rule::NewsFromAsking) {
+            true => question.asked_unit,
+            false => state.unit,
+        };
+        node.confirmed_unit = node.confirmed_unit.max(Some(known_unit));
+    }
+
+    fn writing(&self, state: &State, steps: &mut Vec<(String, State)>) {
+        for (index, node) in state.nodes.iter().enumerate() {
+            let mut next = state.clone();
+            let permit = self.permit(state, node);
+            match node.write {
+                None if permit == Permit::Good => {
+                    next.nodes[index].write = Some(Write::Sent);
+                    steps.push((format!("node {index} sends a write to the old leader"), next));
+                }
+                Some(Write::Sent) if state.old_leader_leads => {
+                    next.nodes[index].write = Some(Write::Committed {
+                        is_after_promotion: state.promoter.has_promoted,
+                    });
+                    steps.push((format!("the old leader commits the write of node {index}"), next));
+                }
+                Some(Write::Committed { is_after_promotion }) => {
+                    next.nodes[index].write = None;
+                    let counts = permit.covers_answer() || !self.keeps(Rule::PermitAtAnswer);
+                    if counts && is_after_promotion {
+                        next.acknowledged_late = Some(index);
+                    }
+                    steps.push((format!("node {index} takes the answer: counts={counts}"), next));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn registering(state: &State, steps: &mut Vec<(String, State)>) {
+        for (index, node) in state.nodes.iter().enumerate() {
+            if !node.is_registered {
+                let mut next = state.clone();
+                next.nodes[index].is_registered = true;
+                steps.push((format!("node {index} registers"), next));
+            }
+        }
+    }
+
+    fn closing(&self, state: &State, steps: &mut Vec<(String, State)>) {
+        let promoter = &state.promoter;
+        if promoter.closed_unit.is_none() {
+            let mut next = state.clone();
+            next.promoter.closed_unit = Some(state.unit);
+            steps.push(("the promoter closes the term".to_owned(), next));
+        }
+        let may_list = promoter.closed_unit.is_some() || !self.keeps(Rule::ListAfterClosing);
+        if promoter.known.is_none() && may_list {
+            let mut next = state.clone();
+            let registered = |index: usize| state.nodes[index].is_registered;
+            next.promoter.known = Some(std::array::from_fn(registered));
+            steps.push(("the promoter reads the nodes".to_owned(), next));
+        }
+    }
+
+    fn revoking(&self, state: &State, steps: &mut Vec<(String, State)>) {
+        let promoter = &state.promoter;
+        let (Some(closed_unit), Some(known)) = (promoter.closed_unit, promoter.known) else {
+            return;
+        };
+        for index in 0..NODES {
+            if !known[index] || promoter.answered[index] {
+                continue;
+            }
+            let mut next = state.clone();
+            let before = self.confirmed_before(state, &state.nodes[index]);
+            let terms = &mut next.nodes[index].terms;
+            terms.close(TERM, at(state.unit), before);
+            terms.hand_back(TERM);
+            next.promoter.answered[index] = true;
+            steps.push((format!("node {index} hands its permit back"), next));
+        }
+        if !promoter.has_told_leader {
+            let mut next = state.clone();
+            next.promoter.has_told_leader = true;
+            steps.push(("the promoter tells the old leader to step down".to_owned(), next));
+        }
+        if promoter.has_told_leader && state.old_leader_leads {
+            let mut next = state.clone();
+            next.old_leader_leads = false;
+            steps.push(("the old leader steps down".to_owned(), next));
+        }
+        if !state.old_leader_leads && !promoter.has_heard_leader {
+            let mut next = state.clone();
+            next.promoter.has_heard_leader = true;
+            steps.push(("the promoter hears that it has".to_owned(), next));
+        }
+        let revocation = Revocation {
+            closed: at(closed_unit),
+            missing: (0..NODES)
+                .filter(|index| known[*index] && !promoter.answered[*index])
+                .count(),
+            has_stepped_down: match self.keeps(Rule::StepDownHeard) {
+                true => promoter.has_heard_leader,
+                false => promoter.has_told_leader,
+            },
+        };
+        let may = may_promote(at(state.unit), &revocation) || !self.keeps(Rule::RevokeBeforeOrder);
+        if may && !promoter.has_promoted {
+            let mut next = state.clone();
+            next.promoter.has_promoted = true;
+            steps.push(("the promotion takes effect".to_owned(), next));
+        }
+    }
+}
+
+impl Model for Leadership {
+    type State = State;
+
+    fn name(&self) -> &'static str {
+        "leadership"
+    }
+
+    fn invariants(&self) -> &'static [Invariant] {
+        &[Invariant::NoOldPrimaryAcknowledgement]
+    }
+
+    fn bounds(&self) -> String {
+        format!("nodes={NODES} units={}", self.units)
+    }
+
+    fn initial(&self) -> State {
+        let first = Node {
+            is_registered: true,
+            confirmed_unit: Some(START_UNIT),
+            ..Node::default()
+        };
+        State {
+            nodes: vec![first, Node::default()],
+            promoter: Promoter::default(),
+            old_leader_leads: true,
+            unit: START_UNIT,
+            acknowledged_late: None,
+        }
+    }
+
+    fn steps(&self, state: &State) -> Vec<(String, State)> {
+        let mut steps = Vec::new();
+        self.asking(state, &mut steps);
+        self.writing(state, &mut steps);
+        Self::registering(state, &mut steps);
+        self.closing(state, &mut steps);
+        self.revoking(state, &mut steps);
+        if state.unit < START_UNIT + self.units {
+            let mut next = state.clone();
+            next.unit += 1;
+            steps.push(("half of a permit's life passes".to_owned(), next));
+        }
+        steps
+    }
+
+    fn violation(&self, state: &State) -> Option<(Invariant, String)> {
+        let node = state.acknowledged_late?;
+        let detail = format!("node {node} acknowledged a write of the old leader after the promotion");
+        Some((Invariant::NoOldPrimaryAcknowledgement, detail))
+    }
+}
--- a/crates/millwind-model/src/lib.rs
+++ b/crates/millwind-model/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod checker;
 pub mod configuration;
+pub mod leadership;
 pub mod links;
 pub mod rule;
 pub mod writes;
--- a/crates/millwind-model/src/main.rs
+++ b/crates/millwind-model/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use millwind_model::configuration::Configuration;
+use millwind_model::leadership::Leadership;
 use millwind_model::links::Links;
 use millwind_model::writes::{Bounds, Writes};
 use millwind_model::{Model, Outcome, Rule, check};
@@ -78,7 +79,9 @@
         },
         broken,
     );
-    let found = [writes, configuration, links]
+    let units = if large { 3 } else { 2 };
+    let leadership = report(&Leadership { broken, units }, broken);
+    let found = [writes, configuration, links, leadership]
         .iter()
         .any(|outcome| outcome.counterexample.is_some());
     if let Some(rule) = broken {
--- a/crates/millwind-model/src/rule.rs
+++ b/crates/millwind-model/src/rule.rs
@@ -35,4 +35,20 @@
     PinEpoch,
     /// A reply is matched by its request id, not by its order.
     ReplyById,
+    /// A permit to count on a leader ends with the news that it rests on.
+    PermitExpires,
+    /// A permit is looked at when an answer is taken in, not only before.
+    PermitAtAnswer,
+    /// Statements settle only while the permit of before would have lasted.
+    SettleWithinPermit,
+    /// The age of news counts from when they were asked for.
+    NewsFromAsking,
+    /// News give permits only to a node that was registered when it asked.
+    RegisteredFirst,
+    /// The promoter reads the nodes after it has closed the term.
+    ListAfterClosing,
+    /// Every permit is revoked before the order.
+    RevokeBeforeOrder,
+    /// A leader counts as stepped down once it has said so.
+    StepDownHeard,
 }
--- a/crates/millwind-model/tests/check.rs
+++ b/crates/millwind-model/tests/check.rs
@@ -2,6 +2,7 @@
 
 use clap::ValueEnum;
 use millwind_model::configuration::Configuration;
+use millwind_model::leadership::Leadership;
 use millwind_model::links::Links;
 use millwind_model::writes::{Bounds, Writes};
 use millwind_model::{Counterexample, Rule, check};
@@ -14,6 +15,16 @@
     }
 }
 
+fn leadership(broken: Option<Rule>) -> Leadership {
+    Leadership { broken, units: 2 }
+}
+
+/// Looks only where the rule guards something: the whole model takes long.
+fn leadership_violation(broken: Option<Rule>) -> Option<Counterexample> {
+    let rule = broken.filter(|rule| Leadership::RULES.contains(rule))?;
+    check(&leadership(Some(rule))).counterexample
+}
+
 fn bounds(broken: Option<Rule>) -> Bounds {
     match broken {
         Some(Rule::NoRepeatAfterSent) => Bounds {
@@ -52,13 +63,21 @@
     assert_eq!(configuration.counterexample, None);
     let links = check(&links(None));
     assert_eq!(links.counterexample, None);
+    let leadership = check(&leadership(None));
+    assert_eq!(leadership.counterexample, None);
+    assert!(
+        leadership.states > 10_000,
+        "only {} states explored",
+        leadership.states
+    );
 }
 
 #[test]
 fn each_rule_switched_off_gives_a_counterexample() {
     for rule in Rule::value_variants() {
         let broken = Some(*rule);
-        let counterexample = writes(broken)
+        let counterexample = leadership_violation(broken)
+            .or_else(|| writes(broken))
             .or_else(|| check(&links(broken)).counterexample)
             .or_else(|| check(&Configuration { broken, losses: 1 }).counterexample)
             .unwrap_or_else(|| panic!("{rule:?} switched off breaks nothing"));
