--- a/crates/millwind-model/src/leadership.rs
+++ b/crates/millwind-model/src/leadership.rs
@@ -220,8 +220,8 @@
         let (Some(closed_unit), Some(known)) = (promoter.closed_unit, promoter.known) else {
             return;
         };
-        for index in 0..NODES {
-            if !known[index] || promoter.answered[index] {
+        for (index, is_known) in known.into_iter().enumerate() {
+            if !is_known || promoter.answered[index] {
                 continue;
             }
             let mut next = state.clone();
