An owner that answers in an instance's place shows nothing of the instance

An owner that gives a statement up answers the node that passed it on; that answer was taken for a contact with the instance, which counted as regained, and peers were told that it was reached.

Change: such an answer only ends the question.

--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -87,6 +87,12 @@
         self.directory.answered(&self.instance, None);
     }
 
+    /// Another node answered in the instance's place: that tells nothing of the
+    /// instance.
+    pub fn passed(&self) {
+        self.was_answered.set(true);
+    }
+
     /// The exchange failed.
     pub fn failed(&self, error: &LinkError) {
         match error {
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -177,7 +177,7 @@
                 note_error(engine, &self.record, error);
             }
             Err(AttemptError::Link(_)) => {
-                inquiry.taken();
+                inquiry.passed();
                 engine.directory.avoid(&self.record.name);
                 engine.owners.avoid(self.link.address(), &self.record.name);
             }
--- /dev/null
+++ b/crates/millwind-engine/tests/inquiry.rs
@@ -0,0 +1,46 @@
+//! What the end of a question tells of the instance that it was meant for.
+
+use std::sync::Arc;
+
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_engine::catalog::InstanceRecord;
+use millwind_engine::clock;
+use millwind_engine::directory::Directory;
+use millwind_engine::execution::Inquiry;
+
+const NAME: &str = "i-a";
+
+fn directory() -> Arc<Directory> {
+    let directory = Directory::new("z1", 0, true);
+    directory.apply_record(InstanceRecord {
+        name: InstanceName::from(NAME),
+        group: GroupName::from("ledger"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "z1".into(),
+        is_leaving: false,
+        claims_lead: true,
+        slots: 3,
+    });
+    Arc::new(directory)
+}
+
+#[test]
+fn an_owner_that_answers_in_an_instances_place_does_not_show_that_it_lives() {
+    let directory = directory();
+    let instance = InstanceName::from(NAME);
+    directory.failed(&instance, clock::now(), false);
+    Inquiry::new(&directory, &instance).passed();
+    let contact = directory.instance(&instance).unwrap().contact;
+    assert!(directory.is_failing(&instance));
+    assert_eq!(contact.last_success, None);
+    assert_eq!(contact.statements.under_way(), 0);
+}
+
+#[test]
+fn an_instance_that_takes_a_question_is_no_longer_failing() {
+    let directory = directory();
+    let instance = InstanceName::from(NAME);
+    directory.failed(&instance, clock::now(), false);
+    Inquiry::new(&directory, &instance).taken();
+    assert!(!directory.is_failing(&instance));
+}
