--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -67,6 +67,7 @@
                 is_complete = self.read_nodes().await;
             }
             let missing = self.missing(&answered);
+            // Before the nodes are read, at least one may be unknown.
             let revocation = Revocation {
                 closed: since,
                 missing: missing.len() + usize::from(!is_complete),
