A new leader without a commit of its own is believed by the term it tells

Cause, from request lines with no_permit for a leader that had just been promoted: its log stands in the old, closed term until its first commit, so its answers proved nothing; reads and transactions waited for somebody's single write, for ever in a group without one. The stand-in instance had hidden it by showing a leader's own term.

Change: where an answer's log term is closed, the watchers ask the instance for the term that it leads; as long as it answers as a leader that is its term or a later one. Nodes tell each other the term with the leader. The leader of the closed term itself is not believed so before it has stepped down.

--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -64,6 +64,9 @@
     leader: Option<Leader>,
     /// Where promotions don't fence: the terms that are closed.
     closed_terms: ClosedTerms,
+    /// Terms that instances have said they lead, where their logs don't show it:
+    /// a new leader's log stands in an earlier term until its first commit.
+    told_terms: HashMap<InstanceName, Term>,
     /// The newest term whose leader has told this node that it leads no longer.
     stepped_down: Term,
     /// The leader whose term was closed last: its word that it leads is not
@@ -389,23 +392,24 @@
         position: Position,
     ) -> bool {
         let mut state = self.state();
-        if !self.permit_in(&state, group, position.term).covers_answer() {
+        let term = led_term(&state, group, instance, position);
+        if !self.permit_in(&state, group, term).covers_answer() {
             return false;
         }
         let entry = state.groups.entry(group.clone()).or_default();
         entry.observations.record(asked, position);
         self.observed.notify_waiters();
         let newest_term = entry.observations.newest().map(|newest| newest.position.term);
-        if newest_term.is_some_and(|newest| position.term < newest) {
+        if newest_term.is_some_and(|newest| term < newest) {
             return true;
         }
-        if position.term <= entry.closed_terms.closed() {
+        if term <= entry.closed_terms.closed() {
             return true;
         }
         entry.retired = None;
         let leader = Leader {
             instance: instance.clone(),
-            term: Some(position.term),
+            term: Some(term),
         };
         if entry.leader.as_ref() == Some(&leader) {
             return true;
@@ -415,7 +419,7 @@
             .as_ref()
             .is_none_or(|previous| previous.instance != *instance);
         info!(
-            "event=leader_proved group={group} instance={instance} term={} position={}",
+            "event=leader_proved group={group} instance={instance} term={term} position={}:{}",
             position.term, position.log_position.0
         );
         entry.leader = Some(leader);
@@ -519,6 +523,14 @@
     }
 }
 
+/// The term in which an instance leads that answers as a leader with its log at
+/// `position`: the log's, or a later one that it has told.
+fn led_term(state: &State, group: &GroupName, instance: &InstanceName, position: Position) -> Term {
+    let entry = state.groups.get(group);
+    let told = entry.and_then(|entry| entry.told_terms.get(instance));
+    told.map_or(position.term, |told| position.term.max(*told))
+}
+
 /// An instance no longer says that it leads.
 fn demoted_by_record(state: &mut State, group: &GroupName, instance: &InstanceName) {
     let still_claims = state
--- a/crates/millwind-engine/src/directory/permits.rs
+++ b/crates/millwind-engine/src/directory/permits.rs
@@ -86,6 +86,15 @@
         entry.closed_terms.hand_back(term);
     }
 
+    /// `instance` has said that it leads `term`. As long as it answers as a leader
+    /// that is its term, or a later one.
+    pub fn leads_term(&self, group: &GroupName, instance: &InstanceName, term: Term) {
+        let mut state = self.state();
+        let entry = state.groups.entry(group.clone()).or_default();
+        let told = entry.told_terms.entry(instance.clone()).or_default();
+        *told = term.max(*told);
+    }
+
     /// The leader of `term` has told this node that it leads no longer.
     pub fn has_stepped_down(&self, group: &GroupName, term: Term) {
         let mut state = self.state();
@@ -107,6 +116,17 @@
         self.state().groups.get(group)?.retired.clone()
     }
 
+    /// Whether an instance led the term that was closed last and has not told
+    /// this node that it stepped down: what it says of its term is no proof.
+    pub fn is_retired(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        let state = self.state();
+        let Some(entry) = state.groups.get(group) else {
+            return false;
+        };
+        let is_retired = entry.retired.as_ref() == Some(instance);
+        is_retired && entry.stepped_down < entry.closed_terms.closed()
+    }
+
     /// What is known of the closed terms of a group.
     pub fn closed_terms(&self, group: &GroupName) -> ClosedTerms {
         let state = self.state();
--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -7,6 +7,7 @@
 use futures::future::join_all;
 use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::{Position, Term};
 use millwind_core::session_state::SessionState;
 
 use crate::backend::{LinkError, Purpose};
@@ -15,6 +16,7 @@
 use crate::directory::Known;
 use crate::node::Engine;
 use crate::statement::{BackEndErrorKind, Command, Envelope};
+use crate::term_closing;
 
 /// A leader that was heard within this time is not asked, in milliseconds.
 const HEARD_MS: u64 = 250;
@@ -121,9 +123,8 @@
             engine.directory.checked(&record.name, clock::now().0 - sent.0);
             match (reply.result, reply.position) {
                 (Ok(_), Some(position)) => {
-                    engine
-                        .directory
-                        .leader_proved(&record.group, &record.name, sent, position);
+                    drop(connection);
+                    take_proof(engine, record, sent, position).await;
                 }
                 (Err(error), _) if error.kind == BackEndErrorKind::ReadOnly => {
                     engine.directory.leader_denied(&record.group, &record.name);
@@ -134,6 +135,23 @@
     }
 }
 
+/// Takes in that an instance answered as a leader. Where its log's term is
+/// closed, it is asked for the term that it leads: a new leader's log stands in
+/// the old term until its first commit.
+async fn take_proof(engine: &Arc<Engine>, record: &InstanceRecord, sent: Instant, position: Position) {
+    let directory = &engine.directory;
+    let is_proof = || directory.leader_proved(&record.group, &record.name, sent, position);
+    if is_proof() || !directory.has_permits() || directory.is_retired(&record.group, &record.name) {
+        return;
+    }
+    let status = term_closing::ask_status(engine, record, Command::Status).await;
+    let Some(status) = status.filter(|status| status.is_leader) else {
+        return;
+    };
+    directory.leads_term(&record.group, &record.name, Term(status.term));
+    is_proof();
+}
+
 fn note_failure(engine: &Engine, record: &InstanceRecord, asked: Instant, error: &LinkError) {
     // An instance over its limit turns connections away, and one that never
     // lets this node in serves it no better than a dead one. While statements
--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -245,11 +245,10 @@
 pub(crate) fn leader_report(engine: &Engine, group: &GroupName) -> Option<LeaderReport> {
     let leader = engine.directory.leader(group)?;
     let newest = engine.directory.newest_observation(group)?;
-    if leader.term != Some(newest.position.term) {
-        return None;
-    }
+    let term = leader.term.filter(|term| newest.position.term <= *term)?;
     Some(LeaderReport {
         instance: leader.instance.0,
+        term: term.0,
         position: write_position(newest.position),
         asked_ago_us: micros_since(newest.asked),
     })
@@ -262,5 +261,7 @@
     let asked = Instant(sent.0.saturating_sub(report.asked_ago_us));
     let instance = InstanceName(report.instance.clone());
     let position = read_position(report.position);
-    engine.directory.leader_proved(group, &instance, asked, position);
+    let directory = &engine.directory;
+    directory.leads_term(group, &instance, Term(report.term));
+    directory.leader_proved(group, &instance, asked, position);
 }
--- a/crates/millwind-wire/src/forward.rs
+++ b/crates/millwind-wire/src/forward.rs
@@ -13,7 +13,7 @@
 
 /// Version of this protocol; the first byte of every message. It differs from
 /// that of the exchange, so that both may arrive at one listener.
-pub const FORWARD_VERSION: u8 = 2;
+pub const FORWARD_VERSION: u8 = 3;
 
 /// A place in a group's log.
 #[binrw]
@@ -233,6 +233,8 @@
     #[br(parse_with = text::read_text)]
     #[bw(write_with = text::write_text)]
     pub instance: String,
+    /// The term that it leads; its log may stand in an earlier one.
+    pub term: u64,
     /// Position in its last answer that proved the lead.
     pub position: ForwardedPosition,
     /// Time since the question to that answer was sent, in microseconds.
