Permits last while the system's own keys change all the time

Only an answer of the watch without changes renewed a permit, and there was none while nodes came and went; after ten seconds nobody counted on any leader.

Change: an answer with fewer changes than the platform cuts lists at is as good. A node whose record was not known writes it anew without a pause.

Test: permits_last_while_other_nodes_come_and_go_all_the_time failed before, after 10.2 s.

--- a/crates/millwind-engine/src/registration.rs
+++ b/crates/millwind-engine/src/registration.rs
@@ -104,7 +104,11 @@
         }
         let is_present = wanted.departure.is_none();
         if !write(registry, store, registry.own_name(), wanted, revision).await {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            // A record that was not known is replaced at once.
+            let is_news = registry.own_record().1 != revision;
+            if !is_news {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         } else if is_present && !engine.settings.promotion_fences {
             // Only news of after the registration give permits.
             engine.store_contact.refresh();
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -21,6 +21,9 @@
 /// was asked while it was out. Above the answers of a slow store (some 0.4 s on
 /// the users' days).
 const FIRST_LISTING_LIMIT: Duration = Duration::from_millis(500);
+/// An answer of a watch with fewer changes than this holds all that there were:
+/// the platform cuts listings at some 500 entries.
+const LEAST_CUT_ANSWER: usize = 100;
 /// Longest time for a listing.
 const MOST_LISTING_LIMIT: Duration = Duration::from_millis(2_000);
 /// Longest pause between two tries.
@@ -180,12 +183,15 @@
     loop {
         let asked = clock::now();
         let report = watch.next().await?;
+        let is_whole = report.changes.len() < LEAST_CUT_ANSWER;
         if report.changes.is_empty() {
             follower.heard();
-            follower.complete(asked);
         } else {
             follower.changed(report.changes);
         }
+        if is_whole {
+            follower.complete(asked);
+        }
         follower.rest().await;
     }
 }
