--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -16,9 +16,13 @@
 const NODES_PER_RELAY: usize = 36;
 /// A node that was asked as a relay remains one for this time, in milliseconds.
 const ASKED_MS: u64 = 6_000;
-/// A node that knows too little to serve reads the store after this time, in
-/// milliseconds.
+/// A node that knows too little to serve reads the store when no relay has told
+/// it more for this time, in milliseconds.
 const START_MS: u64 = 200;
+/// A starting node that knows enough to serve waits so long for the first word
+/// of a relay, which may be starting too, in milliseconds; it has just listed
+/// the configuration itself.
+const FIRST_WORD_MS: u64 = 1_000;
 /// Longest pause between two readings of a relay, in milliseconds.
 const MOST_PACE_MS: u64 = 2_000;
 /// The pace as a part of the time in which a configuration must be in force,
@@ -75,8 +79,8 @@
     pub asked: Option<Instant>,
     /// It knows enough to serve.
     pub is_complete: bool,
-    /// When it started.
-    pub started: Instant,
+    /// Since when it knows the other nodes, and so the relays.
+    pub known_since: Instant,
     /// The newest time at which the store had told it or a node it asked.
     pub heard: Option<Instant>,
 }
@@ -95,7 +99,11 @@
         if self.is_fresh(now, times) {
             return false;
         }
-        self.is_complete || now.millis_since(self.started) >= START_MS
+        let patience = match self.is_complete {
+            true => FIRST_WORD_MS.min(times.fresh_ms),
+            false => START_MS,
+        };
+        now.millis_since(self.known_since) >= patience
     }
 
     /// Whether the store was heard lately, here or through others.
--- a/crates/millwind-core/tests/catalog_relay.rs
+++ b/crates/millwind-core/tests/catalog_relay.rs
@@ -11,7 +11,7 @@
         is_relay: false,
         asked: None,
         is_complete: true,
-        started: Instant::from_millis(1_000),
+        known_since: Instant::from_millis(1_000),
         heard: Some(NOW),
     }
 }
@@ -71,7 +71,7 @@
     let starting = CatalogState {
         is_complete: false,
         heard: None,
-        started: Instant::from_millis(99_900),
+        known_since: Instant::from_millis(99_900),
         ..state()
     };
     assert!(!starting.must_read(NOW, &times()));
@@ -84,6 +84,17 @@
     assert!(!with_others.must_read(NOW.plus_millis(150), &times()));
 }
 
+#[test]
+fn a_starting_node_waits_for_the_first_word_of_a_relay_that_may_start_too() {
+    let starting = CatalogState {
+        heard: None,
+        known_since: Instant::from_millis(99_500),
+        ..state()
+    };
+    assert!(!starting.must_read(NOW, &times()));
+    assert!(starting.must_read(NOW.plus_millis(600), &times()));
+}
+
 #[test]
 fn a_bound_that_relays_cannot_keep_has_every_node_read_the_store() {
     assert!(!RelayTimes::within(1_500).allow_relays);
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -10,7 +10,7 @@
 
 use crate::node::Engine;
 use crate::ports::CatalogCodec;
-use crate::store_watch::{Follower, MOST_PAUSE, MOST_PAUSE_BEHIND_RELAYS};
+use crate::store_watch::{Follower, MOST_PAUSE, MOST_PAUSE_BEHIND_RELAYS, StoreReading};
 
 /// Longest pause of a node between two tries of a store that does not answer.
 fn most_pause(engine: &Engine) -> Duration {
@@ -56,8 +56,8 @@
         self.apply(entries);
     }
 
-    fn reads(&self) -> Option<watch::Receiver<bool>> {
-        Some(self.engine.relays.reads_store())
+    fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
+        Some(self.engine.relays.reading())
     }
 
     fn most_pause(&self) -> Duration {
@@ -107,6 +107,21 @@
         self.engine.store_heard();
     }
 
+    fn learned(&self, listing: Listing) {
+        if listing.revision == 0 {
+            return;
+        }
+        for entry in &listing.entries {
+            self.apply(entry);
+        }
+        self.engine.catalog_cache.instances_known_to(listing.revision);
+        self.engine.directory.listing_known();
+    }
+
+    fn may_start_behind(&self) -> bool {
+        true
+    }
+
     fn changed(&self, entries: Vec<Entry>) {
         for entry in &entries {
             self.apply(entry);
@@ -121,8 +136,8 @@
         self.engine.store_heard();
     }
 
-    fn reads(&self) -> Option<watch::Receiver<bool>> {
-        Some(self.engine.relays.reads_store())
+    fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
+        Some(self.engine.relays.reading())
     }
 
     fn most_pause(&self) -> Duration {
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -32,7 +32,7 @@
 use crate::relays::Relays;
 use crate::settings::{EngineSettings, SettingsError};
 use crate::store_watch::{Follower, StoreContact};
-use crate::{clock, listener, readiness, store_watch};
+use crate::{clock, listener, readiness, relays, store_watch};
 
 /// Hedged reads per hundred reads.
 const HEDGE_PERCENT: u32 = 10;
@@ -62,6 +62,10 @@
 const SIGN_OFF_MS: u64 = 300;
 /// Between two looks at whether it has.
 const SIGN_OFF_PAUSE: Duration = Duration::from_millis(10);
+/// At the first start of a deployment all nodes register at once: each reads the
+/// store only after this time, so that it finds the others. A few times the time
+/// within which the platform starts its machines (0.3 s).
+const FIRST_START_SETTLE: Duration = Duration::from_millis(1_000);
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 
@@ -355,6 +359,7 @@
         );
         let exchange = Exchange::new(engine.clone(), ports.catalog_codec.clone());
         start_store_watches(&engine, ports, duties);
+        tokio::spawn(relays::judge_at_start(engine.clone()));
         tokio::spawn(exchange.run());
         tokio::spawn(peers::serve(peers, engine.clone()));
         tokio::spawn(readiness::serve_probes(probes, engine.clone()));
@@ -445,7 +450,7 @@
         registry,
         peers: PeerClient::default(),
         catalog_cache: CatalogCache::default(),
-        own_keys: Arc::new(OwnKeys::new(own_followers, relays.reads_store())),
+        own_keys: Arc::new(OwnKeys::new(own_followers, relays.reading())),
         relays,
         store_contact: Arc::new(StoreContact::default()),
         leader_inquiries: Arc::default(),
@@ -467,10 +472,17 @@
     let config = ConfigFollower::new(engine.clone(), catalog.clone());
     let instances = InstanceFollower::new(engine.clone(), catalog.clone());
     let contact = engine.store_contact.clone();
+    let settle = match engine.settings.is_first_start {
+        true => FIRST_START_SETTLE,
+        false => Duration::ZERO,
+    };
     let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>| {
-        let store = ports.store.clone();
-        let prefix = prefix.to_owned();
-        tokio::spawn(store_watch::follow(store, prefix, follower, contact.clone()));
+        let following =
+            store_watch::follow(ports.store.clone(), prefix.to_owned(), follower, contact.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(settle).await;
+            following.await;
+        });
     };
     follow(catalog.config_key(), Arc::new(config));
     follow(catalog.instances_prefix(), Arc::new(instances));
--- a/crates/millwind-engine/src/own_keys.rs
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -11,7 +11,7 @@
 use millwind_wire::exchange::StoredDocument;
 use tokio::sync::watch;
 
-use crate::store_watch::Follower;
+use crate::store_watch::{Follower, StoreReading};
 
 /// Between two reports of the system's own keys: at a start every node
 /// registers.
@@ -28,7 +28,7 @@
 /// Follows the system's own keys on behalf of everything kept there.
 pub struct OwnKeys {
     followers: Vec<Arc<dyn Follower>>,
-    reads_store: watch::Receiver<bool>,
+    reads_store: watch::Receiver<StoreReading>,
     state: Mutex<State>,
 }
 
@@ -41,7 +41,7 @@
 impl OwnKeys {
     /// Passes everything on to all of `followers`; read from the store itself
     /// while `reads_store` says so.
-    pub fn new(followers: Vec<Arc<dyn Follower>>, reads_store: watch::Receiver<bool>) -> Self {
+    pub fn new(followers: Vec<Arc<dyn Follower>>, reads_store: watch::Receiver<StoreReading>) -> Self {
         OwnKeys {
             followers,
             reads_store,
@@ -120,13 +120,7 @@
         if held.is_some_and(|held| held.revision >= entry.revision) {
             return false;
         }
-        let document = StoredDocument {
-            key: entry.key.clone(),
-            revision: entry.revision,
-            removed: u8::from(entry.value.is_none()),
-            value: entry.value.clone().unwrap_or_default(),
-        };
-        self.documents.insert(entry.key.clone(), document);
+        self.documents.insert(entry.key.clone(), document_of(entry));
         true
     }
 
@@ -155,6 +149,15 @@
     }
 }
 
+fn document_of(entry: &Entry) -> StoredDocument {
+    StoredDocument {
+        key: entry.key.clone(),
+        revision: entry.revision,
+        removed: u8::from(entry.value.is_none()),
+        value: entry.value.clone().unwrap_or_default(),
+    }
+}
+
 fn entry_of(document: StoredDocument) -> Entry {
     Entry {
         key: document.key,
@@ -168,7 +171,16 @@
         "own_keys"
     }
 
-    fn reads(&self) -> Option<watch::Receiver<bool>> {
+    fn learned(&self, listing: Listing) {
+        let present = listing.entries.iter().map(document_of);
+        self.learn(present.collect(), listing.revision);
+    }
+
+    fn may_start_behind(&self) -> bool {
+        true
+    }
+
+    fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
         Some(self.reads_store.clone())
     }
 
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -18,7 +18,8 @@
 
 /// Between two comparisons.
 const INTERVAL: Duration = Duration::from_millis(800);
-/// Between two comparisons while this node does not know enough to serve.
+/// Between two comparisons while this node does not know enough to serve, or has
+/// not been told yet how old what it knows is.
 const URGENT_INTERVAL: Duration = Duration::from_millis(150);
 /// Neighbours in a node's own zone.
 const NEAR_NEIGHBOURS: usize = 4;
@@ -53,11 +54,9 @@
     /// Compares catalogs for the life of the process.
     pub async fn run(self) {
         loop {
-            let interval = if self.engine.directory.is_complete() {
-                INTERVAL
-            } else {
-                URGENT_INTERVAL
-            };
+            let is_settled =
+                self.engine.directory.is_complete() && self.engine.relays.store_age_ms().is_some();
+            let interval = if is_settled { INTERVAL } else { URGENT_INTERVAL };
             tokio::time::sleep(interval).await;
             if let Some(source) = self.pick() {
                 self.compare(source).await;
--- a/crates/millwind-engine/src/registration.rs
+++ b/crates/millwind-engine/src/registration.rs
@@ -89,6 +89,10 @@
     mut departure: watch::Receiver<Option<Departure>>,
 ) {
     let registry = &engine.registry;
+    if !engine.settings.is_first_start {
+        // A restarted node's record is mostly there already.
+        registry.await_listed().await;
+    }
     loop {
         let wanted = NodeRecord {
             departure: *departure.borrow_and_update(),
@@ -111,7 +115,7 @@
             }
         } else if is_present && !engine.settings.promotion_fences {
             // Only news of after the registration give permits.
-            engine.store_contact.refresh();
+            engine.store_contact.note_regained();
         }
     }
 }
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millwind_core::Instant;
 use millwind_core::lead_permit::PERMIT_MS;
 use millwind_store::{Entry, Listing};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock;
@@ -64,7 +64,7 @@
     /// This node's rank by key, with the version that it follows from.
     ranks: Mutex<HashMap<String, (u64, usize)>>,
     version: AtomicU64,
-    is_listed: AtomicBool,
+    is_listed: watch::Sender<bool>,
 }
 
 /// A registered node.
@@ -143,7 +143,7 @@
             nodes: Mutex::new(BTreeMap::new()),
             ranks: Mutex::new(HashMap::new()),
             version: AtomicU64::new(0),
-            is_listed: AtomicBool::new(false),
+            is_listed: watch::Sender::new(false),
         }
     }
 
@@ -154,7 +154,13 @@
 
     /// Whether the store or a peer has told of the other nodes.
     pub fn is_listed(&self) -> bool {
-        self.is_listed.load(Ordering::Relaxed)
+        *self.is_listed.borrow()
+    }
+
+    /// Waits until the store or a peer has told of the other nodes.
+    pub async fn await_listed(&self) {
+        // The sender lives as long as the registry.
+        let _ = self.is_listed.subscribe().wait_for(|is_listed| *is_listed).await;
     }
 
     fn changed(&self) {
@@ -411,7 +417,7 @@
         }
         self.apply(listing.entries);
         self.changed();
-        self.is_listed.store(true, Ordering::Relaxed);
+        self.is_listed.send_replace(true);
     }
 
     fn changed(&self, entries: Vec<Entry>) {
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use log::info;
 use millwind_core::Instant;
@@ -13,12 +13,15 @@
 use crate::clock;
 use crate::node::Engine;
 use crate::registry::Registry;
+use crate::store_watch::StoreReading;
 
 /// A relay that gave no answer is left alone for this time, in milliseconds.
 const AVOID_MS: u64 = 8_000;
 
 #[derive(Debug, Default)]
 struct State {
+    /// Since when the other nodes are known, from which the relays follow.
+    known_since: Option<Instant>,
     /// When another node last asked this one as a relay.
     asked: Option<Instant>,
     /// The newest time at which the store had told this node or one it asked.
@@ -31,23 +34,21 @@
 #[derive(Debug)]
 pub struct Relays {
     zone: String,
-    started: Instant,
     times: RelayTimes,
     state: Mutex<State>,
-    reads_store: watch::Sender<bool>,
+    reading: watch::Sender<StoreReading>,
 }
 
 impl Relays {
     /// Relays as a node of `zone` sees them, where a configuration must be in
-    /// force within `config_bound_ms`. The node reads the store until it knows
-    /// of others that do.
+    /// force within `config_bound_ms`. The node lists the catalog itself until it
+    /// knows of others that read it.
     pub fn new(zone: &str, config_bound_ms: u64) -> Self {
         Relays {
             zone: zone.to_owned(),
-            started: clock::now(),
             times: RelayTimes::within(config_bound_ms),
             state: Mutex::new(State::default()),
-            reads_store: watch::Sender::new(true),
+            reading: watch::Sender::new(StoreReading::Undecided),
         }
     }
 
@@ -61,13 +62,13 @@
     }
 
     /// Whether this node reads the store, as it changes.
-    pub fn reads_store(&self) -> watch::Receiver<bool> {
-        self.reads_store.subscribe()
+    pub fn reading(&self) -> watch::Receiver<StoreReading> {
+        self.reading.subscribe()
     }
 
     /// Whether this node reads the store now.
     pub fn is_reading_store(&self) -> bool {
-        *self.reads_store.borrow()
+        *self.reading.borrow() != StoreReading::LeftToRelays
     }
 
     /// Another node asks this one as a relay.
@@ -131,27 +132,37 @@
         ranked.filter(is_usable).take(count).collect()
     }
 
-    /// Judges anew whether this node must read the store.
+    /// Judges anew whether this node must read the store, once the other nodes
+    /// are known.
     pub fn judge(&self, engine: &Engine) {
+        if !engine.registry.is_listed() {
+            return;
+        }
         let is_relay = self.is_relay(&engine.registry);
-        let (asked, heard) = {
-            let state = self.state();
-            (state.asked, state.heard)
+        let (known_since, asked, heard) = {
+            let mut state = self.state();
+            let known_since = *state.known_since.get_or_insert_with(clock::now);
+            (known_since, state.asked, state.heard)
         };
         let catalog = CatalogState {
             is_relay,
             asked,
             is_complete: engine.directory.is_complete(),
-            started: self.started,
+            known_since,
             heard,
         };
         let must_read = catalog.must_read(clock::now(), &self.times);
-        let has_changed = self.reads_store.send_if_modified(|reads| {
-            let has_changed = *reads != must_read;
-            *reads = must_read;
-            has_changed
-        });
-        if has_changed {
+        let reading = match must_read {
+            true => StoreReading::Reading,
+            false => StoreReading::LeftToRelays,
+        };
+        let before = *self.reading.borrow();
+        if before == StoreReading::LeftToRelays && must_read {
+            // One call shows whether the store answers; the others wait for it.
+            engine.store_contact.note_lost();
+        }
+        if before != reading {
+            self.reading.send_replace(reading);
             let age = self
                 .store_age_ms()
                 .map_or("none".to_owned(), |age| age.to_string());
@@ -159,3 +170,10 @@
         }
     }
 }
+
+/// Decides whether this node reads the store as soon as it knows the other
+/// nodes.
+pub async fn judge_at_start(engine: Arc<Engine>) {
+    engine.registry.await_listed().await;
+    engine.relays.judge(&engine);
+}
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -21,6 +21,8 @@
     pub peer_address: SocketAddr,
     /// Peer addresses to ask first; may be stale.
     pub seeds: Vec<SocketAddr>,
+    /// The deployment starts for the first time, with all its nodes.
+    pub is_first_start: bool,
     /// Interval of the instances' heartbeats in the store, in milliseconds.
     pub heartbeat_ms: u64,
     /// Longest time a planned stop may take, in milliseconds.
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
 use futures::future::BoxFuture;
-use log::{info, warn};
+use futures::stream::FuturesUnordered;
+use log::{debug, info, warn};
 use millwind_core::Instant;
 use millwind_store::{Entry, Listing, Store, StoreError, Watch};
 use rand::RngExt;
@@ -21,33 +23,69 @@
 /// was asked while it was out. Above the answers of a slow store (some 0.4 s on
 /// the users' days).
 const FIRST_LISTING_LIMIT: Duration = Duration::from_millis(500);
+/// While its first calls are unanswered, a node sends another one after this
+/// time: the store may be back and answer only new ones.
+const FIRST_CALL_PAUSE: Duration = Duration::from_millis(400);
+/// First calls without an answer at the same time at most.
+const MOST_FIRST_CALLS: usize = 5;
 /// An answer of a watch with fewer changes than this holds all that there were:
 /// the platform cuts listings at some 500 entries.
 const LEAST_CUT_ANSWER: usize = 100;
 /// Longest time for a listing.
 const MOST_LISTING_LIMIT: Duration = Duration::from_millis(2_000);
+/// A starting node waits so long to learn whether it leaves the store to relays
+/// before it watches: a few times what listing the nodes takes.
+const DECISION_LIMIT: Duration = Duration::from_millis(500);
 /// Longest pause between two tries.
 pub const MOST_PAUSE: Duration = Duration::from_millis(1_500);
 /// The same for a node that others tell when the store is heard again.
 pub const MOST_PAUSE_BEHIND_RELAYS: Duration = Duration::from_millis(5_000);
 
+/// Whether this node reads the catalog from the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreReading {
+    /// Not known yet: it lists the catalog, and does not watch it.
+    Undecided,
+    /// It reads the store.
+    Reading,
+    /// Relays read it and tell this node.
+    LeftToRelays,
+}
+
 /// Whether the store is heard, shared by all followers of a node: the one whose
-/// keys change all the time notices an outage and its end before the others.
+/// keys change all the time notices an outage and its end, and asks a store that
+/// is out on behalf of the others.
 #[derive(Debug, Default)]
 pub struct StoreContact {
+    /// The store is out as far as is known.
+    is_lost: watch::Sender<bool>,
     /// Counts the ends of outages, and the needs for fresh news.
     regained: watch::Sender<u64>,
 }
 
 impl StoreContact {
-    /// An outage is over: watches may have been lost in silence.
+    /// The store does not answer, or is not known to.
+    pub fn note_lost(&self) {
+        self.is_lost.send_replace(true);
+    }
+
+    /// An outage is over, or fresh news are needed now: all followers read anew,
+    /// since watches may have been lost in silence.
     pub fn note_regained(&self) {
         self.regained.send_modify(|count| *count += 1);
+        // Those that wait for this look no more than once.
+        self.is_lost.send_replace(false);
     }
 
-    /// Fresh news are needed now: all followers read anew.
-    pub fn refresh(&self) {
-        self.regained.send_modify(|count| *count += 1);
+    fn is_lost(&self) -> bool {
+        *self.is_lost.borrow()
+    }
+
+    /// Waits until the store is heard, for `limit` at most.
+    async fn heard(&self, limit: Duration) {
+        let mut is_lost = self.is_lost.subscribe();
+        // The sender lives as long as the node; at the limit the store is asked.
+        let _ = tokio::time::timeout(limit, is_lost.wait_for(|is_lost| !is_lost)).await;
     }
 }
 
@@ -59,6 +97,15 @@
     fn listed(&self, listing: Listing);
     /// Keys have changed, in order.
     fn changed(&self, entries: Vec<Entry>);
+    /// The prefix was read for the first time, as it was a moment ago.
+    fn learned(&self, listing: Listing) {
+        self.changed(listing.entries);
+    }
+    /// Whether the first reading may be a moment old: what has changed since is
+    /// told by relays, or read again.
+    fn may_start_behind(&self) -> bool {
+        false
+    }
     /// The store was heard, though nothing changed.
     fn heard(&self) {}
     /// Everything that the store held at `asked` was told.
@@ -70,7 +117,7 @@
     }
     /// Whether this node follows the prefix itself, as it changes; none for
     /// always.
-    fn reads(&self) -> Option<watch::Receiver<bool>> {
+    fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
         None
     }
     /// Longest pause between two tries while the store does not answer.
@@ -83,6 +130,61 @@
     }
 }
 
+/// How far a follower has come with the store.
+#[derive(Debug)]
+struct Progress {
+    /// The prefix was read at least once.
+    has_read: bool,
+    /// Since when the store does not answer.
+    lost_at: Option<Instant>,
+    /// Time for the next listing.
+    listing_limit: Duration,
+    /// Pause after the next failure.
+    pause: Duration,
+}
+
+impl Progress {
+    const fn new() -> Self {
+        Progress {
+            has_read: false,
+            lost_at: None,
+            listing_limit: FIRST_LISTING_LIMIT,
+            pause: RETRY_PAUSE,
+        }
+    }
+
+    /// Takes in a failure; the time to wait after it.
+    fn failed(&mut self, follower: &dyn Follower, error: &StoreError) -> Duration {
+        if self.lost_at.is_none() {
+            warn!(
+                "event=store_lost watch={} error={:?}",
+                follower.name(),
+                error.to_string()
+            );
+            self.lost_at = Some(clock::now());
+            self.pause = RETRY_PAUSE;
+        }
+        let pause = self.pause;
+        // A node that knows nothing yet cannot serve: it asks on.
+        if self.has_read {
+            self.pause = (pause * 2).min(follower.most_pause());
+            self.listing_limit = MOST_LISTING_LIMIT;
+        } else {
+            self.listing_limit = (self.listing_limit * 2).min(MOST_LISTING_LIMIT);
+        }
+        pause.mul_f64(rand::rng().random_range(0.75..1.25))
+    }
+
+    /// The store has answered a listing.
+    fn heard(&mut self, follower: &dyn Follower, contact: &StoreContact) {
+        self.has_read = true;
+        let was_lost = regained(follower, &mut self.lost_at);
+        if follower.is_sentinel() && (was_lost || contact.is_lost()) {
+            contact.note_regained();
+        }
+    }
+}
+
 /// Follows `prefix` for the life of the process: lists it, watches it, and
 /// lists it again whenever the watch has a gap.
 pub async fn follow<S: Store + 'static>(
@@ -91,25 +193,17 @@
     follower: Arc<dyn Follower>,
     contact: Arc<StoreContact>,
 ) {
-    let mut lost_at = None;
-    let mut pause = RETRY_PAUSE;
-    let mut has_listed = false;
-    let mut listing_limit = FIRST_LISTING_LIMIT;
+    let mut progress = Progress::new();
     let mut reads = follower.reads();
     loop {
-        if until_reads(&mut reads, true).await {
-            lost_at = None;
+        if until_reads(&mut reads).await {
+            progress.lost_at = None;
+        }
+        if contact.is_lost() && !follower.is_sentinel() {
+            contact.heard(follower.most_pause()).await;
         }
         let mut regained = contact.regained.subscribe();
-        let following = follow_once(
-            &*store,
-            &prefix,
-            &*follower,
-            &contact,
-            listing_limit,
-            &mut lost_at,
-            &mut has_listed,
-        );
+        let following = follow_once(&*store, &prefix, &*follower, &contact, &mut progress);
         let error = tokio::select! {
             result = following => match result {
                 Ok(()) => continue,
@@ -117,47 +211,48 @@
             },
             // The watch may have been lost in silence.
             Ok(()) = regained.changed(), if !follower.is_sentinel() => continue,
-            _ = until_reads(&mut reads, false) => continue,
+            () = until_left(&mut reads) => continue,
         };
-        if lost_at.is_none() {
-            warn!(
-                "event=store_lost watch={} error={:?}",
-                follower.name(),
-                error.to_string()
-            );
-            lost_at = Some(clock::now());
-            pause = RETRY_PAUSE;
+        let pause = progress.failed(&*follower, &error);
+        if follower.is_sentinel() {
+            contact.note_lost();
         }
-        let jittered = pause.mul_f64(rand::rng().random_range(0.75..1.25));
         tokio::select! {
-            () = tokio::time::sleep(jittered) => {}
+            () = tokio::time::sleep(pause) => {}
             Ok(()) = regained.changed(), if !follower.is_sentinel() => {}
-            _ = until_reads(&mut reads, false) => {}
-        }
-        listing_limit = match has_listed {
-            true => MOST_LISTING_LIMIT,
-            false => (listing_limit * 2).min(MOST_LISTING_LIMIT),
-        };
-        // A node that knows nothing yet cannot serve: it asks on.
-        if has_listed {
-            pause = (pause * 2).min(follower.most_pause());
+            () = until_left(&mut reads) => {}
         }
     }
 }
 
-/// Waits until this node follows the prefix itself, or no longer does; true if
-/// it had to wait.
-async fn until_reads(reads: &mut Option<watch::Receiver<bool>>, wanted: bool) -> bool {
+/// Waits while this node leaves the prefix to relays; true if it had to wait.
+async fn until_reads(reads: &mut Option<watch::Receiver<StoreReading>>) -> bool {
+    let Some(reads) = reads else { return false };
+    let has_left = *reads.borrow_and_update() == StoreReading::LeftToRelays;
+    // The sender lives as long as the node.
+    let _ = reads.wait_for(|reads| *reads != StoreReading::LeftToRelays).await;
+    has_left
+}
+
+/// Waits until this node leaves the prefix to relays.
+async fn until_left(reads: &mut Option<watch::Receiver<StoreReading>>) {
     let Some(reads) = reads else {
-        return match wanted {
-            true => false,
-            false => std::future::pending().await,
-        };
+        return std::future::pending().await;
     };
-    let is_now = *reads.borrow_and_update() == wanted;
     // The sender lives as long as the node.
-    let _ = reads.wait_for(|reads| *reads == wanted).await;
-    !is_now
+    let _ = reads.wait_for(|reads| *reads == StoreReading::LeftToRelays).await;
+}
+
+/// Waits until it is known whether this node reads the store, but not for long;
+/// for ever if it does not.
+async fn until_decided(follower: &dyn Follower) {
+    let Some(mut reads) = follower.reads() else { return };
+    let decided = reads.wait_for(|reads| *reads != StoreReading::Undecided);
+    // At the limit it reads the store, whatever follows later.
+    let _ = tokio::time::timeout(DECISION_LIMIT, decided).await;
+    if *reads.borrow() == StoreReading::LeftToRelays {
+        std::future::pending().await
+    }
 }
 
 async fn follow_once<S: Store>(
@@ -165,19 +260,29 @@
     prefix: &str,
     follower: &dyn Follower,
     contact: &StoreContact,
-    listing_limit: Duration,
-    lost_at: &mut Option<Instant>,
-    has_listed: &mut bool,
+    progress: &mut Progress,
 ) -> Result<(), StoreError> {
+    let is_first = !progress.has_read;
+    if is_first && follower.may_start_behind() {
+        let listing = match follower.is_sentinel() {
+            true => first_listing(store, prefix).await?,
+            false => within(progress.listing_limit, store.list_serializable(prefix)).await?,
+        };
+        follower.learned(listing);
+        progress.heard(follower, contact);
+        until_decided(follower).await;
+    } else if contact.is_lost() && follower.is_sentinel() {
+        // The cheapest way to see that the store is back.
+        within(progress.listing_limit, store.list_serializable(prefix)).await?;
+    }
     let asked = clock::now();
-    let listing = tokio::time::timeout(listing_limit, store.list(prefix)).await;
-    let listing = listing.map_err(|_| StoreError::NoAnswer("listing took too long".to_owned()))??;
+    let listing = within(progress.listing_limit, store.list(prefix)).await?;
     let revision = listing.revision;
     follower.listed(listing);
     follower.complete(asked);
-    *has_listed = true;
-    if regained(follower, lost_at) && follower.is_sentinel() {
-        contact.note_regained();
+    progress.heard(follower, contact);
+    if is_first && !follower.may_start_behind() {
+        until_decided(follower).await;
     }
     let mut watch = store.watch(prefix, revision).await?;
     loop {
@@ -196,6 +301,36 @@
     }
 }
 
+/// A listing that is given up after `limit`.
+async fn within(
+    limit: Duration,
+    listing: impl Future<Output = Result<Listing, StoreError>>,
+) -> Result<Listing, StoreError> {
+    let listing = tokio::time::timeout(limit, listing).await;
+    listing.map_err(|_| StoreError::NoAnswer("listing took too long".to_owned()))?
+}
+
+/// The first listing of a node, which cannot serve without: asks again while
+/// earlier calls have no answer, and fails once none is under way.
+async fn first_listing<S: Store>(store: &S, prefix: &str) -> Result<Listing, StoreError> {
+    let mut calls = FuturesUnordered::new();
+    let mut next_call = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            biased;
+            Some(ended) = calls.next() => match ended {
+                Ok(listing) => return Ok(listing),
+                Err(error) if calls.is_empty() => return Err(error),
+                Err(error) => debug!("event=first_listing_failed error={:?}", error.to_string()),
+            },
+            () = tokio::time::sleep_until(next_call), if calls.len() < MOST_FIRST_CALLS => {
+                calls.push(within(MOST_LISTING_LIMIT, store.list_serializable(prefix)));
+                next_call += FIRST_CALL_PAUSE;
+            }
+        }
+    }
+}
+
 /// Notes that the store is heard; true if it was not before.
 fn regained(follower: &dyn Follower, lost_at: &mut Option<Instant>) -> bool {
     let was_lost = lost_at.take();
--- a/crates/millwind-engine/tests/own_keys.rs
+++ b/crates/millwind-engine/tests/own_keys.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 
 use millwind_engine::own_keys::OwnKeys;
-use millwind_engine::store_watch::Follower;
+use millwind_engine::store_watch::{Follower, StoreReading};
 use millwind_store::{Entry, Listing};
 use tokio::sync::watch;
 
@@ -30,7 +30,7 @@
 
 fn own_keys() -> (OwnKeys, Arc<Witness>) {
     let witness = Arc::new(Witness::default());
-    let (_, reads_store) = watch::channel(true);
+    let (_, reads_store) = watch::channel(StoreReading::Reading);
     (OwnKeys::new(vec![witness.clone()], reads_store), witness)
 }
 
--- a/crates/millwind-store/src/etcd.rs
+++ b/crates/millwind-store/src/etcd.rs
@@ -82,6 +82,20 @@
             Err(_) => Err(StoreError::NoAnswer("timed out".into())),
         }
     }
+
+    async fn range(&self, prefix: &str, serializable: bool) -> Result<Listing, StoreError> {
+        let request = RangeRequest {
+            key: prefix.as_bytes().to_vec(),
+            range_end: prefix_end(prefix.as_bytes()),
+            serializable,
+            ..RangeRequest::default()
+        };
+        let response: RangeResponse = self.unary(service::RANGE, request).await?;
+        Ok(Listing {
+            revision: response.header.unwrap_or_default().revision as u64,
+            entries: response.kvs.into_iter().map(entry).collect(),
+        })
+    }
 }
 
 /// A call refused with these codes has not taken effect.
@@ -107,16 +121,11 @@
     type Watch = EtcdWatch;
 
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
-        let request = RangeRequest {
-            key: prefix.as_bytes().to_vec(),
-            range_end: prefix_end(prefix.as_bytes()),
-            ..RangeRequest::default()
-        };
-        let response: RangeResponse = self.unary(service::RANGE, request).await?;
-        Ok(Listing {
-            revision: response.header.unwrap_or_default().revision as u64,
-            entries: response.kvs.into_iter().map(entry).collect(),
-        })
+        self.range(prefix, false).await
+    }
+
+    async fn list_serializable(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.range(prefix, true).await
     }
 
     async fn watch(&self, prefix: &str, revision: u64) -> Result<EtcdWatch, StoreError> {
--- a/crates/millwind-store/src/lib.rs
+++ b/crates/millwind-store/src/lib.rs
@@ -100,9 +100,18 @@
     /// Type of a running watch.
     type Watch: Watch;
 
-    /// Lists all keys under `prefix`.
+    /// Lists all keys under `prefix`, with everything that the store has
+    /// acknowledged.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
+    /// Lists all keys under `prefix` as some replica of the store held them a
+    /// moment ago (a serializable read): it loads the store less than
+    /// [`Store::list`]. Later changes are missing, and the revision of the
+    /// listing is one up to which nothing is missing.
+    fn list_serializable(&self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send {
+        self.list(prefix)
+    }
+
     /// Watches `prefix` for changes after `revision`.
     fn watch(
         &self,
--- a/crates/millwind-store/src/messages.rs
+++ b/crates/millwind-store/src/messages.rs
@@ -63,6 +63,8 @@
     pub limit: i64,
     #[prost(int64, tag = "4")]
     pub revision: i64,
+    #[prost(bool, tag = "7")]
+    pub serializable: bool,
 }
 
 /// `RangeResponse`.
