An owner runs no more statements at an instance than its slots justify

Cause: owners of connections were limited by connections alone. Where an instance accepts many of them (857 for five slots on the large deployment) three owners could send it hundreds of statements at a time; it turns away what its own queue does not hold, and each refusal was tried again by the asking node.

Ruled out: fewer connections. Transactions that rest hold theirs and take no slot, so they would keep others out.

Change: statements take turns at an instance (backend::turns). The others wait in the owner, most urgent first, and are refused at once if their turn would come after their deadline; a statement of an open transaction goes first and is not refused.

--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod catalog_relay;
 pub mod classify;
+pub mod concurrency_limit;
 pub mod config_state;
 pub mod confirmation;
 pub mod control;
--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -21,8 +21,8 @@
     /// The instance refused the opening of the session.
     #[error("startup refused: {} {}", .0.code, .0.text)]
     StartupRefused(BackEndError),
-    /// No connection became free in time.
-    #[error("no connection became free in time")]
+    /// No connection or turn became free in time, or would have.
+    #[error("no connection or turn free in time")]
     NoConnection,
     /// The instance is no longer used.
     #[error("instance is no longer used")]
--- a/crates/millwind-engine/src/backend/mod.rs
+++ b/crates/millwind-engine/src/backend/mod.rs
@@ -5,8 +5,10 @@
 pub mod link_error;
 pub mod pool;
 pub mod pools;
+pub mod turns;
 
 pub use connection::Connection;
 pub use link_error::LinkError;
 pub use pool::{Pool, Purpose};
 pub use pools::Pools;
+pub use turns::Urgency;
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -12,6 +12,7 @@
 use super::connection::Connection;
 use super::demand::PeakDemand;
 use super::link_error::LinkError;
+use super::turns::{Turns, Urgency};
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::ports::BackEndCodec;
@@ -113,6 +114,7 @@
     record: InstanceRecord,
     codec: Arc<dyn BackEndCodec>,
     state: Mutex<PoolState>,
+    turns: Arc<Turns>,
 }
 
 impl std::fmt::Debug for Pool {
@@ -129,6 +131,7 @@
             ..PoolState::default()
         };
         Arc::new(Pool {
+            turns: Turns::new(record.slots),
             record,
             codec,
             state: Mutex::new(state),
@@ -144,6 +147,11 @@
         &self.record
     }
 
+    /// Turns of this node's statements there.
+    pub fn turns(&self) -> &Arc<Turns> {
+        &self.turns
+    }
+
     /// Changes how many connections it may hold.
     pub fn set_share(&self, share: usize) {
         let surplus = {
@@ -207,10 +215,10 @@
         loop {
             if let Some(connection) = self.take_idle(session, needed)? {
                 self.state().note_demand();
-                return Ok(PooledConnection::new(self.clone(), connection));
+                return Ok(PooledConnection::new(self.clone(), connection, purpose));
             }
             if let Some(permit) = self.take_permit(purpose) {
-                match self.open(permit, deadline).await {
+                match self.open(permit, purpose, deadline).await {
                     // The instance is full: one of those that are open will do.
                     Err(error) if error.is_over_limit() && self.may_share(deadline) => continue,
                     opened => return opened,
@@ -222,10 +230,10 @@
             let limit = self.wait_limit(deadline);
             match self.wait(purpose, limit).await {
                 Ok(Grant::Idle(connection)) if connection.is_alive() => {
-                    return Ok(PooledConnection::new(self.clone(), *connection));
+                    return Ok(PooledConnection::new(self.clone(), *connection, purpose));
                 }
                 Ok(Grant::Idle(_)) => {}
-                Ok(Grant::Open(permit)) => match self.open(permit, deadline).await {
+                Ok(Grant::Open(permit)) => match self.open(permit, purpose, deadline).await {
                     Err(error) if error.is_over_limit() && self.may_share(deadline) => {}
                     opened => return opened,
                 },
@@ -238,6 +246,7 @@
     async fn open(
         self: &Arc<Self>,
         permit: Permit,
+        purpose: Purpose,
         deadline: Instant,
     ) -> Result<PooledConnection, LinkError> {
         let limit = clock::now().plus_millis(CONNECT_LIMIT_MS).min(deadline);
@@ -248,7 +257,7 @@
             state.no_open_before = clock::now().plus_millis(LIMIT_PAUSE_MS);
         }
         drop(state);
-        opened.map(|connection| PooledConnection::new(self.clone(), connection))
+        opened.map(|connection| PooledConnection::new(self.clone(), connection, purpose))
     }
 
     /// Whether there are open connections to wait for.
@@ -423,19 +432,37 @@
 #[derive(Debug)]
 pub struct PooledConnection {
     pool: Arc<Pool>,
+    purpose: Purpose,
     since: Instant,
     connection: Option<Connection>,
+    /// A statement of its present user has run on it.
+    has_run: bool,
 }
 
 impl PooledConnection {
-    fn new(pool: Arc<Pool>, connection: Connection) -> Self {
+    fn new(pool: Arc<Pool>, connection: Connection, purpose: Purpose) -> Self {
         PooledConnection {
             pool,
+            purpose,
             since: clock::now(),
             connection: Some(connection),
+            has_run: false,
+        }
+    }
+
+    /// How urgent the next statement on it is.
+    pub fn urgency(&self) -> Urgency {
+        match self.purpose {
+            Purpose::Statement { priority } if !self.has_run => Urgency::Priority(priority),
+            _ => Urgency::InTransaction,
         }
     }
 
+    /// A statement of its present user has run on it.
+    pub fn note_run(&mut self) {
+        self.has_run = true;
+    }
+
     /// The pool it belongs to.
     pub fn pool(&self) -> &Arc<Pool> {
         &self.pool
--- /dev/null
+++ b/crates/millwind-engine/src/backend/turns.rs
@@ -0,0 +1,167 @@
+//! Turns of statements at one instance: as many run at the same time as its
+//! [`ConcurrencyLimit`] allows, the others wait here, the most urgent first.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use millwind_core::Instant;
+use millwind_core::concurrency_limit::{ConcurrencyLimit, TurnEnd};
+use tokio::sync::oneshot;
+
+use super::link_error::LinkError;
+use crate::clock;
+
+/// Weight of a new sample in the mean time of a turn, as one part in so many.
+const TURN_WEIGHT: u64 = 16;
+
+/// How urgent a statement is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Part of an open transaction, which holds its connection meanwhile; it
+    /// waits until its deadline.
+    InTransaction,
+    /// Of this priority, zero first; refused at once if its turn would come too
+    /// late.
+    Priority(u8),
+}
+
+struct Waiter {
+    urgency: Urgency,
+    turn: oneshot::Sender<Turn>,
+}
+
+struct State {
+    limit: ConcurrencyLimit,
+    running: usize,
+    waiters: VecDeque<Waiter>,
+    /// Mean time of a turn, in microseconds.
+    mean_us: u64,
+}
+
+/// The turns at one instance.
+pub struct Turns(Mutex<State>);
+
+impl std::fmt::Debug for Turns {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Turns")
+    }
+}
+
+/// A statement's turn; over when dropped.
+#[derive(Debug)]
+pub struct Turn {
+    turns: Arc<Turns>,
+    began: Instant,
+    end: TurnEnd,
+}
+
+impl Turn {
+    /// Ends the turn.
+    pub fn end(mut self, end: TurnEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.turns.over(self.began, self.end);
+    }
+}
+
+impl Turns {
+    /// Turns at an instance with so many slots.
+    pub fn new(slots: u32) -> Arc<Turns> {
+        Arc::new(Turns(Mutex::new(State {
+            limit: ConcurrencyLimit::new(slots),
+            running: 0,
+            waiters: VecDeque::new(),
+            mean_us: 0,
+        })))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for a turn; fails at `deadline`, or at once where it is known that
+    /// the statement would not be served by then.
+    pub async fn take(self: &Arc<Self>, urgency: Urgency, deadline: Instant) -> Result<Turn, LinkError> {
+        let waiting = {
+            let mut state = self.state();
+            if state.running < state.limit.allowed() {
+                state.running += 1;
+                return Ok(self.begin());
+            }
+            let expected = clock::now().0 + state.expected_us(urgency);
+            if urgency != Urgency::InTransaction && expected > deadline.0 {
+                return Err(LinkError::NoConnection);
+            }
+            state.enqueue(urgency)
+        };
+        match tokio::time::timeout_at(clock::deadline(deadline), waiting).await {
+            Ok(Ok(turn)) => Ok(turn),
+            Ok(Err(_)) => Err(LinkError::Retired),
+            Err(_) => Err(LinkError::NoConnection),
+        }
+    }
+
+    fn begin(self: &Arc<Self>) -> Turn {
+        Turn {
+            turns: self.clone(),
+            began: clock::now(),
+            end: TurnEnd::Unknown,
+        }
+    }
+
+    /// A turn is over: those that wait may begin theirs.
+    fn over(self: &Arc<Self>, began: Instant, end: TurnEnd) {
+        let now = clock::now();
+        let mut begun = Vec::new();
+        {
+            let mut state = self.state();
+            let was_full = state.running >= state.limit.allowed();
+            state.running -= 1;
+            state.limit.ended(now, end, was_full);
+            if end == TurnEnd::Ran {
+                let sample = now.0.saturating_sub(began.0);
+                state.mean_us = (state.mean_us * (TURN_WEIGHT - 1) + sample) / TURN_WEIGHT;
+            }
+            while state.running < state.limit.allowed() {
+                let Some(waiter) = state.next_waiter() else { break };
+                state.running += 1;
+                begun.push(waiter);
+            }
+        }
+        // Outside of the lock: a turn that nobody takes is over at once.
+        for waiter in begun {
+            drop(waiter.turn.send(self.begin()));
+        }
+    }
+}
+
+impl State {
+    /// Time until a statement that comes now would have been served, in
+    /// microseconds.
+    fn expected_us(&self, urgency: Urgency) -> u64 {
+        let ahead = self.waiters.iter().filter(|waiter| waiter.urgency <= urgency);
+        let rounds = (ahead.count() as u64 + 1) / self.limit.allowed() as u64;
+        self.mean_us * (rounds + 1)
+    }
+
+    fn enqueue(&mut self, urgency: Urgency) -> oneshot::Receiver<Turn> {
+        let (turn, receiver) = oneshot::channel();
+        let index = self.waiters.partition_point(|other| other.urgency <= urgency);
+        self.waiters.insert(index, Waiter { urgency, turn });
+        receiver
+    }
+
+    /// The next one that still waits.
+    fn next_waiter(&mut self) -> Option<Waiter> {
+        while let Some(waiter) = self.waiters.pop_front() {
+            if !waiter.turn.is_closed() {
+                return Some(waiter);
+            }
+        }
+        None
+    }
+}
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use millwind_core::Instant;
+use millwind_core::concurrency_limit::TurnEnd;
 use millwind_core::ids::InstanceName;
 use millwind_core::position::Position;
 use millwind_core::session_state::{PreparedStatement, SessionState};
@@ -205,8 +206,13 @@
 ) -> Result<Reply, AttemptError> {
     let pool = connection.pool().clone();
     let record = pool.record();
+    let turn = pool.turns().take(connection.urgency(), deadline).await;
+    let turn = turn.map_err(AttemptError::Link)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
-    let reply = match connection.run(session, envelope, deadline).await {
+    let exchanged = connection.run(session, envelope, deadline).await;
+    turn.end(turn_end(&exchanged));
+    connection.note_run();
+    let reply = match exchanged {
         Ok(reply) => reply,
         Err(error) => {
             inquiry.failed(&error);
@@ -230,6 +236,22 @@
     Ok(reply)
 }
 
+/// What the end of an exchange tells of the load of its instance.
+fn turn_end(exchanged: &Result<Reply, LinkError>) -> TurnEnd {
+    let Ok(reply) = exchanged else {
+        return TurnEnd::Unknown;
+    };
+    match &reply.result {
+        Ok(_) => TurnEnd::Ran,
+        Err(error) => match error.kind {
+            BackEndErrorKind::Busy => TurnEnd::TurnedAway,
+            BackEndErrorKind::Failed | BackEndErrorKind::TimedOut | BackEndErrorKind::Other => TurnEnd::Ran,
+            // Answered without a slot.
+            _ => TurnEnd::Unknown,
+        },
+    }
+}
+
 /// Whether an answer speaks for or against the health of its instance; none
 /// where it does neither.
 fn tells_health(reply: &Reply) -> Option<bool> {
--- /dev/null
+++ b/crates/millwind-engine/tests/turns.rs
@@ -0,0 +1,81 @@
+//! Turns of statements at one instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use millwind_core::concurrency_limit::TurnEnd;
+use millwind_engine::backend::turns::{Turn, Turns};
+use millwind_engine::backend::{LinkError, Urgency};
+use millwind_engine::clock;
+use tokio::sync::mpsc;
+
+const SLOTS: u32 = 2;
+
+async fn take(turns: &Arc<Turns>, urgency: Urgency) -> Result<Turn, LinkError> {
+    turns.take(urgency, clock::now().plus_millis(1_000)).await
+}
+
+/// Takes all turns.
+async fn fill(turns: &Arc<Turns>) -> Vec<Turn> {
+    let mut taken = Vec::new();
+    for _ in 0..SLOTS {
+        taken.push(take(turns, Urgency::Priority(1)).await.unwrap());
+    }
+    taken
+}
+
+/// Makes the mean time of a turn some `millis`.
+async fn teach(turns: &Arc<Turns>, millis: u64) {
+    for _ in 0..60 {
+        let turn = take(turns, Urgency::Priority(1)).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+        turn.end(TurnEnd::Ran);
+    }
+}
+
+#[tokio::test]
+async fn the_most_urgent_goes_first_when_a_turn_is_over() {
+    let turns = Turns::new(SLOTS);
+    let mut taken = fill(&turns).await;
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let urgencies = [Urgency::Priority(2), Urgency::Priority(0), Urgency::InTransaction];
+    for urgency in urgencies {
+        let (turns, sender) = (turns.clone(), sender.clone());
+        tokio::spawn(async move {
+            let turn = take(&turns, urgency).await.unwrap();
+            sender.send(urgency).unwrap();
+            turn.end(TurnEnd::Ran);
+        });
+        tokio::task::yield_now().await;
+    }
+    taken.pop().unwrap().end(TurnEnd::Ran);
+    for expected in [Urgency::InTransaction, Urgency::Priority(0), Urgency::Priority(2)] {
+        assert_eq!(receiver.recv().await, Some(expected));
+    }
+}
+
+#[tokio::test]
+async fn a_statement_that_would_come_too_late_is_refused_at_once() {
+    let turns = Turns::new(SLOTS);
+    teach(&turns, 20).await;
+    let _taken = fill(&turns).await;
+    let began = clock::now();
+    let refused = turns
+        .take(Urgency::Priority(1), clock::now().plus_millis(5))
+        .await;
+    assert_eq!(refused.err(), Some(LinkError::NoConnection));
+    let in_transaction = turns.take(Urgency::InTransaction, clock::now().plus_millis(5));
+    assert_eq!(in_transaction.await.err(), Some(LinkError::NoConnection));
+    assert!(clock::now().millis_since(began) >= 5, "an open transaction waits");
+}
+
+#[tokio::test]
+async fn a_turn_that_nobody_takes_any_more_goes_to_the_next() {
+    let turns = Turns::new(SLOTS);
+    let mut taken = fill(&turns).await;
+    let given_up = turns.take(Urgency::Priority(0), clock::now().plus_millis(10));
+    assert!(given_up.await.is_err());
+    taken.pop().unwrap().end(TurnEnd::TurnedAway);
+    taken.pop().unwrap().end(TurnEnd::Unknown);
+    assert!(take(&turns, Urgency::Priority(1)).await.is_ok());
+}
