A node that relays told of the catalog asks a store that is out less and less

Change: what relays have told counts as read. At the first start configuration and instances are listed 0.3 s after the nodes, when most nodes know that relays read them.

--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -66,6 +66,9 @@
 /// store only after this time, so that it finds the others. A few times the time
 /// within which the platform starts its machines (0.3 s).
 const FIRST_START_SETTLE: Duration = Duration::from_millis(1_000);
+/// After it the nodes are listed within this time, so that most know by then that
+/// relays read the rest: a few times an answer's usual time between regions.
+const FIRST_START_LISTING: Duration = Duration::from_millis(300);
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 
@@ -472,11 +475,11 @@
     let config = ConfigFollower::new(engine.clone(), catalog.clone());
     let instances = InstanceFollower::new(engine.clone(), catalog.clone());
     let contact = engine.store_contact.clone();
-    let settle = match engine.settings.is_first_start {
-        true => FIRST_START_SETTLE,
-        false => Duration::ZERO,
+    let (nodes_settle, catalog_settle) = match engine.settings.is_first_start {
+        true => (FIRST_START_SETTLE, FIRST_START_SETTLE + FIRST_START_LISTING),
+        false => (Duration::ZERO, Duration::ZERO),
     };
-    let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>| {
+    let follow = |prefix: &str, follower: Arc<dyn store_watch::Follower>, settle: Duration| {
         let following =
             store_watch::follow(ports.store.clone(), prefix.to_owned(), follower, contact.clone());
         tokio::spawn(async move {
@@ -484,9 +487,9 @@
             following.await;
         });
     };
-    follow(catalog.config_key(), Arc::new(config));
-    follow(catalog.instances_prefix(), Arc::new(instances));
-    follow(catalog.own_prefix(), engine.own_keys.clone());
+    follow(catalog.config_key(), Arc::new(config), catalog_settle);
+    follow(catalog.instances_prefix(), Arc::new(instances), catalog_settle);
+    follow(catalog.own_prefix(), engine.own_keys.clone(), nodes_settle);
     let record = NodeRecord {
         peer_address: engine.settings.peer_address,
         zone: engine.settings.zone.clone(),
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(super) enum SessionConnection {
     /// One of this node's own.
-    Own(PooledConnection),
+    Own(Box<PooledConnection>),
     /// One of an owner.
     Leased(Box<Lease>),
 }
@@ -60,7 +60,7 @@
                 deadline: operation.deadline,
             };
             let connected = execution::connect(engine, record, wanted).await;
-            connected.map(SessionConnection::Own)
+            connected.map(|own| SessionConnection::Own(Box::new(own)))
         }
         Route::Through(link) => {
             engine.metrics.forwarded_out.inc();
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -133,7 +133,7 @@
 /// How far a follower has come with the store.
 #[derive(Debug)]
 struct Progress {
-    /// The prefix was read at least once.
+    /// The prefix was read at least once, here or by relays.
     has_read: bool,
     /// Since when the store does not answer.
     lost_at: Option<Instant>,
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Relays have told what lies under the prefix meanwhile.
+    fn left_to_relays(&mut self) {
+        self.has_read = true;
+        self.lost_at = None;
+    }
+
     /// Takes in a failure; the time to wait after it.
     fn failed(&mut self, follower: &dyn Follower, error: &StoreError) -> Duration {
         if self.lost_at.is_none() {
@@ -197,7 +203,7 @@
     let mut reads = follower.reads();
     loop {
         if until_reads(&mut reads).await {
-            progress.lost_at = None;
+            progress.left_to_relays();
         }
         if contact.is_lost() && !follower.is_sentinel() {
             contact.heard(follower.most_pause()).await;
