News of instances are urgent while a group's leader is missing among them

Change: while no instance of a configured group says that it leads, and for ten seconds at most, relays read every 0.3 s and nodes ask them every 0.15 s.

--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -360,6 +360,23 @@
             .collect()
     }
 
+    /// Whether some instance of every configured group is known that says that it
+    /// leads.
+    pub fn knows_claimed_leaders(&self) -> bool {
+        let state = self.state();
+        let Some(config) = &state.config else {
+            return false;
+        };
+        let is_claimed = |name: &InstanceName| {
+            let known = state.instances.get(name);
+            known.is_some_and(|known| known.record.claims_lead && !known.is_gone)
+        };
+        config.groups.keys().all(|group| {
+            let members = state.members.get(group);
+            members.is_some_and(|members| members.iter().any(is_claimed))
+        })
+    }
+
     /// All instances.
     pub fn instances(&self) -> Vec<Known> {
         let state = self.state();
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -238,6 +238,9 @@
             false => self.shared_pace(),
         };
         tokio::time::sleep(URGENT_PACE).await;
+        if self.relays.are_news_urgent(&self.directory) {
+            return;
+        }
         tokio::select! {
             () = tokio::time::sleep(pace.saturating_sub(URGENT_PACE)) => {}
             () = self.leader_doubted.notified() => {}
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -18,8 +18,7 @@
 
 /// Between two comparisons.
 const INTERVAL: Duration = Duration::from_millis(800);
-/// Between two comparisons while this node does not know enough to serve, or has
-/// not been told yet how old what it knows is.
+/// The same while news are urgent.
 const URGENT_INTERVAL: Duration = Duration::from_millis(150);
 /// Neighbours in a node's own zone.
 const NEAR_NEIGHBOURS: usize = 4;
@@ -54,9 +53,11 @@
     /// Compares catalogs for the life of the process.
     pub async fn run(self) {
         loop {
-            let is_settled =
-                self.engine.directory.is_complete() && self.engine.relays.store_age_ms().is_some();
-            let interval = if is_settled { INTERVAL } else { URGENT_INTERVAL };
+            let interval = if self.is_urgent() {
+                URGENT_INTERVAL
+            } else {
+                INTERVAL
+            };
             tokio::time::sleep(interval).await;
             if let Some(source) = self.pick() {
                 self.compare(source).await;
@@ -65,6 +66,14 @@
         }
     }
 
+    /// Whether this node should hear of the catalog soon: it does not know enough
+    /// to serve, or not how old it is, or misses a leader.
+    fn is_urgent(&self) -> bool {
+        let (directory, relays) = (&self.engine.directory, &self.engine.relays);
+        let is_heard = relays.store_age_ms().is_some();
+        !directory.is_complete() || !is_heard || relays.are_news_urgent(directory)
+    }
+
     /// Whom to compare with: a relay where this node leaves the store to them
     /// and they have fresh news, else a neighbour.
     fn pick(&self) -> Option<Source> {
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -11,10 +11,16 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::directory::Directory;
 use crate::node::Engine;
 use crate::registry::Registry;
 use crate::store_watch::StoreReading;
 
+/// News of instances are urgent for this time while a group's leader is missing
+/// among them, in milliseconds: a few times the time in which instances write
+/// their records again after the store was out (some 2 s on the users' platform),
+/// and in which a lost leader is replaced.
+const MISSING_LEADER_MS: u64 = 10_000;
 /// A relay that gave no answer is left alone for this time, in milliseconds.
 const AVOID_MS: u64 = 8_000;
 
@@ -26,6 +32,8 @@
     asked: Option<Instant>,
     /// The newest time at which the store had told this node or one it asked.
     heard: Option<Instant>,
+    /// Since when the records of instances lack a group's leader.
+    leader_missing_since: Option<Instant>,
     /// Relays that gave no answer, and until when they are left alone.
     avoided: HashMap<SocketAddr, Instant>,
 }
@@ -132,6 +140,20 @@
         ranked.filter(is_usable).take(count).collect()
     }
 
+    /// Whether news of instances are urgent: a leader is missing among them, and
+    /// not for long.
+    pub fn are_news_urgent(&self, directory: &Directory) -> bool {
+        let is_missing = !directory.knows_claimed_leaders();
+        let mut state = self.state();
+        if !is_missing {
+            state.leader_missing_since = None;
+            return false;
+        }
+        let now = clock::now();
+        let since = *state.leader_missing_since.get_or_insert(now);
+        now.millis_since(since) < MISSING_LEADER_MS
+    }
+
     /// Judges anew whether this node must read the store, once the other nodes
     /// are known.
     pub fn judge(&self, engine: &Engine) {
