One silent link has a node ask the others before it sends a statement there

The nodes were split. At 295 nodes a link between a node and an owner is used every 18 s, so that nearly each statement over the split was the first on its link and found the cut by itself, after a second; writes ended with an unknown outcome.

Change: a link that is silent for 250 ms, or a comparison without an answer, has the node doubt all links for 5 s: meanwhile a link on which nothing was heard for a second is asked first, all owners of the instance at once, and one that does not answer within 150 ms is closed and opened anew.

--- a/crates/millwind-engine/src/forward/link.rs
+++ b/crates/millwind-engine/src/forward/link.rs
@@ -9,19 +9,25 @@
 
 use futures::StreamExt;
 use log::info;
+use millwind_core::Instant;
 use millwind_wire::forward::{ForwardReply, ForwardRequest, ForwardedAnswer, decode_forward};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::codec::Framed;
 
+use super::doubt::LinkDoubt;
 use super::{Transport, write_all};
 use crate::clock;
 use crate::peers::frames;
 
 /// Between two looks at a link with outstanding answers.
-const TICK: Duration = Duration::from_millis(150);
-/// Silence after which the owner is asked whether it lives, in milliseconds.
-const PING_MS: u64 = 300;
+const TICK: Duration = Duration::from_millis(50);
+/// Silence after which the owner is asked whether it lives, in milliseconds: a
+/// statement's usual time.
+const PING_MS: u64 = 100;
+/// Silence after which other links are doubted too, in milliseconds: an owner
+/// that lives answers the question within a few round trips between regions.
+const DOUBT_MS: u64 = 250;
 /// Silence after which the link is given up, in milliseconds.
 const LOST_MS: u64 = 1_000;
 /// Messages written in one go at most.
@@ -36,11 +42,14 @@
     numbers: AtomicU64,
     is_closed: AtomicBool,
     is_leaving: AtomicBool,
+    /// When the owner last said anything; zero for never.
+    heard: watch::Sender<Instant>,
+    doubt: Arc<LinkDoubt>,
 }
 
 impl OwnerLink {
-    /// Serves `stream` in the background.
-    pub fn start(address: SocketAddr, stream: TcpStream) -> Arc<OwnerLink> {
+    /// Serves `stream` in the background; its silence is told to `doubt`.
+    pub fn start(address: SocketAddr, stream: TcpStream, doubt: Arc<LinkDoubt>) -> Arc<OwnerLink> {
         let (outgoing, requests) = mpsc::unbounded_channel();
         let link = Arc::new(OwnerLink {
             address,
@@ -49,6 +58,8 @@
             numbers: AtomicU64::new(1),
             is_closed: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            heard: watch::Sender::new(Instant::default()),
+            doubt,
         });
         let transport = Framed::new(stream, frames());
         tokio::spawn(link.clone().run(transport, requests));
@@ -74,6 +85,27 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether the owner has said anything within the last `most_ms`.
+    pub fn was_heard_within(&self, most_ms: u64) -> bool {
+        clock::now().millis_since(*self.heard.borrow()) < most_ms
+    }
+
+    /// Asks the owner whether it lives; without an answer within `limit` the link
+    /// takes no new calls, and its owner is to be reached anew.
+    pub async fn prove(&self, limit: Duration) -> bool {
+        let asked = clock::now();
+        let mut heard = self.heard.subscribe();
+        // On a lost link nobody answers.
+        let _ = self.outgoing.send(ForwardRequest::Ping);
+        let answered = heard.wait_for(|heard| *heard > asked);
+        let is_proven = tokio::time::timeout(limit, answered).await.is_ok();
+        if !is_proven {
+            self.is_closed.store(true, Ordering::Relaxed);
+            info!("event=owner_link_unproven owner={}", self.address);
+        }
+        is_proven
+    }
+
     /// Calls without an answer.
     pub fn outstanding(&self) -> usize {
         self.pending().len()
@@ -129,6 +161,7 @@
         mut requests: mpsc::UnboundedReceiver<ForwardRequest>,
     ) -> &'static str {
         let mut heard = clock::now();
+        let mut asked = clock::now();
         let mut batch = Vec::new();
         loop {
             let is_waiting = !self.pending().is_empty();
@@ -147,6 +180,7 @@
                 message = transport.next() => {
                     let Some(Ok(message)) = message else { return "closed" };
                     heard = clock::now();
+                    self.heard.send_replace(heard);
                     if !self.take(&message) {
                         return "malformed";
                     }
@@ -156,7 +190,11 @@
                     if silent_ms > LOST_MS {
                         return "silent";
                     }
-                    if silent_ms > PING_MS {
+                    if silent_ms > DOUBT_MS {
+                        self.doubt.raise();
+                    }
+                    if silent_ms > PING_MS && clock::now().millis_since(asked) > PING_MS {
+                        asked = clock::now();
                         batch.push(ForwardRequest::Ping);
                         if write_all(transport, &mut batch).await.is_none() {
                             return "write_failed";
--- a/crates/millwind-engine/src/forward/links.rs
+++ b/crates/millwind-engine/src/forward/links.rs
@@ -7,11 +7,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use millwind_core::Instant;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::doubt::LinkDoubt;
 use super::link::OwnerLink;
 use crate::clock;
 
@@ -24,6 +27,12 @@
 /// A link that nobody has wanted for this time is no longer tried, in
 /// milliseconds.
 const WANTED_MS: u64 = 5_000;
+/// A link on which the owner was heard within this time needs no proof, in
+/// milliseconds.
+const PROVEN_MS: u64 = 1_000;
+/// An owner that lives answers within this time: a few round trips between
+/// regions, on a busy machine.
+const PROOF_LIMIT: Duration = Duration::from_millis(150);
 /// Unacknowledged bytes break a link after this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -50,6 +59,8 @@
     slots: Mutex<HashMap<SocketAddr, Slot>>,
     /// A link was opened, or not.
     settled: Notify,
+    /// Whether links can be trusted.
+    doubt: Arc<LinkDoubt>,
 }
 
 impl Links {
@@ -91,6 +102,44 @@
         best
     }
 
+    /// A node gave no answer: links may be cut.
+    pub(super) fn doubt(&self) {
+        self.doubt.raise();
+    }
+
+    /// As [`Links::best`]; while links are doubted, only one on which the owner
+    /// was heard lately or answers now.
+    pub(super) async fn best_proven(self: &Arc<Self>, addresses: &[SocketAddr]) -> Option<Arc<OwnerLink>> {
+        let best = self.best(addresses)?;
+        if !self.doubt.is_raised() || best.was_heard_within(PROVEN_MS) {
+            return Some(best);
+        }
+        let open = self.open_links(addresses);
+        let heard = open.iter().find(|link| link.was_heard_within(PROVEN_MS));
+        if let Some(heard) = heard {
+            return Some(heard.clone());
+        }
+        let mut proofs: FuturesUnordered<_> = open
+            .into_iter()
+            .map(|link| async move { link.prove(PROOF_LIMIT).await.then_some(link) })
+            .collect();
+        while let Some(proven) = proofs.next().await {
+            if proven.is_some() {
+                return proven;
+            }
+        }
+        None
+    }
+
+    /// The usable links among `addresses`.
+    fn open_links(&self, addresses: &[SocketAddr]) -> Vec<Arc<OwnerLink>> {
+        let slots = self.slots();
+        let links = addresses
+            .iter()
+            .filter_map(|address| slots.get(address)?.open_link());
+        links.filter(|link| !link.is_leaving()).cloned().collect()
+    }
+
     /// As [`Links::best`], waiting while a link is opened that was not found
     /// down.
     pub(super) async fn await_best(self: &Arc<Self>, addresses: &[SocketAddr]) -> Option<Arc<OwnerLink>> {
@@ -120,7 +169,7 @@
     async fn keep_opening(self: Arc<Self>, address: SocketAddr) {
         let mut pause = FIRST_PAUSE;
         loop {
-            let link = open(address).await;
+            let link = open(address, self.doubt.clone()).await;
             let is_done = self.settle(address, link);
             self.settled.notify_waiters();
             if is_done {
@@ -157,11 +206,11 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Option<Arc<OwnerLink>> {
+async fn open(address: SocketAddr, doubt: Arc<LinkDoubt>) -> Option<Arc<OwnerLink>> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
     // Without it small messages wait for acknowledgements.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    Some(OwnerLink::start(address, stream))
+    Some(OwnerLink::start(address, stream, doubt))
 }
--- a/crates/millwind-engine/src/forward/mod.rs
+++ b/crates/millwind-engine/src/forward/mod.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+mod doubt;
 mod lease;
 mod link;
 mod links;
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -111,6 +111,11 @@
             .is_some_and(|until| *until > clock::now())
     }
 
+    /// A node gave no answer: links to owners may be cut.
+    pub fn doubt_links(&self) {
+        self.links.doubt();
+    }
+
     /// The way of a statement to `record`. A node that reaches no owner uses
     /// connections of its own.
     pub async fn route(&self, registry: &Registry, record: &InstanceRecord, prefers_own: bool) -> Route {
@@ -122,7 +127,7 @@
         let mut was_avoided = false;
         let owners = self.usable(owners, record, &mut was_avoided);
         let stand_ins = self.usable(stand_ins, record, &mut was_avoided);
-        let found = match self.links.best(&owners) {
+        let found = match self.links.best_proven(&owners).await {
             Some(link) => Some(link),
             None => self.await_any(&owners, &stand_ins).await,
         };
@@ -156,7 +161,7 @@
     /// A link to an owner, else to one that stands in, which are opened at the
     /// same time.
     async fn await_any(&self, owners: &[SocketAddr], stand_ins: &[SocketAddr]) -> Option<Arc<OwnerLink>> {
-        let standing_in = self.links.best(stand_ins);
+        let standing_in = self.links.best_proven(stand_ins).await;
         match self.links.await_best(owners).await {
             Some(link) => Some(link),
             None if standing_in.is_some() => standing_in,
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -134,6 +134,7 @@
         }) = reply
         else {
             self.engine.unreached.failed(address, sent);
+            self.engine.owners.doubt_links();
             if source.is_relay {
                 info!("event=relay_unreachable relay={address}");
                 self.engine.relays.avoid(address);
