A pool's share follows the known nodes at once

Cause: shares were worked out anew every half second.

Change: a pool knows the version of the nodes that its share follows from.

--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -16,7 +16,14 @@
 /// Pools by instance.
 pub struct Pools {
     codec: Arc<dyn BackEndCodec>,
-    pools: Mutex<HashMap<InstanceName, Arc<Pool>>>,
+    pools: Mutex<HashMap<InstanceName, Shared>>,
+}
+
+/// A pool with the version of the nodes that its share follows from.
+#[derive(Debug)]
+struct Shared {
+    pool: Arc<Pool>,
+    version: u64,
 }
 
 impl std::fmt::Debug for Pools {
@@ -39,24 +46,33 @@
         &self.codec
     }
 
-    /// The pool of `record`, made with `share` connections if there is none.
-    pub fn pool(&self, record: &InstanceRecord, share: impl FnOnce() -> usize) -> Arc<Pool> {
+    /// The pool of `record`; its share of the instance's connections is worked out
+    /// anew whenever `version`, that of the known nodes, has changed: a node that
+    /// has just heard of others holds too many otherwise.
+    pub fn pool(&self, record: &InstanceRecord, version: u64, share: impl FnOnce() -> usize) -> Arc<Pool> {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(pool) = pools.get(&record.name)
-            && pool.record().address == record.address
-        {
-            return pool.clone();
+        let present = pools.get_mut(&record.name);
+        if let Some(shared) = present.filter(|shared| shared.pool.record().address == record.address) {
+            if shared.version != version {
+                shared.version = version;
+                shared.pool.set_share(share());
+            }
+            return shared.pool.clone();
         }
         let pool = Pool::new(record.clone(), self.codec.clone(), share());
-        if let Some(replaced) = pools.insert(record.name.clone(), pool.clone()) {
-            replaced.retire();
+        let shared = Shared {
+            pool: pool.clone(),
+            version,
+        };
+        if let Some(replaced) = pools.insert(record.name.clone(), shared) {
+            replaced.pool.retire();
         }
         pool
     }
 
     fn all(&self) -> Vec<Arc<Pool>> {
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        pools.values().cloned().collect()
+        pools.values().map(|shared| shared.pool.clone()).collect()
     }
 
     /// Closes connections that nobody needs; `spare_of` tells how many are kept
@@ -81,14 +97,13 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .remove(instance);
-        if let Some(pool) = removed {
-            pool.retire();
+        if let Some(shared) = removed {
+            shared.pool.retire();
         }
     }
 
     /// Opens connections of a pool ahead of need, in the background.
-    pub fn warm_up(&self, record: &InstanceRecord, share: usize, count: usize) {
-        let pool = self.pool(record, || share);
+    pub fn warm_up(&self, pool: Arc<Pool>, count: usize) {
         if pool.open_connections() < count {
             tokio::spawn(open_ahead(pool, count, OPEN_PACE));
         }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -45,7 +45,7 @@
         let is_configured = self.directory.group_limits(&record.group).is_some();
         let share = self.share_of(record);
         if is_configured && !record.is_leaving && share >= AMPLE_SHARE && self.registry.is_listed() {
-            self.pools.warm_up(record, share, WARM_CONNECTIONS);
+            self.pools.warm_up(self.pool(record), WARM_CONNECTIONS);
         }
     }
 
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -180,7 +180,8 @@
 
     /// The pool of an instance.
     pub fn pool(&self, record: &InstanceRecord) -> Arc<Pool> {
-        self.pools.pool(record, || self.share_of(record))
+        self.pools
+            .pool(record, self.registry.version(), || self.share_of(record))
     }
 
     /// The protocol towards back ends.
