Statements that two nodes find no time for are refused at once

Cause: a statement that could not be served before its deadline was refused by the owner, and the asking node tried on until the deadline, also through nodes that stand in for owners and open more connections to the same instance.

Change: after two such refusals the caller is told, with all of its time left to come back; a refusal for lack of time does not send statements to stand-ins. The mean time of a turn starts with the first one.

--- a/crates/millwind-engine/src/backend/turns.rs
+++ b/crates/millwind-engine/src/backend/turns.rs
@@ -34,7 +34,7 @@
     limit: ConcurrencyLimit,
     running: usize,
     waiters: VecDeque<Waiter>,
-    /// Mean time of a turn, in microseconds.
+    /// Mean time of a turn, in microseconds; zero before the first.
     mean_us: u64,
 }
 
@@ -123,8 +123,7 @@
             state.running -= 1;
             state.limit.ended(now, end, was_full);
             if end == TurnEnd::Ran {
-                let sample = now.0.saturating_sub(began.0);
-                state.mean_us = (state.mean_us * (TURN_WEIGHT - 1) + sample) / TURN_WEIGHT;
+                state.note_turn(now.0.saturating_sub(began.0));
             }
             while state.running < state.limit.allowed() {
                 let Some(waiter) = state.next_waiter() else { break };
@@ -140,6 +139,14 @@
 }
 
 impl State {
+    /// Takes in how long a turn took, in microseconds.
+    fn note_turn(&mut self, sample: u64) {
+        self.mean_us = match self.mean_us {
+            0 => sample,
+            mean => (mean * (TURN_WEIGHT - 1) + sample) / TURN_WEIGHT,
+        };
+    }
+
     /// Time until a statement that comes now would have been served, in
     /// microseconds.
     fn expected_us(&self, urgency: Urgency) -> u64 {
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Whether the statement would have waited beyond its deadline where it was
+    /// sent: the instance has more to do than it can serve in time.
+    pub fn is_overload(&self) -> bool {
+        matches!(self, AttemptError::Link(LinkError::NoConnection))
+    }
+
     /// What the caller is told when nothing was kept.
     pub fn into_failure(self) -> Failure {
         match self {
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -176,10 +176,14 @@
                 inquiry.taken();
                 note_error(engine, &self.record, error);
             }
-            Err(AttemptError::Link(_)) => {
+            Err(AttemptError::Link(error)) => {
                 inquiry.passed();
                 engine.directory.avoid(&self.record.name);
-                engine.owners.avoid(self.link.address(), &self.record.name);
+                // Nodes that stand in for an owner which has too much to do would
+                // only send more to the same instance.
+                if *error != LinkError::NoConnection {
+                    engine.owners.avoid(self.link.address(), &self.record.name);
+                }
             }
         }
     }
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -17,6 +17,22 @@
 use crate::node::Engine;
 use crate::statement::{Envelope, Reply, TransactionState};
 
+/// A statement that so many nodes found no time for is refused: its caller may
+/// come back with all of its time, while trying on here leaves it ever less.
+const MOST_OVERLOADS: u32 = 2;
+
+/// The tries of one statement that found an instance with too much to do.
+#[derive(Debug, Default)]
+pub(super) struct Overloads(u32);
+
+impl Overloads {
+    /// Takes in how a try failed; true if the statement should be refused now.
+    pub(super) fn is_enough(&mut self, error: &AttemptError) -> bool {
+        self.0 += u32::from(error.is_overload());
+        self.0 >= MOST_OVERLOADS
+    }
+}
+
 /// A connection that a session uses.
 #[derive(Debug)]
 pub(super) enum SessionConnection {
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -12,7 +12,7 @@
 use millwind_core::selection::{ReadCandidate, order_by_expected_time};
 use millwind_core::session_state::SessionState;
 
-use super::attempt::{self, SessionConnection};
+use super::attempt::{self, Overloads, SessionConnection};
 use super::writes::{RETRY_PAUSE, pause_after, usable_leader};
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal};
@@ -55,12 +55,13 @@
     async fn leader_read(&mut self, operation: Operation) -> Answer {
         let engine = self.engine.clone();
         engine.directory.used(operation.group(), None);
+        let mut overloads = Overloads::default();
         loop {
             let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
             let attempt = operation.within(patience(&engine, &record));
             match self.leader_read_on(&record, &attempt).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation, 0).await?,
+                Err(error) => after_failed_read(error, &operation, 0, &mut overloads).await?,
             }
         }
     }
@@ -98,11 +99,12 @@
         engine.directory.used(operation.group(), Some(staleness));
         let operation = Arc::new(operation);
         let mut rounds = 0;
+        let mut overloads = Overloads::default();
         loop {
             let floor = self.floor_for(&operation).await?;
             match hedged_read(&engine, &self.state, &operation, floor).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation, rounds).await?,
+                Err(error) => after_failed_read(error, &operation, rounds, &mut overloads).await?,
             }
             rounds += 1;
         }
@@ -138,10 +140,15 @@
 
 /// Returns where a read may be tried again, after a pause that grows with
 /// `rounds`, and fails where not.
-async fn after_failed_read(error: AttemptError, operation: &Operation, rounds: u32) -> Result<(), Failure> {
+async fn after_failed_read(
+    error: AttemptError,
+    operation: &Operation,
+    rounds: u32,
+    overloads: &mut Overloads,
+) -> Result<(), Failure> {
     let has_run = matches!(&error, AttemptError::BackEnd(error)
         if !error.kind.is_not_run());
-    if has_run || clock::now() >= operation.deadline {
+    if has_run || clock::now() >= operation.deadline || overloads.is_enough(&error) {
         return Err(read_failure(error));
     }
     pause_after(&error).await;
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -7,7 +7,7 @@
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 
-use super::attempt::{self, SessionConnection};
+use super::attempt::{self, Overloads, SessionConnection};
 use super::reads::begin_at_floor;
 use super::writes::{pause_after, usable_leader};
 use super::{Operation, Session, operation};
@@ -152,6 +152,7 @@
         engine
             .directory
             .used(operation.group(), (!is_on_leader).then_some(staleness));
+        let mut overloads = Overloads::default();
         loop {
             let error = match self.try_first(open, operation).await {
                 Ok(reply) => return Ok(reply),
@@ -160,7 +161,7 @@
             };
             open.connection = None;
             let has_run = matches!(&error, AttemptError::BackEnd(error) if !error.kind.is_not_run());
-            if has_run || clock::now() >= operation.deadline {
+            if has_run || clock::now() >= operation.deadline || overloads.is_enough(&error) {
                 return Err(failure_in_transaction(error));
             }
             pause_after(&error).await;
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -7,7 +7,7 @@
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::GroupName;
 
-use super::attempt;
+use super::attempt::{self, Overloads};
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal};
 use crate::backend::LinkError;
@@ -32,6 +32,7 @@
         let engine = self.engine.clone();
         let group = operation.group().clone();
         engine.directory.used(&group, None);
+        let mut overloads = Overloads::default();
         loop {
             let record = usable_leader(&engine, &group, operation.deadline).await?;
             let attempted = self.write_on(&record, &operation).await;
@@ -47,7 +48,9 @@
                 AttemptError::BackEnd(error) if !error.kind.is_not_run() => {
                     return Err(Failure::BackEnd(error));
                 }
-                error if clock::now() >= operation.deadline => return Err(error.into_failure()),
+                error if clock::now() >= operation.deadline || overloads.is_enough(&error) => {
+                    return Err(error.into_failure());
+                }
                 error => pause_after(&error).await,
             }
         }
