Nodes wait for their relays' word when a store that was out is back

Change: after its probe was answered a node that is no relay waits for a second, once in ten, for the relays' word; a starting node that cannot serve yet waits for 0.5 s instead of 0.2 s.

Result: full calls at a stand-in in the two seconds after its return, 26 nodes: 149 before (the test failed), at most 76 now.

--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -17,8 +17,9 @@
 /// A node that was asked as a relay remains one for this time, in milliseconds.
 const ASKED_MS: u64 = 6_000;
 /// A node that knows too little to serve reads the store when no relay has told
-/// it more for this time, in milliseconds.
-const START_MS: u64 = 200;
+/// it more for this time, in milliseconds: within it relays that start with it
+/// have read the store.
+const START_MS: u64 = 500;
 /// A starting node that knows enough to serve waits so long for the first word
 /// of a relay, which may be starting too, in milliseconds; it has just listed
 /// the configuration itself.
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -118,6 +118,10 @@
         self.engine.directory.listing_known();
     }
 
+    fn store_answers(&self) {
+        self.engine.relays.store_answers(&self.engine);
+    }
+
     fn may_start_behind(&self) -> bool {
         true
     }
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -21,17 +21,23 @@
 /// their records again after the store was out (some 2 s on the users' platform),
 /// and in which a lost leader is replaced.
 const MISSING_LEADER_MS: u64 = 10_000;
+/// After an outage of the store relays are waited for once in this time, in
+/// milliseconds: they may not hear the store that this node hears.
+const REGAINED_PAUSE_MS: u64 = 10_000;
 /// A relay that gave no answer is left alone for this time, in milliseconds.
 const AVOID_MS: u64 = 8_000;
 
 #[derive(Debug, Default)]
 struct State {
-    /// Since when the other nodes are known, from which the relays follow.
+    /// Since when this node may hear relays: it knows the other nodes, from which
+    /// they follow, and the store is not out as far as is known.
     known_since: Option<Instant>,
     /// When another node last asked this one as a relay.
     asked: Option<Instant>,
     /// The newest time at which the store had told this node or one it asked.
     heard: Option<Instant>,
+    /// When this node last heard the store again and left it to relays.
+    regained: Option<Instant>,
     /// Since when the records of instances lack a group's leader.
     leader_missing_since: Option<Instant>,
     /// Relays that gave no answer, and until when they are left alone.
@@ -154,6 +160,24 @@
         now.millis_since(since) < MISSING_LEADER_MS
     }
 
+    /// The store answers this node again after an outage. Relays hear it at the same
+    /// time, so this node waits for their word as at its start.
+    pub fn store_answers(&self, engine: &Engine) {
+        let now = clock::now();
+        {
+            let mut state = self.state();
+            let is_recent = state
+                .regained
+                .is_some_and(|regained| now.millis_since(regained) < REGAINED_PAUSE_MS);
+            if is_recent || state.known_since.is_none() {
+                return;
+            }
+            state.regained = Some(now);
+            state.known_since = Some(now);
+        }
+        self.judge(engine);
+    }
+
     /// Judges anew whether this node must read the store, once the other nodes
     /// are known.
     pub fn judge(&self, engine: &Engine) {
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -108,6 +108,8 @@
     }
     /// The store was heard, though nothing changed.
     fn heard(&self) {}
+    /// A store that was out answers again; it is read next.
+    fn store_answers(&self) {}
     /// Everything that the store held at `asked` was told.
     fn complete(&self, _asked: Instant) {}
     /// Whether its keys change so often that it notices an outage on behalf of
@@ -280,6 +282,8 @@
     } else if contact.is_lost() && follower.is_sentinel() {
         // The cheapest way to see that the store is back.
         within(progress.listing_limit, store.list_serializable(prefix)).await?;
+        follower.store_answers();
+        until_decided(follower).await;
     }
     let asked = clock::now();
     let listing = within(progress.listing_limit, store.list(prefix)).await?;
