Statements whose answers will be late wait behind those that can be in time

Change: a statement tells the owner how much of its aim is left (forwarding version 4). One whose turn, or whose connection, is not expected in time waits behind all that can still be in time, and is refused at once if it is not expected before its deadline either.

Result: test of the order.

--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -40,20 +40,18 @@
     Statement {
         /// The tenant's priority.
         priority: u8,
+        /// When the caller should have the answer.
+        aim: Instant,
     },
     /// A health check, which may use one connection beyond the share.
     Probe,
 }
 
-impl Purpose {
-    /// Place among those who wait; health checks come first.
-    const fn rank(self) -> u8 {
-        match self {
-            Purpose::Statement { priority } => priority.saturating_add(1),
-            Purpose::Probe => 0,
-        }
-    }
-}
+/// Place of a health check among those who wait.
+const PROBE_RANK: u8 = 0;
+/// Place of a statement whose answer will be late in any case: behind all that
+/// can still be in time.
+const LATE_RANK: u8 = u8::MAX;
 
 /// One open connection, or the right to open one.
 #[derive(Debug)]
@@ -73,7 +71,7 @@
 }
 
 struct Waiter {
-    priority: u8,
+    rank: u8,
     grant: oneshot::Sender<Grant>,
 }
 
@@ -101,6 +99,14 @@
         self.demand.note(clock::now(), needed);
     }
 
+    /// Time until a connection would have been used by one that waits at `rank`, in
+    /// microseconds.
+    fn expected_us(&self, rank: u8) -> u64 {
+        let ahead = self.waiters.iter().filter(|waiter| waiter.rank <= rank);
+        let turns = ahead.count() as u64 + 1;
+        self.mean_use_us * turns / self.open.max(1) as u64 + self.mean_use_us
+    }
+
     /// Whether a connection may be opened now: not right after the instance
     /// said that it takes no more, and for a while after that one at a time.
     fn may_open(&self, now: Instant) -> bool {
@@ -224,11 +230,9 @@
                     opened => return opened,
                 }
             }
-            if !self.may_wait(purpose, deadline) {
-                return Err(LinkError::NoConnection);
-            }
+            let rank = self.rank(purpose, deadline).ok_or(LinkError::NoConnection)?;
             let limit = self.wait_limit(deadline);
-            match self.wait(purpose, limit).await {
+            match self.wait(rank, limit).await {
                 Ok(Grant::Idle(connection)) if connection.is_alive() => {
                     return Ok(PooledConnection::new(self.clone(), *connection, purpose));
                 }
@@ -313,18 +317,21 @@
         Some(Permit { pool: self.clone() })
     }
 
-    /// Whether a connection is expected to become free so early that there is
-    /// time left to use it: else the statement had better go elsewhere now.
-    fn may_wait(&self, purpose: Purpose, deadline: Instant) -> bool {
-        if purpose == Purpose::Probe {
-            return true;
-        }
+    /// The place of a statement among those who wait for a connection; none where
+    /// none is expected to become free so early that there is time left to use
+    /// it: the statement had better go elsewhere now.
+    fn rank(&self, purpose: Purpose, deadline: Instant) -> Option<u8> {
+        let Purpose::Statement { priority, aim } = purpose else {
+            return Some(PROBE_RANK);
+        };
+        let now = clock::now();
         let state = self.state();
-        let rank = purpose.rank();
-        let ahead = state.waiters.iter().filter(|waiter| waiter.priority <= rank);
-        let turns = ahead.count() as u64 + 1;
-        let expected_us = state.mean_use_us * turns / state.open.max(1) as u64 + state.mean_use_us;
-        clock::now().0 + expected_us <= deadline.0
+        let expected = |rank| Instant(now.0 + state.expected_us(rank));
+        let rank = priority.saturating_add(1).min(LATE_RANK - 1);
+        if expected(rank) <= aim {
+            return Some(rank);
+        }
+        (expected(LATE_RANK) <= deadline).then_some(LATE_RANK)
     }
 
     fn note_use(&self, since: Instant) {
@@ -344,20 +351,12 @@
         deadline.min(next_try.plus_millis(1))
     }
 
-    async fn wait(&self, purpose: Purpose, deadline: Instant) -> Result<Grant, LinkError> {
+    async fn wait(&self, rank: u8, deadline: Instant) -> Result<Grant, LinkError> {
         let (sender, receiver) = oneshot::channel();
-        let priority = purpose.rank();
         {
             let mut state = self.state();
-            let waiter = Waiter {
-                priority,
-                grant: sender,
-            };
-            let index = state
-                .waiters
-                .iter()
-                .position(|other| other.priority > priority)
-                .unwrap_or(state.waiters.len());
+            let waiter = Waiter { rank, grant: sender };
+            let index = state.waiters.partition_point(|other| other.rank <= rank);
             state.waiters.insert(index, waiter);
             state.note_demand();
         }
@@ -453,11 +452,19 @@
     /// How urgent the next statement on it is.
     pub fn urgency(&self) -> Urgency {
         match self.purpose {
-            Purpose::Statement { priority } if !self.has_run => Urgency::Priority(priority),
+            Purpose::Statement { priority, .. } if !self.has_run => Urgency::Priority(priority),
             _ => Urgency::InTransaction,
         }
     }
 
+    /// When the caller should have the answer to the first statement on it.
+    pub fn aim(&self) -> Instant {
+        match self.purpose {
+            Purpose::Statement { aim, .. } => aim,
+            Purpose::Probe => clock::now(),
+        }
+    }
+
     /// A statement of its present user has run on it.
     pub fn note_run(&mut self) {
         self.has_run = true;
@@ -517,7 +524,10 @@
     let mut held = Vec::new();
     for _ in 0..count {
         let deadline = clock::now().plus_millis(CONNECT_LIMIT_MS);
-        let purpose = Purpose::Statement { priority: u8::MAX };
+        let purpose = Purpose::Statement {
+            priority: u8::MAX,
+            aim: deadline,
+        };
         match pool
             .acquire(purpose, &SessionState::default(), None, deadline)
             .await
--- a/crates/millwind-engine/src/backend/turns.rs
+++ b/crates/millwind-engine/src/backend/turns.rs
@@ -20,9 +20,11 @@
     /// Part of an open transaction, which holds its connection meanwhile; it
     /// waits until its deadline.
     InTransaction,
-    /// Of this priority, zero first; refused at once if its turn would come too
-    /// late.
+    /// Of this priority, zero first.
     Priority(u8),
+    /// Its answer will be late in any case: it waits behind all whose answers can
+    /// still be in time.
+    Late,
 }
 
 struct Waiter {
@@ -83,20 +85,25 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for a turn; fails at `deadline`, or at once where it is known that
-    /// the statement would not be served by then.
-    pub async fn take(self: &Arc<Self>, urgency: Urgency, deadline: Instant) -> Result<Turn, LinkError> {
+    /// Waits for a turn; one whose answer would come after `aim` counts as late.
+    /// Fails at `deadline`, or at once where the statement is not expected to be
+    /// served by then.
+    pub async fn take(
+        self: &Arc<Self>,
+        urgency: Urgency,
+        aim: Instant,
+        deadline: Instant,
+    ) -> Result<Turn, LinkError> {
         let waiting = {
             let mut state = self.state();
             if state.running < state.limit.allowed() {
                 state.running += 1;
                 return Ok(self.begin());
             }
-            let expected = clock::now().0 + state.expected_us(urgency);
-            if urgency != Urgency::InTransaction && expected > deadline.0 {
-                return Err(LinkError::NoConnection);
-            }
-            state.enqueue(urgency)
+            let place = state
+                .place(urgency, aim, deadline)
+                .ok_or(LinkError::NoConnection)?;
+            state.enqueue(place)
         };
         match tokio::time::timeout_at(clock::deadline(deadline), waiting).await {
             Ok(Ok(turn)) => Ok(turn),
@@ -155,6 +162,18 @@
         self.mean_us * (rounds + 1)
     }
 
+    /// The place of a statement among those that wait; none where it is not
+    /// expected to be served before `deadline`. One of an open transaction always
+    /// has a place.
+    fn place(&self, urgency: Urgency, aim: Instant, deadline: Instant) -> Option<Urgency> {
+        let now = clock::now();
+        let expected = |urgency| Instant(now.0 + self.expected_us(urgency));
+        if urgency == Urgency::InTransaction || expected(urgency) <= aim {
+            return Some(urgency);
+        }
+        (expected(Urgency::Late) <= deadline).then_some(Urgency::Late)
+    }
+
     fn enqueue(&mut self, urgency: Urgency) -> oneshot::Receiver<Turn> {
         let (turn, receiver) = oneshot::channel();
         let index = self.waiters.partition_point(|other| other.urgency <= urgency);
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -125,6 +125,8 @@
 pub struct Wanted<'a> {
     /// Priority; zero comes first.
     pub priority: u8,
+    /// When its caller should have the answer.
+    pub aim: Instant,
     /// State that the connection will be brought to.
     pub session: &'a SessionState,
     /// Prepared statement that it will execute.
@@ -141,6 +143,7 @@
 ) -> Result<PooledConnection, AttemptError> {
     let purpose = Purpose::Statement {
         priority: wanted.priority,
+        aim: wanted.aim,
     };
     let asked = clock::now();
     let connected = engine
@@ -212,7 +215,10 @@
 ) -> Result<Reply, AttemptError> {
     let pool = connection.pool().clone();
     let record = pool.record();
-    let turn = pool.turns().take(connection.urgency(), deadline).await;
+    let turn = pool
+        .turns()
+        .take(connection.urgency(), connection.aim(), deadline)
+        .await;
     let turn = turn.map_err(AttemptError::Link)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 struct Start {
     priority: u8,
+    aim: Instant,
     begin: ForwardedBegin,
     floor: ReadFloor,
 }
@@ -46,13 +47,14 @@
 impl Lease {
     /// A connection to `record`; the owner hears of it with the first
     /// statement.
-    pub fn new(link: Arc<OwnerLink>, record: Arc<InstanceRecord>, priority: u8) -> Self {
+    pub fn new(link: Arc<OwnerLink>, record: Arc<InstanceRecord>, priority: u8, aim: Instant) -> Self {
         Lease {
             number: link.next_number(),
             link,
             record,
             start: Some(Start {
                 priority,
+                aim,
                 begin: ForwardedBegin::None,
                 floor: ReadFloor::Any,
             }),
@@ -141,6 +143,7 @@
         let start = self.start.take().map(|start| ForwardedStart {
             instance: self.record.name.0.clone(),
             priority: start.priority,
+            aim_ms: u32::try_from(clock::until(start.aim).as_millis()).unwrap_or(u32::MAX),
             begin: start.begin,
             floor: write_floor(&start.floor),
         });
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -323,6 +323,7 @@
     let execution = read_execution(statement);
     let wanted = Wanted {
         priority: start.priority,
+        aim: clock::now().plus_millis(u64::from(start.aim_ms)),
         session: &session,
         needed: execution.as_ref().map(|(prepared, _)| prepared),
         deadline,
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -67,10 +67,12 @@
     session: &SessionState,
 ) -> Result<SessionConnection, AttemptError> {
     let priority = operation.tenant.priority;
+    let aim = operation.aim();
     let connected = match engine.route(record).await {
         Route::Own => {
             let wanted = Wanted {
                 priority,
+                aim,
                 session,
                 needed: operation.needed(),
                 deadline: operation.deadline,
@@ -80,7 +82,7 @@
         }
         Route::Through(link) => {
             engine.metrics.forwarded_out.inc();
-            let lease = Lease::new(link, record.clone(), priority);
+            let lease = Lease::new(link, record.clone(), priority, aim);
             Ok(SessionConnection::Leased(Box::new(lease)))
         }
         Route::Unreachable => Err(AttemptError::Link(LinkError::OwnerUnreachable)),
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// When the caller should have the answer.
+    fn aim(&self) -> Instant {
+        let target_ms = self.tenant.target_latency_ms;
+        self.arrived
+            .plus_millis(target_ms.saturating_sub(ANSWER_MARGIN_MS))
+    }
+
     fn needed(&self) -> Option<&PreparedStatement> {
         self.prepared.as_ref().map(|(statement, _)| statement)
     }
--- a/crates/millwind-engine/tests/turns.rs
+++ b/crates/millwind-engine/tests/turns.rs
@@ -12,7 +12,8 @@
 const SLOTS: u32 = 2;
 
 async fn take(turns: &Arc<Turns>, urgency: Urgency) -> Result<Turn, LinkError> {
-    turns.take(urgency, clock::now().plus_millis(1_000)).await
+    let deadline = clock::now().plus_millis(1_000);
+    turns.take(urgency, deadline, deadline).await
 }
 
 /// Takes all turns.
@@ -60,11 +61,11 @@
     teach(&turns, 20).await;
     let _taken = fill(&turns).await;
     let began = clock::now();
-    let refused = turns
-        .take(Urgency::Priority(1), clock::now().plus_millis(5))
-        .await;
+    let deadline = clock::now().plus_millis(5);
+    let refused = turns.take(Urgency::Priority(1), deadline, deadline).await;
     assert_eq!(refused.err(), Some(LinkError::NoConnection));
-    let in_transaction = turns.take(Urgency::InTransaction, clock::now().plus_millis(5));
+    let deadline = clock::now().plus_millis(5);
+    let in_transaction = turns.take(Urgency::InTransaction, deadline, deadline);
     assert_eq!(in_transaction.await.err(), Some(LinkError::NoConnection));
     assert!(clock::now().millis_since(began) >= 5, "an open transaction waits");
 }
@@ -73,9 +74,32 @@
 async fn a_turn_that_nobody_takes_any_more_goes_to_the_next() {
     let turns = Turns::new(SLOTS);
     let mut taken = fill(&turns).await;
-    let given_up = turns.take(Urgency::Priority(0), clock::now().plus_millis(10));
+    let deadline = clock::now().plus_millis(10);
+    let given_up = turns.take(Urgency::Priority(0), deadline, deadline);
     assert!(given_up.await.is_err());
     taken.pop().unwrap().end(TurnEnd::TurnedAway);
     taken.pop().unwrap().end(TurnEnd::Unknown);
     assert!(take(&turns, Urgency::Priority(1)).await.is_ok());
 }
+
+#[tokio::test]
+async fn a_statement_that_will_be_late_waits_behind_those_that_can_be_in_time() {
+    let turns = Turns::new(SLOTS);
+    teach(&turns, 20).await;
+    let mut taken = fill(&turns).await;
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let deadline = clock::now().plus_millis(2_000);
+    for (name, aim_ms) in [("late", 1), ("in time", 500)] {
+        let (turns, sender) = (turns.clone(), sender.clone());
+        let aim = clock::now().plus_millis(aim_ms);
+        tokio::spawn(async move {
+            let turn = turns.take(Urgency::Priority(1), aim, deadline).await.unwrap();
+            sender.send(name).unwrap();
+            turn.end(TurnEnd::Ran);
+        });
+        tokio::task::yield_now().await;
+    }
+    taken.pop().unwrap().end(TurnEnd::Ran);
+    assert_eq!(receiver.recv().await, Some("in time"));
+    assert_eq!(receiver.recv().await, Some("late"));
+}
--- a/crates/millwind-wire/src/forward.rs
+++ b/crates/millwind-wire/src/forward.rs
@@ -13,7 +13,7 @@
 
 /// Version of this protocol; the first byte of every message. It differs from
 /// that of the exchange, so that both may arrive at one listener.
-pub const FORWARD_VERSION: u8 = 3;
+pub const FORWARD_VERSION: u8 = 4;
 
 /// A place in a group's log.
 #[binrw]
@@ -86,6 +86,9 @@
     pub instance: String,
     /// Priority; zero is served first.
     pub priority: u8,
+    /// Time left in which its caller should have the answer, in milliseconds; zero
+    /// where it is over.
+    pub aim_ms: u32,
     /// Transaction begun first.
     pub begin: ForwardedBegin,
     /// What the read must see.
