Calls to the store and the promotion service are counted

Cause: the metrics had a family for them that nothing ever counted in, so that on-call could not see which calls a node pays for.

Change: the store port is wrapped (engine::counted_store); millwind_calls_total by call and outcome.

--- /dev/null
+++ b/crates/millwind-engine/src/counted_store.rs
@@ -0,0 +1,75 @@
+//! Counts the calls to the store, each of which is paid for.
+
+use std::sync::Arc;
+
+use millwind_store::{Condition, Listing, Store, StoreError, Swap, Watch, WatchReport, Write};
+
+use crate::metrics::CallCounts;
+
+/// A store whose calls are counted.
+#[derive(Debug)]
+pub struct CountedStore<S> {
+    store: Arc<S>,
+    counts: CallCounts,
+}
+
+impl<S> CountedStore<S> {
+    /// Counts the calls to `store` in `counts`.
+    pub fn new(store: Arc<S>, counts: CallCounts) -> Self {
+        CountedStore { store, counts }
+    }
+
+    fn count<T>(&self, call: &'static str, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        self.counts.count(call, outcome(&result));
+        result
+    }
+}
+
+/// The outcome of a call, as a label.
+fn outcome<T>(result: &Result<T, StoreError>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(StoreError::Refused(_)) => "refused",
+        Err(StoreError::NoAnswer(_)) => "no_answer",
+        Err(StoreError::WatchEnded(_)) => "watch_ended",
+    }
+}
+
+/// A watch whose questions are counted.
+#[derive(Debug)]
+pub struct CountedWatch<W> {
+    watch: W,
+    counts: CallCounts,
+}
+
+impl<W: Watch> Watch for CountedWatch<W> {
+    async fn next(&mut self) -> Result<WatchReport, StoreError> {
+        let report = self.watch.next().await;
+        self.counts.count("watch", outcome(&report));
+        report
+    }
+}
+
+impl<S: Store> Store for CountedStore<S> {
+    type Watch = CountedWatch<S::Watch>;
+
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.count("list", self.store.list(prefix).await)
+    }
+
+    async fn list_serializable(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.count("list_serializable", self.store.list_serializable(prefix).await)
+    }
+
+    async fn watch(&self, prefix: &str, revision: u64) -> Result<Self::Watch, StoreError> {
+        let watch = self.store.watch(prefix, revision).await?;
+        Ok(CountedWatch {
+            watch,
+            counts: self.counts.clone(),
+        })
+    }
+
+    async fn swap(&self, conditions: &[Condition], writes: &[Write]) -> Result<Swap, StoreError> {
+        self.count("swap", self.store.swap(conditions, writes).await)
+    }
+}
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -329,6 +329,7 @@
         };
         self.engine.metrics.promotions.inc();
         let answer = self.promoter.promote(order, ORDER_LIMIT).await;
+        self.engine.metrics.calls.count("promote", answer.name());
         info!("event=promotion_ordered group={group} instance={chosen} token={token} answer={answer:?}");
         match answer {
             PromotionAnswer::Accepted => self.await_take_over(group, &chosen).await,
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod catalog_watch;
 pub mod clock;
 pub mod connection_shares;
+pub mod counted_store;
 pub mod directory;
 pub mod duty;
 pub mod execution;
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -32,6 +32,18 @@
     pub outcome: &'static str,
 }
 
+/// Calls to the store and the promotion service by what was called and how it
+/// ended; copies share their counts.
+#[derive(Debug, Clone, Default)]
+pub struct CallCounts(Family<CallLabels, Counter>);
+
+impl CallCounts {
+    /// Counts a call that has ended.
+    pub fn count(&self, call: &'static str, outcome: &'static str) {
+        self.0.get_or_create(&CallLabels { call, outcome }).inc();
+    }
+}
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -39,7 +51,7 @@
     answers: Family<AnswerLabels, Counter>,
     latency: Family<StatementLabels, Histogram>,
     /// Calls to the store and the promotion service.
-    pub calls: Family<CallLabels, Counter>,
+    pub calls: CallCounts,
     /// Reads tried on a second instance at the same time.
     pub hedged: Counter,
     /// Transactions ended from this side.
@@ -73,7 +85,7 @@
         let metrics = Metrics {
             answers: Family::default(),
             latency,
-            calls: Family::default(),
+            calls: CallCounts::default(),
             hedged: Counter::default(),
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
@@ -96,7 +108,7 @@
         registry.register(
             "calls",
             "Calls to the store and the promotion service",
-            metrics.calls.clone(),
+            metrics.calls.0.clone(),
         );
         registry.register(
             "hedged_reads",
@@ -160,11 +172,6 @@
             .observe(micros as f64 / 1_000_000.0);
     }
 
-    /// Counts a call to another service.
-    pub fn called(&self, call: &'static str, outcome: &'static str) {
-        self.calls.get_or_create(&CallLabels { call, outcome }).inc();
-    }
-
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -17,6 +17,7 @@
 use crate::catalog::InstanceRecord;
 use crate::catalog_cache::CatalogCache;
 use crate::catalog_watch::{ConfigFollower, InstanceFollower};
+use crate::counted_store::CountedStore;
 use crate::directory::{Directory, Known};
 use crate::duty::Duties;
 use crate::failover::Monitor;
@@ -318,6 +319,19 @@
     pub store: Arc<S>,
 }
 
+impl<S> Ports<S> {
+    /// The same with the calls to the store counted in `metrics`.
+    fn counted(self, metrics: &Metrics) -> Ports<CountedStore<S>> {
+        Ports {
+            caller_codec: self.caller_codec,
+            backend_codec: self.backend_codec,
+            catalog_codec: self.catalog_codec,
+            promoter: self.promoter,
+            store: Arc::new(CountedStore::new(self.store, metrics.calls.clone())),
+        }
+    }
+}
+
 /// A running node.
 pub struct Node {
     /// What its sessions share.
@@ -341,6 +355,8 @@
         ports: Ports<S>,
     ) -> Result<Node, NodeError> {
         settings.check()?;
+        let counts = Metrics::default();
+        let ports = ports.counted(&counts);
         let clients = listen("client_address", settings.client_address).await?;
         let probes = listen("ready_address", settings.ready_address).await?;
         let peers = listen("peer_address", settings.peer_address).await?;
@@ -356,7 +372,7 @@
             settings.name.clone(),
             directory.clone(),
         ));
-        let engine = new_engine(settings, &ports, directory, duties.clone());
+        let engine = new_engine(settings, &ports, counts, directory, duties.clone());
         info!(
             "event=node_started name={} zone={} clients={} peers={}",
             engine.settings.name,
@@ -436,6 +452,7 @@
 fn new_engine<S: Store + 'static>(
     settings: EngineSettings,
     ports: &Ports<S>,
+    metrics: Metrics,
     directory: Arc<Directory>,
     duties: Arc<Duties<S>>,
 ) -> Arc<Engine> {
@@ -450,7 +467,7 @@
     Arc::new(Engine {
         directory,
         caller_codec: ports.caller_codec.clone(),
-        metrics: Metrics::default(),
+        metrics,
         request_log: RequestLog::default(),
         retry_budget: SharedBudget(Mutex::new(RetryBudget::new(HEDGE_PERCENT, HEDGE_CEILING))),
         phase: watch::Sender::new(Phase::Running),
--- a/crates/millwind-engine/src/ports.rs
+++ b/crates/millwind-engine/src/ports.rs
@@ -64,6 +64,18 @@
     Unknown,
 }
 
+impl PromotionAnswer {
+    /// The name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            PromotionAnswer::Accepted => "ok",
+            PromotionAnswer::Rejected => "rejected",
+            PromotionAnswer::Throttled => "refused",
+            PromotionAnswer::Unknown => "no_answer",
+        }
+    }
+}
+
 /// An order to promote a replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromotionOrder {
