An owner's word arrives before the asking node gives up

The owner had 10 ms less than the asking node, and its answer needs 8 to 20 ms between regions.

Change: 40 ms.

--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -19,8 +19,10 @@
 use crate::statement::{Envelope, Reply, TransactionState};
 
 /// The owner is given this much less time than the session has, so that its
-/// answer arrives, in milliseconds.
-const ANSWER_MARGIN_MS: u64 = 10;
+/// answer arrives, in milliseconds: one way between regions (20 ms on the users'
+/// sites) and a busy machine's delay. Without its answer a write that was never
+/// sent to the instance would have an unknown outcome.
+const ANSWER_MARGIN_MS: u64 = 40;
 
 /// How a lease will start, with its first statement.
 #[derive(Debug)]
