--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -17,10 +17,10 @@
 use crate::store_watch::StoreReading;
 
 /// News of instances are urgent for this time while a group's leader is missing
-/// among them, in milliseconds: a few times the time in which instances write
-/// their records again after the store was out (some 2 s on the users' platform),
-/// and in which a lost leader is replaced.
-const MISSING_LEADER_MS: u64 = 10_000;
+/// among them, in milliseconds: twice the time in which instances write their
+/// records again after the store was out (some 2 s on the users' platform), and in
+/// which a lost leader is replaced.
+const MISSING_LEADER_MS: u64 = 4_000;
 /// After an outage of the store relays are waited for once in this time, in
 /// milliseconds: they may not hear the store that this node hears.
 const REGAINED_PAUSE_MS: u64 = 10_000;
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -36,6 +36,9 @@
 /// A starting node waits so long to learn whether it leaves the store to relays
 /// before it watches: a few times what listing the nodes takes.
 const DECISION_LIMIT: Duration = Duration::from_millis(500);
+/// A follower that waits for the one that asks a store which is out asks by itself
+/// after this time: what that one reads may be refused alone.
+const SENTINEL_PATIENCE: Duration = Duration::from_millis(5_000);
 /// Longest pause between two tries.
 pub const MOST_PAUSE: Duration = Duration::from_millis(1_500);
 /// The same for a node that others tell when the store is heard again.
@@ -208,7 +211,7 @@
             progress.left_to_relays();
         }
         if contact.is_lost() && !follower.is_sentinel() {
-            contact.heard(follower.most_pause()).await;
+            contact.heard(SENTINEL_PATIENCE).await;
         }
         let mut regained = contact.regained.subscribe();
         let following = follow_once(&*store, &prefix, &*follower, &contact, &mut progress);
