--- a/crates/millwind-engine/src/duty.rs
+++ b/crates/millwind-engine/src/duty.rs
@@ -155,7 +155,13 @@
 
     /// Lists the keys under `prefix` in the store, as of now.
     pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
-        self.store.list(prefix).await
+        let listing = self.store.list(prefix).await;
+        listing.inspect_err(|error| {
+            warn!(
+                "event=store_not_listed prefix={prefix} error={:?}",
+                error.to_string()
+            );
+        })
     }
 
     /// Takes the duty for `group` unless somebody holds it, so that there is a
--- a/crates/millwind-engine/src/term_closing.rs
+++ b/crates/millwind-engine/src/term_closing.rs
@@ -110,12 +110,21 @@
 ) -> Option<InstanceStatus> {
     let deadline = clock::now().plus_millis(QUESTION_MS);
     let session = SessionState::default();
-    let mut connection = engine
-        .pool(record)
-        .acquire(Purpose::Probe, &session, None, deadline)
-        .await
-        .ok()?;
-    let envelope = Envelope::own(command);
-    let reply = connection.exchange(&envelope, deadline).await.ok()?;
-    engine.backend_codec().read_status(&reply)
+    let pool = engine.pool(record);
+    let asking = async {
+        let mut connection = pool.acquire(Purpose::Probe, &session, None, deadline).await?;
+        connection.exchange(&Envelope::own(command), deadline).await
+    };
+    match asking.await {
+        Ok(reply) => engine.backend_codec().read_status(&reply),
+        Err(error) => {
+            info!(
+                "event=status_not_told group={} instance={} error={}",
+                record.group,
+                record.name,
+                error.name()
+            );
+            None
+        }
+    }
 }
