--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -30,9 +30,8 @@
 const LEAST_ANSWER_MS: u64 = 150;
 const MOST_ANSWER_MS: u64 = 400;
 /// Observations are renewed when they are older than this part of the
-/// staleness that reads ask for: a read needs the position of the oldest
-/// observation within its staleness, so that up to one part of it is lost.
-const STALENESS_PARTS: u64 = 10;
+/// staleness that reads ask for.
+const STALENESS_PARTS: u64 = 3;
 /// A node that was turned away for this time counts the instance as failing, in
 /// milliseconds.
 const SHUT_OUT_MS: u64 = 1_500;
--- a/crates/millwind-engine/src/floor.rs
+++ b/crates/millwind-engine/src/floor.rs
@@ -61,7 +61,7 @@
 
 impl StalenessTerms {
     /// The position, if it follows from what has been observed.
-    fn known_position(&self, engine: &Engine, group: &GroupName) -> Option<Position> {
+    pub fn known_position(&self, engine: &Engine, group: &GroupName) -> Option<Position> {
         engine
             .directory
             .floor(group, self.arrived, self.staleness_ms, self.written)
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -122,15 +122,15 @@
             staleness_ms: operation.tenant.settings.staleness_ms,
             written,
         };
-        // A node that does not watch the group has seen the leader's position now and
-        // then: the least one that it knows to be safe is often nearly the newest,
-        // which a lagging replica lacks.
-        if !self.engine.watches(operation.group()) {
-            return Ok(ReadFloor::Staleness(terms));
+        let mut position = terms.known_position(&self.engine, operation.group());
+        if position.is_none() {
+            if !self.engine.watches(operation.group()) {
+                return Ok(ReadFloor::Staleness(terms));
+            }
+            position = terms
+                .await_position(&self.engine, operation.group(), operation.deadline)
+                .await;
         }
-        let position = terms
-            .await_position(&self.engine, operation.group(), operation.deadline)
-            .await;
         let position =
             position.ok_or_else(|| Refusal::new(ErrorKind::NoPrimary, "no recent position of a leader"))?;
         operation.trail.needs(position);
