Instances are listed in full at a start

Found by reading: a starting node took the instances from a serializable listing, seconds old, as news from a peer. An instance that had left the store meanwhile without a word stays known there if all relays started later and never knew it, and could get work after its time.

Change: only the system's own keys are listed in that way; a node that knows nothing yet asks a store that is out by serializable listings, then lists in full.

--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -107,25 +107,10 @@
         self.engine.store_heard();
     }
 
-    fn learned(&self, listing: Listing) {
-        if listing.revision == 0 {
-            return;
-        }
-        for entry in &listing.entries {
-            self.apply(entry);
-        }
-        self.engine.catalog_cache.instances_known_to(listing.revision);
-        self.engine.directory.listing_known();
-    }
-
     fn store_answers(&self) {
         self.engine.relays.store_answers(&self.engine);
     }
 
-    fn may_start_behind(&self) -> bool {
-        true
-    }
-
     fn changed(&self, entries: Vec<Entry>) {
         for entry in &entries {
             self.apply(entry);
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -23,10 +23,10 @@
 /// was asked while it was out. Above the answers of a slow store (some 0.4 s on
 /// the users' days).
 const FIRST_LISTING_LIMIT: Duration = Duration::from_millis(500);
-/// While its first calls are unanswered, a node sends another one after this
-/// time: the store may be back and answer only new ones.
+/// While its calls are unanswered, a node that knows nothing yet sends another one
+/// after this time: the store may be back and answer only new ones.
 const FIRST_CALL_PAUSE: Duration = Duration::from_millis(400);
-/// First calls without an answer at the same time at most.
+/// Such calls without an answer at the same time at most.
 const MOST_FIRST_CALLS: usize = 5;
 /// An answer of a watch with fewer changes than this holds all that there were:
 /// the platform cuts listings at some 500 entries.
@@ -277,15 +277,14 @@
 ) -> Result<(), StoreError> {
     let is_first = !progress.has_read;
     if is_first && follower.may_start_behind() {
-        let listing = match follower.is_sentinel() {
-            true => first_listing(store, prefix).await?,
-            false => within(progress.listing_limit, store.list_serializable(prefix)).await?,
-        };
+        let listing = within(progress.listing_limit, store.list_serializable(prefix)).await?;
         follower.learned(listing);
         progress.heard(follower, contact);
         if leaves_to_relays(follower).await {
             return Ok(());
         }
+    } else if contact.is_lost() && follower.is_sentinel() && is_first {
+        await_store(store, prefix).await?;
     } else if contact.is_lost() && follower.is_sentinel() {
         // The cheapest way to see that the store is back.
         within(progress.listing_limit, store.list_serializable(prefix)).await?;
@@ -329,18 +328,18 @@
     listing.map_err(|_| StoreError::NoAnswer("listing took too long".to_owned()))?
 }
 
-/// The first listing of a node, which cannot serve without: asks again while
-/// earlier calls have no answer, and fails once none is under way.
-async fn first_listing<S: Store>(store: &S, prefix: &str) -> Result<Listing, StoreError> {
+/// Asks whether the store is back for a node that cannot serve without: asks again
+/// while earlier calls have no answer, and fails once none is under way.
+async fn await_store<S: Store>(store: &S, prefix: &str) -> Result<(), StoreError> {
     let mut calls = FuturesUnordered::new();
     let mut next_call = tokio::time::Instant::now();
     loop {
         tokio::select! {
             biased;
             Some(ended) = calls.next() => match ended {
-                Ok(listing) => return Ok(listing),
+                Ok(_) => return Ok(()),
                 Err(error) if calls.is_empty() => return Err(error),
-                Err(error) => debug!("event=first_listing_failed error={:?}", error.to_string()),
+                Err(error) => debug!("event=store_still_lost error={:?}", error.to_string()),
             },
             () = tokio::time::sleep_until(next_call), if calls.len() < MOST_FIRST_CALLS => {
                 calls.push(within(MOST_LISTING_LIMIT, store.list_serializable(prefix)));
