--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -4,13 +4,24 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use millwind_core::Instant;
 use millwind_wire::exchange::{ExchangeReply, StoredDocument};
 
+use crate::clock;
 use crate::node::Engine;
 
+/// The configuration's document.
+#[derive(Debug)]
+struct KeptConfig {
+    version: u64,
+    document: StoredDocument,
+    /// When some node first read it from the store.
+    known_since: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    config: Option<(u64, StoredDocument)>,
+    config: Option<KeptConfig>,
     instances: BTreeMap<String, StoredDocument>,
     /// By instance, the newest revision of its record that was taken in; a
     /// heartbeat alone changes nothing else.
@@ -36,15 +47,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Keeps the configuration of `version`.
-    pub fn keep_config(&self, version: u64, value: &[u8]) {
+    /// Keeps the configuration of `version`, which some node first read from the
+    /// store at `known_since`.
+    pub fn keep_config(&self, version: u64, value: &[u8], known_since: Instant) {
         let document = StoredDocument {
             key: String::new(),
             revision: version,
             removed: 0,
             value: value.to_vec(),
         };
-        self.state().config = Some((version, document));
+        self.state().config = Some(KeptConfig {
+            version,
+            document,
+            known_since,
+        });
     }
 
     /// Keeps an instance's document, or that it was removed.
@@ -101,9 +117,13 @@
         let config = state
             .config
             .iter()
-            .filter(|(version, _)| *version > config_version)
-            .map(|(_, document)| document.clone())
+            .filter(|kept| kept.version > config_version)
+            .map(|kept| kept.document.clone())
             .collect();
+        let config_age_ms = state
+            .config
+            .as_ref()
+            .map(|kept| clock::now().millis_since(kept.known_since));
         let instances = state
             .instances
             .values()
@@ -117,6 +137,7 @@
             own: engine.own_keys.documents_after(own_revision),
             own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
+            config_age_ms: write_age(config_age_ms),
             store_age_ms: write_age(engine.relays.store_age_ms()),
             own_age_ms: write_age(engine.directory.terms_age_ms()),
         }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -1,5 +1,7 @@
 //! Takes the catalog in, from the store or from other nodes.
 
+use std::fmt;
+
 use log::warn;
 use millwind_core::Instant;
 use millwind_core::ids::InstanceName;
@@ -13,6 +15,35 @@
 /// Connections opened ahead of need to a new instance.
 const WARM_CONNECTIONS: usize = 1;
 
+/// Who told this node of a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The store.
+    Store,
+    /// Another node.
+    Peer,
+}
+
+impl fmt::Display for ConfigSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            ConfigSource::Store => "store",
+            ConfigSource::Peer => "peer",
+        })
+    }
+}
+
+/// Where a configuration came from, for the line that tells of it.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigOrigin {
+    /// Who told of it.
+    pub source: ConfigSource,
+    /// When some node first read it from the store, as far as is known.
+    pub known_since: Instant,
+    /// Size of its document.
+    pub bytes: usize,
+}
+
 impl Engine {
     /// The store told this node something about the catalog.
     pub fn store_heard(&self) {
@@ -30,8 +61,10 @@
     }
 
     /// Puts a configuration in force unless a newer one is.
-    pub fn apply_config(&self, config: ConfigSnapshot, source: &str) {
-        if self.directory.apply_config(config, source) {
+    fn apply_config(&self, config: ConfigSnapshot, origin: &ConfigOrigin) {
+        if self.directory.apply_config(config, origin) {
+            let age_ms = clock::now().millis_since(origin.known_since);
+            self.metrics.config_age.observe(age_ms as f64 / 1_000.0);
             self.pools.set_shares(|record| self.share_of(record));
             for known in self.directory.instances() {
                 self.warm_up(&known.record);
@@ -49,14 +82,26 @@
         }
     }
 
-    /// Takes in a configuration's document.
-    pub fn take_config(&self, codec: &dyn CatalogCodec, value: &[u8], source: &str) {
+    /// Takes in a configuration's document, which some node first read from the
+    /// store at `known_since`.
+    pub fn take_config(
+        &self,
+        codec: &dyn CatalogCodec,
+        value: &[u8],
+        source: ConfigSource,
+        known_since: Instant,
+    ) {
+        let origin = ConfigOrigin {
+            source,
+            known_since,
+            bytes: value.len(),
+        };
         match codec.read_config(value) {
             Ok(config) => {
                 let version = config.version;
                 if version > self.config_version() {
-                    self.catalog_cache.keep_config(version, value);
-                    self.apply_config(config, source);
+                    self.catalog_cache.keep_config(version, value, known_since);
+                    self.apply_config(config, &origin);
                 }
             }
             Err(error) => warn!(
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -8,6 +8,8 @@
 use millwind_store::{Entry, Listing};
 use tokio::sync::watch;
 
+use crate::catalog_intake::ConfigSource;
+use crate::clock;
 use crate::node::Engine;
 use crate::ports::CatalogCodec;
 use crate::store_watch::{Follower, MOST_PAUSE, MOST_PAUSE_BEHIND_RELAYS, StoreReading};
@@ -38,7 +40,8 @@
             if entry.key != self.codec.config_key() {
                 continue;
             }
-            self.engine.take_config(&*self.codec, &value, "store");
+            self.engine
+                .take_config(&*self.codec, &value, ConfigSource::Store, clock::now());
         }
     }
 }
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
+use crate::catalog_intake::ConfigOrigin;
 use crate::clock;
 use crate::peers::Testimony;
 
@@ -157,7 +158,7 @@
     }
 
     /// Puts a configuration in force unless a newer one is; true if it changed.
-    pub fn apply_config(&self, config: ConfigSnapshot, source: &str) -> bool {
+    pub fn apply_config(&self, config: ConfigSnapshot, origin: &ConfigOrigin) -> bool {
         let version = config.version;
         {
             let mut state = self.state();
@@ -166,8 +167,11 @@
                 return false;
             }
             info!(
-                "event=config_applied version={version} previous={} source={source} tenants={} groups={}",
+                "event=config_applied version={version} previous={} source={} age_ms={} bytes={} tenants={} groups={}",
                 held.unwrap_or_default(),
+                origin.source,
+                clock::now().millis_since(origin.known_since),
+                origin.bytes,
                 config.tenants.len(),
                 config.groups.len()
             );
--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -159,7 +159,7 @@
         let own = term_closing::hand_back(&self.engine, &closing);
         let (mut has_stepped_down, replies) = futures::future::join(own, join_all(questions)).await;
         for (address, reply) in replies {
-            if let Some(ExchangeReply::TermClosed {
+            if let Ok(ExchangeReply::TermClosed {
                 has_stepped_down: told,
             }) = reply
             {
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -70,6 +70,9 @@
     pub catalog_comparisons: Counter,
     /// Documents that other nodes sent in them.
     pub catalog_documents: Counter,
+    /// Time from when some node first read a configuration from the store to when
+    /// this node put it in force, in seconds.
+    pub config_age: Histogram,
     /// Statements passed on to other nodes.
     pub forwarded_out: Counter,
     /// Statements run for other nodes.
@@ -95,6 +98,8 @@
             sessions: Counter::default(),
             catalog_comparisons: Counter::default(),
             catalog_documents: Counter::default(),
+            // From 10 ms to 20 s.
+            config_age: Histogram::new(exponential_buckets(0.01, 2.0, 12)),
             forwarded_out: Counter::default(),
             forwarded_in: Counter::default(),
             registry: Registry::default(),
@@ -147,6 +152,11 @@
             "Documents that other nodes sent when catalogs were compared",
             metrics.catalog_documents.clone(),
         );
+        registry.register(
+            "config_age_seconds",
+            "Age of a configuration when it is put in force, from when some node first read it",
+            metrics.config_age.clone(),
+        );
         registry.register(
             "forwarded_out",
             "Statements passed on to nodes that own connections",
--- a/crates/millwind-engine/src/peers/client.rs
+++ b/crates/millwind-engine/src/peers/client.rs
@@ -8,12 +8,12 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use millwind_core::Instant;
 use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, decode_exchange, encode_exchange};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::{ANSWER_LIMIT, frames};
+use super::{ANSWER_LIMIT, AskError, frames};
 use crate::clock;
 
 /// Nodes to which a connection is kept.
@@ -26,7 +26,7 @@
 struct Kept {
     link: SharedLink,
     /// When it was last wanted.
-    wanted: Instant,
+    wanted: millwind_core::Instant,
 }
 
 /// Connections to other nodes.
@@ -36,21 +36,24 @@
 }
 
 impl PeerClient {
-    /// Asks the node at `address`; none if it gives no answer in time.
-    pub async fn ask(&self, address: SocketAddr, request: &ExchangeRequest) -> Option<ExchangeReply> {
-        let link = self.link(address);
-        let asking = async {
-            let mut held = link.lock().await;
-            // Taken out, so that a link without its answer is not used again.
-            let mut link = match held.take() {
-                Some(link) => link,
-                None => connect(address).await?,
-            };
-            let reply = exchange(&mut link, request).await?;
-            *held = Some(link);
-            Some(reply)
+    /// Asks the node at `address`.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &ExchangeRequest,
+    ) -> Result<ExchangeReply, AskError> {
+        let deadline = Instant::now() + ANSWER_LIMIT;
+        let kept = self.link(address);
+        let held = timeout_at(deadline, kept.lock()).await;
+        let mut held = held.map_err(|_| AskError::ConnectTimeout)?;
+        // Taken out, so that a link without its answer is not used again.
+        let mut link = match held.take() {
+            Some(link) => link,
+            None => connect(address, deadline).await?,
         };
-        tokio::time::timeout(ANSWER_LIMIT, asking).await.ok().flatten()
+        let reply = exchange(&mut link, request, deadline).await?;
+        *held = Some(link);
+        Ok(reply)
     }
 
     /// As [`PeerClient::ask`], over a connection of its own that is not kept, for
@@ -60,12 +63,10 @@
         address: SocketAddr,
         request: &ExchangeRequest,
         limit: Duration,
-    ) -> Option<ExchangeReply> {
-        let asking = async {
-            let mut link = connect(address).await?;
-            exchange(&mut link, request).await
-        };
-        tokio::time::timeout(limit, asking).await.ok().flatten()
+    ) -> Result<ExchangeReply, AskError> {
+        let deadline = Instant::now() + limit;
+        let mut link = connect(address, deadline).await?;
+        exchange(&mut link, request, deadline).await
     }
 
     fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, Kept>> {
@@ -92,16 +93,29 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Link> {
-    let stream = TcpStream::connect(address).await.ok()?;
+async fn connect(address: SocketAddr, deadline: Instant) -> Result<Link, AskError> {
+    let connected = timeout_at(deadline, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_| AskError::ConnectTimeout)?
+        .map_err(AskError::NotConnected)?;
     // Without it small messages wait for acknowledgements.
     let _ = stream.set_nodelay(true);
-    Some(Framed::new(stream, frames()))
+    Ok(Framed::new(stream, frames()))
 }
 
-async fn exchange(link: &mut Link, request: &ExchangeRequest) -> Option<ExchangeReply> {
-    let message = encode_exchange(request).ok()?;
-    link.send(Bytes::from(message)).await.ok()?;
-    let answer = link.next().await?.ok()?;
-    decode_exchange(&answer).ok()
+async fn exchange(
+    link: &mut Link,
+    request: &ExchangeRequest,
+    deadline: Instant,
+) -> Result<ExchangeReply, AskError> {
+    let message = Bytes::from(encode_exchange(request)?);
+    let sent = timeout_at(deadline, link.send(message)).await;
+    sent.map_err(|_| AskError::TimedOut { received_bytes: 0 })?
+        .map_err(|_| AskError::Lost { received_bytes: 0 })?;
+    let answered = timeout_at(deadline, link.next()).await;
+    let received_bytes = link.read_buffer().len();
+    let answer = answered.map_err(|_| AskError::TimedOut { received_bytes })?;
+    let answer = answer.and_then(Result::ok);
+    let answer = answer.ok_or(AskError::Lost { received_bytes })?;
+    Ok(decode_exchange(&answer)?)
 }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use log::info;
+use log::{info, warn};
+use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, Reach};
 use rand::RngExt;
 
+use super::AskError;
+use crate::catalog_intake::ConfigSource;
 use crate::clock;
 use crate::forward;
 use crate::node::Engine;
@@ -122,26 +125,23 @@
         };
         let sent = clock::now();
         let reply = self.engine.peers.ask(address, &request).await;
-        let Some(ExchangeReply::Catalog {
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => return self.note_failure(source, sent, &error),
+        };
+        let ExchangeReply::Catalog {
             config,
             instances,
             instances_revision,
             own,
             own_revision,
             complete,
+            config_age_ms,
             store_age_ms,
             own_age_ms,
-        }) = reply
+        } = reply
         else {
-            self.engine.unreached.failed(address, sent);
-            // A starting node asks nodes that may be starting too.
-            if self.engine.directory.is_complete() {
-                self.engine.owners.doubt_links();
-            }
-            if source.is_relay {
-                info!("event=relay_unreachable relay={address}");
-                self.engine.relays.avoid(address);
-            }
+            warn!("event=peer_message_refused peer={address} question=catalog");
             return;
         };
         self.engine.unreached.answered(address);
@@ -156,7 +156,9 @@
             );
         }
         for document in config {
-            self.engine.take_config(&*self.codec, &document.value, "peer");
+            let known_since = clock::minus_millis(clock::now(), u64::from(config_age_ms));
+            self.engine
+                .take_config(&*self.codec, &document.value, ConfigSource::Peer, known_since);
         }
         for document in &instances {
             let value = (document.removed == 0).then_some(document.value.as_slice());
@@ -177,6 +179,26 @@
             self.engine.store_heard_by_peer(heard);
         }
     }
+
+    /// A comparison with `source` that began at `sent` came to nothing.
+    fn note_failure(&self, source: Source, sent: Instant, error: &AskError) {
+        let address = source.address;
+        info!(
+            "event=comparison_failed peer={address} relay={} waited_ms={} error={:?}",
+            source.is_relay,
+            clock::now().millis_since(sent),
+            error.to_string()
+        );
+        self.engine.unreached.failed(address, sent);
+        // A starting node asks nodes that may be starting too.
+        if self.engine.directory.is_complete() {
+            self.engine.owners.doubt_links();
+        }
+        if source.is_relay {
+            info!("event=relay_unreachable relay={address}");
+            self.engine.relays.avoid(address);
+        }
+    }
 }
 
 /// A node to compare catalogs with.
@@ -218,8 +240,8 @@
     let mut testimony = Testimony::default();
     for reply in replies {
         match reply {
-            Some(ExchangeReply::Reach(Reach::Reached)) => testimony.reaching += 1,
-            Some(ExchangeReply::Reach(Reach::Failing)) => testimony.failing += 1,
+            Ok(ExchangeReply::Reach(Reach::Reached)) => testimony.reaching += 1,
+            Ok(ExchangeReply::Reach(Reach::Failing)) => testimony.failing += 1,
             _ => {}
         }
     }
@@ -246,7 +268,7 @@
         .map(|address| engine.peers.ask(*address, &request));
     let mut is_known = false;
     for reply in join_all(questions).await {
-        let Some(ExchangeReply::Leader { leader }) = reply else {
+        let Ok(ExchangeReply::Leader { leader }) = reply else {
             continue;
         };
         for report in &leader {
--- a/crates/millwind-engine/src/peers/mod.rs
+++ b/crates/millwind-engine/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other: the catalog where the store is not heard, and
 //! whether a leader is reached.
 
+mod ask_error;
 mod client;
 mod exchange;
 mod server;
@@ -9,6 +10,7 @@
 
 use tokio_util::codec::LengthDelimitedCodec;
 
+pub use ask_error::AskError;
 pub use client::PeerClient;
 pub use exchange::{Exchange, Testimony};
 pub(crate) use exchange::{ask_leader, ask_witnesses, observe_leader};
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 5;
+pub const EXCHANGE_VERSION: u8 = 6;
 
 /// One document of the store.
 #[binrw]
@@ -131,6 +131,9 @@
         own_revision: u64,
         /// One if the answering node knows all instances.
         complete: u8,
+        /// Time since some node first read the answering node's configuration from
+        /// the store, in milliseconds; the greatest value for never.
+        config_age_ms: u32,
         /// Time since the answering node heard the store, itself or through
         /// others, in milliseconds; the greatest value for never.
         store_age_ms: u32,
