--- /dev/null
+++ b/crates/millwind-engine/tests/slow_answers.rs
@@ -0,0 +1,104 @@
+//! A peer whose answer is large is not taken for one that is silent.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use millwind_engine::peers::PeerClient;
+use millwind_wire::exchange::{
+    ExchangeReply, ExchangeRequest, Reach, StoredDocument, decode_exchange, encode_exchange,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Size of the answer.
+const BYTES: usize = 480_000;
+/// It is sent in so many parts.
+const PARTS: usize = 24;
+/// Between two parts; all of them take 1.2 s.
+const PAUSE: Duration = Duration::from_millis(50);
+/// A peer that says nothing is given up within this time.
+const SILENT_LIMIT: Duration = Duration::from_millis(1_200);
+
+fn catalog_question() -> ExchangeRequest {
+    ExchangeRequest::Catalog {
+        config_version: 0,
+        instances_revision: 0,
+        own_revision: 0,
+        as_relay: 1,
+    }
+}
+
+fn large_answer() -> ExchangeReply {
+    let document = StoredDocument {
+        key: String::new(),
+        revision: 7,
+        removed: 0,
+        value: vec![7; BYTES],
+    };
+    ExchangeReply::Catalog {
+        config: vec![document],
+        instances: vec![],
+        instances_revision: 0,
+        own: vec![],
+        own_revision: 0,
+        complete: 1,
+        config_age_ms: 0,
+        store_age_ms: 0,
+        own_age_ms: 0,
+    }
+}
+
+/// Answers one question after another, large answers slowly.
+async fn serve(stream: TcpStream) {
+    let mut link = Framed::new(stream, LengthDelimitedCodec::new());
+    while let Some(Ok(message)) = link.next().await {
+        let request: ExchangeRequest = decode_exchange(&message).unwrap();
+        if matches!(request, ExchangeRequest::Reach { .. }) {
+            let answer = encode_exchange(&ExchangeReply::Reach(Reach::Reached)).unwrap();
+            if link.send(Bytes::from(answer)).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let answer = encode_exchange(&large_answer()).unwrap();
+        let stream = link.get_mut();
+        stream.write_u32(answer.len() as u32).await.unwrap();
+        for part in answer.chunks(answer.len().div_ceil(PARTS)) {
+            tokio::time::sleep(PAUSE).await;
+            if stream.write_all(part).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn start_peer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream));
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_answer_that_keeps_arriving_is_not_given_up() {
+    let peer = start_peer().await;
+    let answer = PeerClient::default().ask(peer, &catalog_question()).await;
+    assert!(answer.is_ok(), "{:?}", answer.err());
+}
+
+#[tokio::test]
+async fn a_silent_peer_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let began = Instant::now();
+    let answer = PeerClient::default().ask(peer, &catalog_question()).await;
+    assert!(answer.is_err(), "nobody answers");
+    assert!(began.elapsed() < SILENT_LIMIT, "{:?}", began.elapsed());
+}
