--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use log::warn;
 use millwind_core::Instant;
-use millwind_wire::exchange::{ExchangeReply, StoredDocument};
+use millwind_wire::compressed::Compressed;
+use millwind_wire::exchange::{ConfigDocument, ExchangeReply, StoredDocument};
 
 use crate::clock;
 use crate::node::Engine;
@@ -14,11 +16,45 @@
 #[derive(Debug)]
 struct KeptConfig {
     version: u64,
-    document: StoredDocument,
+    document: KeptDocument,
     /// When some node first read it from the store.
     known_since: Instant,
 }
 
+/// A document that is compressed once, when a peer first lacks it.
+#[derive(Debug)]
+enum KeptDocument {
+    Whole(Vec<u8>),
+    Compressed(Compressed),
+}
+
+impl KeptConfig {
+    /// The document as it travels; none if it cannot be compressed.
+    fn travelling(&mut self) -> Option<ConfigDocument> {
+        if let KeptDocument::Whole(whole) = &self.document {
+            match Compressed::pack(whole) {
+                Ok(compressed) => self.document = KeptDocument::Compressed(compressed),
+                Err(error) => {
+                    let version = self.version;
+                    warn!(
+                        "event=config_not_compressed version={version} error={:?}",
+                        error.to_string()
+                    );
+                }
+            }
+        }
+        let KeptDocument::Compressed(document) = &self.document else {
+            return None;
+        };
+        let age_ms = clock::now().millis_since(self.known_since);
+        Some(ConfigDocument {
+            version: self.version,
+            age_ms: write_age(Some(age_ms)),
+            document: document.clone(),
+        })
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     config: Option<KeptConfig>,
@@ -50,15 +86,9 @@
     /// Keeps the configuration of `version`, which some node first read from the
     /// store at `known_since`.
     pub fn keep_config(&self, version: u64, value: &[u8], known_since: Instant) {
-        let document = StoredDocument {
-            key: String::new(),
-            revision: version,
-            removed: 0,
-            value: value.to_vec(),
-        };
         self.state().config = Some(KeptConfig {
             version,
-            document,
+            document: KeptDocument::Whole(value.to_vec()),
             known_since,
         });
     }
@@ -113,17 +143,9 @@
         own_revision: u64,
         engine: &Engine,
     ) -> ExchangeReply {
-        let state = self.state();
-        let config = state
-            .config
-            .iter()
-            .filter(|kept| kept.version > config_version)
-            .map(|kept| kept.document.clone())
-            .collect();
-        let config_age_ms = state
-            .config
-            .as_ref()
-            .map(|kept| clock::now().millis_since(kept.known_since));
+        let mut state = self.state();
+        let newer_config = state.config.as_mut().filter(|kept| kept.version > config_version);
+        let config = newer_config.and_then(KeptConfig::travelling);
         let instances = state
             .instances
             .values()
@@ -131,13 +153,12 @@
             .cloned()
             .collect();
         ExchangeReply::Catalog {
-            config,
+            config: config.into_iter().collect(),
             instances,
             instances_revision: state.instances_revision,
             own: engine.own_keys.documents_after(own_revision),
             own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
-            config_age_ms: write_age(config_age_ms),
             store_age_ms: write_age(engine.relays.store_age_ms()),
             own_age_ms: write_age(engine.directory.terms_age_ms()),
         }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -9,7 +9,7 @@
 use log::{info, warn};
 use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
-use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, Reach};
+use millwind_wire::exchange::{ConfigDocument, ExchangeReply, ExchangeRequest, Reach};
 use rand::RngExt;
 
 use super::AskError;
@@ -151,7 +151,6 @@
             own,
             own_revision,
             complete,
-            config_age_ms,
             store_age_ms,
             own_age_ms,
         } = reply
@@ -171,9 +170,7 @@
             );
         }
         for document in config {
-            let known_since = clock::minus_millis(clock::now(), u64::from(config_age_ms));
-            self.engine
-                .take_config(&*self.codec, &document.value, ConfigSource::Peer, known_since);
+            self.take_config(address, &document);
         }
         for document in &instances {
             let value = (document.removed == 0).then_some(document.value.as_slice());
@@ -195,6 +192,21 @@
         }
     }
 
+    fn take_config(&self, peer: SocketAddr, config: &ConfigDocument) {
+        let known_since = clock::minus_millis(clock::now(), u64::from(config.age_ms));
+        match config.document.unpack() {
+            Ok(document) => {
+                self.engine
+                    .take_config(&*self.codec, &document, ConfigSource::Peer, known_since);
+            }
+            Err(error) => warn!(
+                "event=config_refused source=peer peer={peer} version={} error={:?}",
+                config.version,
+                error.to_string()
+            ),
+        }
+    }
+
     /// A comparison with `source` that began at `sent` came to nothing.
     fn note_failure(&self, source: Source, sent: Instant, error: &AskError) {
         let address = source.address;
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use binrw::{BinRead, BinWrite, binrw};
 
+use crate::compressed::Compressed;
 use crate::forward::LeaderReport;
 use crate::text;
 
@@ -30,6 +31,20 @@
     pub value: Vec<u8>,
 }
 
+/// A version of the configuration.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigDocument {
+    /// The version.
+    pub version: u64,
+    /// Time since some node first read it from the store, in milliseconds; the
+    /// greatest value for longer than that.
+    pub age_ms: u32,
+    /// Its document.
+    pub document: Compressed,
+}
+
 /// A question of one node to another.
 #[binrw]
 #[brw(big)]
@@ -116,7 +131,7 @@
         /// The configuration, if it is newer: at most one document.
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
-        config: Vec<StoredDocument>,
+        config: Vec<ConfigDocument>,
         /// Instances that changed since.
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
@@ -131,9 +146,6 @@
         own_revision: u64,
         /// One if the answering node knows all instances.
         complete: u8,
-        /// Time since some node first read the answering node's configuration from
-        /// the store, in milliseconds; the greatest value for never.
-        config_age_ms: u32,
         /// Time since the answering node heard the store, itself or through
         /// others, in milliseconds; the greatest value for never.
         store_age_ms: u32,
--- a/crates/millwind-wire/src/lib.rs
+++ b/crates/millwind-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`PeerMessage`]. Lengths are bounded before anything is allocated, so a
 //! damaged or hostile frame costs an error and no memory.
 
+pub mod compressed;
 pub mod control;
 pub mod exchange;
 pub mod forward;
