--- a/crates/millwind-engine/src/forward/links.rs
+++ b/crates/millwind-engine/src/forward/links.rs
@@ -49,7 +49,7 @@
 
 impl Slot {
     fn open_link(&self) -> Option<&Arc<OwnerLink>> {
-        self.link.as_ref().filter(|link| link.is_open())
+        self.link.as_ref().filter(|link| link.takes_leases())
     }
 }
 
@@ -119,10 +119,7 @@
         if let Some(heard) = heard {
             return Some(heard.clone());
         }
-        let mut proofs: FuturesUnordered<_> = open
-            .into_iter()
-            .map(|link| async move { link.prove(PROOF_LIMIT).await.then_some(link) })
-            .collect();
+        let mut proofs: FuturesUnordered<_> = open.into_iter().map(|link| self.proven(link)).collect();
         while let Some(proven) = proofs.next().await {
             if proven.is_some() {
                 return proven;
@@ -131,6 +128,18 @@
         None
     }
 
+    /// The link if its owner proves that it lives; else it is given up here, and
+    /// ends with the last lease on it.
+    async fn proven(&self, link: Arc<OwnerLink>) -> Option<Arc<OwnerLink>> {
+        if link.prove(PROOF_LIMIT).await {
+            return Some(link);
+        }
+        if let Some(slot) = self.slots().get_mut(&link.address()) {
+            slot.link.take_if(|held| Arc::ptr_eq(held, &link));
+        }
+        None
+    }
+
     /// The usable links among `addresses`.
     fn open_links(&self, addresses: &[SocketAddr]) -> Vec<Arc<OwnerLink>> {
         let slots = self.slots();
--- a/crates/millwind-engine/src/forward/mod.rs
+++ b/crates/millwind-engine/src/forward/mod.rs
@@ -19,11 +19,13 @@
 mod doubt;
 mod lease;
 mod link;
+mod link_task;
 mod links;
 mod messages;
 mod owners;
 mod server;
 
+pub use doubt::LinkDoubt;
 pub use lease::Lease;
 pub use link::OwnerLink;
 pub use owners::{OWNERS, Owners, Route, Standing};
