Silent kept connections cost one time-out

Cause: connections may fall silent for good while new ones work. Between nodes a comparison over such a kept connection ended after 0.5 s with the peer taken for unreachable (relays are then left alone for 8 s, links to owners doubted); to the store each of up to four kept connections cost a time-out of its own, up to 2 s.

Tests: silent_connections (2), seen to fail before, with a loopback proxy that silences what is open and carries what is new.

--- a/crates/millwind-engine/src/peers/client.rs
+++ b/crates/millwind-engine/src/peers/client.rs
@@ -8,12 +8,13 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
+use log::info;
 use millwind_wire::exchange::{ExchangeReply, ExchangeRequest, decode_exchange, encode_exchange};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::{AskError, LONGEST_ANSWER, SILENCE_LIMIT, frames};
+use super::{AskError, KEPT_SILENCE_LIMIT, LONGEST_ANSWER, SILENCE_LIMIT, frames};
 use crate::clock;
 
 /// Nodes to which a connection is kept.
@@ -38,21 +39,33 @@
 impl PeerClient {
     /// Asks the node at `address`. A question that comes while another one is
     /// answered does not wait for it, since that answer may be long: it gets a
-    /// connection of its own.
+    /// connection of its own. A
+    /// kept connection that gives no answer is replaced by a new one at once: a peer
+    /// is unreachable only if that one is silent too.
     pub async fn ask(
         &self,
         address: SocketAddr,
         request: &ExchangeRequest,
     ) -> Result<ExchangeReply, AskError> {
+        let began = Instant::now();
         let kept = self.link(address);
         let Ok(mut held) = kept.try_lock() else {
             return self.ask_apart(address, request, SILENCE_LIMIT).await;
         };
         // Taken out, so that a link without its answer is not used again.
-        let mut link = match held.take() {
-            Some(link) => link,
-            None => connect(address, SILENCE_LIMIT).await?,
-        };
+        if let Some(mut link) = held.take() {
+            match exchange(&mut link, request, KEPT_SILENCE_LIMIT).await {
+                Ok(reply) => {
+                    *held = Some(link);
+                    return Ok(reply);
+                }
+                Err(error) => info!(
+                    "event=peer_connection_lost peer={address} error={:?}",
+                    error.to_string()
+                ),
+            }
+        }
+        let mut link = connect(address, SILENCE_LIMIT.saturating_sub(began.elapsed())).await?;
         let reply = exchange(&mut link, request, SILENCE_LIMIT).await?;
         *held = Some(link);
         Ok(reply)
