Relays that hear nothing are left; a node reads a store that answers it at once

Change: the wait for relays at the end of an outage is kept for nodes whose own calls had failed; a relay that says that its news are old is left alone for 8 s by a node that has fresh ones. While nobody has, the store is out and nobody is left.

--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -186,9 +186,12 @@
             let known = clock::minus_millis(sent, u64::from(own_age_ms));
             self.engine.directory.confirm_terms(known);
         }
-        if store_age_ms < u32::MAX {
-            let heard = clock::minus_millis(sent, u64::from(store_age_ms));
-            self.engine.store_heard_by_peer(heard);
+        let store_age_ms = (store_age_ms < u32::MAX).then_some(u64::from(store_age_ms));
+        if let Some(age_ms) = store_age_ms {
+            self.engine.store_heard_by_peer(clock::minus_millis(sent, age_ms));
+        }
+        if source.is_relay {
+            self.engine.relays.told_by_relay(address, store_age_ms);
         }
     }
 
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -24,7 +24,8 @@
 /// After an outage of the store relays are waited for once in this time, in
 /// milliseconds: they may not hear the store that this node hears.
 const REGAINED_PAUSE_MS: u64 = 10_000;
-/// A relay that gave no answer is left alone for this time, in milliseconds.
+/// A relay that gave no answer, or no fresh news, is left alone for this time, in
+/// milliseconds.
 const AVOID_MS: u64 = 8_000;
 
 #[derive(Debug, Default)]
@@ -107,7 +108,7 @@
         Some(clock::now().millis_since(heard))
     }
 
-    /// A relay gave no answer.
+    /// A relay gave no answer, or no fresh news.
     pub fn avoid(&self, relay: SocketAddr) {
         let now = clock::now();
         let mut state = self.state();
@@ -115,6 +116,20 @@
         state.avoided.insert(relay, now.plus_millis(AVOID_MS));
     }
 
+    /// A relay answered, and heard the store `store_age_ms` ago. One whose news are
+    /// old while this node has fresh ones is refused by the store, or hears nothing:
+    /// it is left alone. While nobody has fresh news the store is out, and other
+    /// nodes asked as relays would only load it more when it is back.
+    pub fn told_by_relay(&self, relay: SocketAddr, store_age_ms: Option<u64>) {
+        let is_old = |age: Option<u64>| age.is_none_or(|age| age >= self.times.fresh_ms);
+        if !is_old(store_age_ms) || is_old(self.store_age_ms()) {
+            return;
+        }
+        let age = store_age_ms.map_or("none".to_owned(), |age| age.to_string());
+        info!("event=relay_behind relay={relay} store_age_ms={age}");
+        self.avoid(relay);
+    }
+
     /// Whether the deployment has no relays, or this node is one by its own
     /// view.
     pub fn is_relay(&self, registry: &Registry) -> bool {
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -109,7 +109,8 @@
     }
     /// The store was heard, though nothing changed.
     fn heard(&self) {}
-    /// A store that was out answers again; it is read next.
+    /// A store that was out, by failed calls of this node, answers again; it is
+    /// read next.
     fn store_answers(&self) {}
     /// Everything that the store held at `asked` was told.
     fn complete(&self, _asked: Instant) {}
@@ -286,9 +287,14 @@
     } else if contact.is_lost() && follower.is_sentinel() {
         // The cheapest way to see that the store is back.
         store.list_serializable(prefix, progress.silence).await?;
-        follower.store_answers();
-        if leaves_to_relays(follower).await {
-            return Ok(());
+        // Where the first call is answered the store was not out: the relays are
+        // the ones that don't hear it, and waiting for their word would make this
+        // node's news a second older.
+        if progress.lost_at.is_some() {
+            follower.store_answers();
+            if leaves_to_relays(follower).await {
+                return Ok(());
+            }
         }
     }
     let asked = clock::now();
--- a/crates/millwind-engine/tests/store_watch.rs
+++ b/crates/millwind-engine/tests/store_watch.rs
@@ -94,3 +94,58 @@
     assert_eq!(follower.listings.load(Ordering::SeqCst), 2, "listings");
     assert_eq!(store.watches.load(Ordering::SeqCst), 1, "watches");
 }
+
+/// A sentinel that leaves the store to relays as soon as it hears that a store which
+/// was out answers again.
+struct Sentinel {
+    listings: AtomicUsize,
+    reading: watch::Sender<StoreReading>,
+}
+
+impl Follower for Sentinel {
+    fn name(&self) -> &'static str {
+        "sentinel"
+    }
+
+    fn listed(&self, _listing: Listing) {
+        self.listings.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn changed(&self, _entries: Vec<Entry>) {}
+
+    fn is_sentinel(&self) -> bool {
+        true
+    }
+
+    fn store_answers(&self) {
+        self.reading.send_replace(StoreReading::LeftToRelays);
+    }
+
+    fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
+        Some(self.reading.subscribe())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_relays_have_no_news_reads_a_store_that_answers_it_at_once() {
+    let follower = Arc::new(Sentinel {
+        listings: AtomicUsize::new(0),
+        reading: watch::Sender::new(StoreReading::Undecided),
+    });
+    let contact = Arc::new(StoreContact::default());
+    tokio::spawn(follow(
+        Arc::new(SlowStore::default()),
+        "prefix".to_owned(),
+        follower.clone(),
+        contact.clone(),
+    ));
+    tokio::time::sleep(LISTING / 2).await;
+    follower.reading.send_replace(StoreReading::LeftToRelays);
+    tokio::time::sleep(LISTING * 4).await;
+    assert_eq!(follower.listings.load(Ordering::SeqCst), 1, "listings");
+    // Its news have grown old; the store was never out for this node.
+    contact.note_lost();
+    follower.reading.send_replace(StoreReading::Reading);
+    tokio::time::sleep(LISTING * 4).await;
+    assert_eq!(follower.listings.load(Ordering::SeqCst), 2, "listings");
+}
