The catalog is as old as the older of its documents; nodes really leave the store

One read vouched for another document.

Change: millwind_core::catalog_freshness holds as of when instances and configuration are known; the older one counts and is passed on. Configuration and instances are listed at the same time once the store answers, and a node looks at the age of its news every 0.25 s (0.8 s).

Listing and watching are two steps now.

--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -45,16 +45,16 @@
 }
 
 impl Engine {
-    /// The store told this node something about the catalog.
+    /// The store told this node of its instances.
     pub fn store_heard(&self) {
         self.directory.store_heard();
-        self.relays.heard(clock::now());
+        self.relays.instances_heard();
     }
 
     /// A peer knows what the store held at `heard`. After an outage that this
     /// node did not notice itself, its own watches may have been lost.
     pub fn store_heard_by_peer(&self, heard: Instant) {
-        let is_regained = self.relays.heard(heard);
+        let is_regained = self.relays.told(heard);
         if is_regained && !self.relays.is_reading_store() {
             self.store_contact.note_regained();
         }
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use millwind_core::Instant;
 use millwind_store::{Entry, Listing};
 use tokio::sync::watch;
 
@@ -59,6 +60,14 @@
         self.apply(entries);
     }
 
+    fn complete(&self, asked: Instant) {
+        self.engine.relays.configuration_read(asked);
+    }
+
+    fn unwatched(&self) {
+        self.engine.relays.configuration_unwatched();
+    }
+
     fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
         Some(self.engine.relays.reading())
     }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -21,7 +21,10 @@
 
 /// Between two comparisons.
 const INTERVAL: Duration = Duration::from_millis(800);
-/// The same while news are urgent.
+/// Between two looks at the age of this node's news: a small part of the time for
+/// which they count as fresh.
+const JUDGEMENT_INTERVAL: Duration = Duration::from_millis(250);
+/// Between two comparisons while news are urgent.
 const URGENT_INTERVAL: Duration = Duration::from_millis(150);
 /// Neighbours in a node's own zone.
 const NEAR_NEIGHBOURS: usize = 4;
@@ -72,7 +75,7 @@
 
     async fn keep_judging(&self) {
         loop {
-            tokio::time::sleep(INTERVAL).await;
+            tokio::time::sleep(JUDGEMENT_INTERVAL).await;
             self.engine.relays.judge(&self.engine);
         }
     }
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -7,6 +7,7 @@
 
 use log::info;
 use millwind_core::Instant;
+use millwind_core::catalog_freshness::CatalogFreshness;
 use millwind_core::catalog_relay::{CatalogState, RelayTimes, relays_of_zone};
 use tokio::sync::watch;
 
@@ -35,8 +36,8 @@
     known_since: Option<Instant>,
     /// When another node last asked this one as a relay.
     asked: Option<Instant>,
-    /// The newest time at which the store had told this node or one it asked.
-    heard: Option<Instant>,
+    /// As of when the catalog is known, here or through others.
+    freshness: CatalogFreshness,
     /// When this node last heard the store again and left it to relays.
     regained: Option<Instant>,
     /// Since when the records of instances lack a group's leader.
@@ -91,20 +92,35 @@
         self.state().asked = Some(clock::now());
     }
 
-    /// The store told this node, or one that it asked, something as of
-    /// `heard`; true if that ends a silence so long that the store must have
-    /// been out.
-    pub fn heard(&self, heard: Instant) -> bool {
+    /// The store told this node of its instances.
+    pub fn instances_heard(&self) {
+        self.state().freshness.instances_heard(clock::now());
+    }
+
+    /// This node has read the configuration with a call sent at `asked`, and
+    /// watches it.
+    pub fn configuration_read(&self, asked: Instant) {
+        self.state().freshness.configuration_read(asked);
+    }
+
+    /// This node no longer watches the configuration.
+    pub fn configuration_unwatched(&self) {
+        self.state().freshness.configuration_unwatched();
+    }
+
+    /// A node that this one asked knew the catalog as of `heard`; true if that ends
+    /// a silence so long that the store must have been out.
+    pub fn told(&self, heard: Instant) -> bool {
         let mut state = self.state();
-        let silence_ms = state.heard.map(|last| heard.millis_since(last));
-        state.heard = state.heard.max(Some(heard));
+        let silence_ms = state.freshness.as_of().map(|last| heard.millis_since(last));
+        state.freshness.told(heard);
         silence_ms.is_some_and(|silence| silence >= self.times.fresh_ms)
     }
 
-    /// Time since the store was heard here or through others, in milliseconds;
-    /// none if it never was.
+    /// Age of the catalog as it is known, in milliseconds: time since the store was
+    /// heard of both documents, here or through others; none if it never was.
     pub fn store_age_ms(&self) -> Option<u64> {
-        let heard = self.state().heard?;
+        let heard = self.state().freshness.as_of()?;
         Some(clock::now().millis_since(heard))
     }
 
@@ -203,7 +219,7 @@
         let (known_since, asked, heard) = {
             let mut state = self.state();
             let known_since = *state.known_since.get_or_insert_with(clock::now);
-            (known_since, state.asked, state.heard)
+            (known_since, state.asked, state.freshness.as_of())
         };
         let catalog = CatalogState {
             is_relay,
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -112,8 +112,11 @@
     /// A store that was out, by failed calls of this node, answers again; it is
     /// read next.
     fn store_answers(&self) {}
-    /// Everything that the store held at `asked` was told.
+    /// Everything that the store held at `asked` was told, and its changes are
+    /// watched.
     fn complete(&self, _asked: Instant) {}
+    /// Changes are no longer watched.
+    fn unwatched(&self) {}
     /// Whether its keys change so often that it notices an outage on behalf of
     /// all followers.
     fn is_sentinel(&self) -> bool {
@@ -206,6 +209,7 @@
     let mut progress = Progress::new();
     let mut reads = follower.reads();
     loop {
+        follower.unwatched();
         if until_reads(&mut reads).await {
             progress.left_to_relays();
         }
@@ -215,16 +219,25 @@
         let mut regained = contact.regained.subscribe();
         // The first reading ends in any case: relays may be starting as well.
         let may_leave = progress.has_read;
-        let following = follow_once(&*store, &prefix, &*follower, &contact, &mut progress);
-        let error = tokio::select! {
-            result = following => match result {
-                Ok(()) => continue,
-                Err(error) => error,
-            },
-            // The watch may have been lost in silence.
+        let reading = read_once(&*store, &prefix, &*follower, &contact, &mut progress);
+        let read = tokio::select! {
+            result = reading => result,
+            // The listing may have been lost in silence.
             Ok(()) = regained.changed(), if !follower.is_sentinel() => continue,
             () = until_left(&mut reads), if may_leave => continue,
         };
+        let ended = match read {
+            Ok(Some(revision)) => tokio::select! {
+                result = watch_changes(&*store, &prefix, &*follower, revision) => result,
+                // The watch may have been lost in silence.
+                Ok(()) = regained.changed(), if !follower.is_sentinel() => Ok(()),
+                () = until_left(&mut reads) => Ok(()),
+            },
+            Ok(None) => Ok(()),
+            Err(error) => Err(error),
+        };
+        follower.unwatched();
+        let Err(error) = ended else { continue };
         let pause = progress.failed(&*follower, &error);
         if follower.is_sentinel() {
             contact.note_lost();
@@ -267,20 +280,22 @@
     *reads.borrow() == StoreReading::LeftToRelays
 }
 
-async fn follow_once<S: Store>(
+/// Lists the prefix; the revision from which its changes are to be watched, or none
+/// if they are left to relays.
+async fn read_once<S: Store>(
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
     contact: &StoreContact,
     progress: &mut Progress,
-) -> Result<(), StoreError> {
+) -> Result<Option<u64>, StoreError> {
     let is_first = !progress.has_read;
     if is_first && follower.may_start_behind() {
         let listing = store.list_serializable(prefix, progress.silence).await?;
         follower.learned(listing);
         progress.heard(follower, contact);
         if leaves_to_relays(follower).await {
-            return Ok(());
+            return Ok(None);
         }
     } else if contact.is_lost() && follower.is_sentinel() && is_first {
         await_store(store, prefix).await?;
@@ -293,9 +308,12 @@
         if progress.lost_at.is_some() {
             follower.store_answers();
             if leaves_to_relays(follower).await {
-                return Ok(());
+                return Ok(None);
             }
         }
+        // The others read at the same time: one after the other, a configuration
+        // would come a listing later.
+        progress.heard(follower, contact);
     }
     let asked = clock::now();
     let listing = store.list(prefix, progress.silence).await?;
@@ -304,8 +322,18 @@
     follower.complete(asked);
     progress.heard(follower, contact);
     if is_first && !follower.may_start_behind() && leaves_to_relays(follower).await {
-        return Ok(());
+        return Ok(None);
     }
+    Ok(Some(revision))
+}
+
+/// Watches the prefix for changes after `revision` until the watch is lost.
+async fn watch_changes<S: Store>(
+    store: &S,
+    prefix: &str,
+    follower: &dyn Follower,
+    revision: u64,
+) -> Result<(), StoreError> {
     let mut watch = store.watch(prefix, revision).await?;
     loop {
         let asked = clock::now();
--- a/crates/millwind-engine/tests/stale_relays.rs
+++ b/crates/millwind-engine/tests/stale_relays.rs
@@ -50,7 +50,7 @@
     let registry = registry();
     let relays = Relays::new(ZONE, CONFIG_BOUND_MS);
     let first = relays.to_ask(&registry);
-    relays.heard(clock::now());
+    relays.told(clock::now());
     relays.told_by_relay(first[0], Some(OLD_MS));
     let then = relays.to_ask(&registry);
     assert!(!then.contains(&first[0]), "{then:?}");
@@ -71,7 +71,7 @@
     let registry = registry();
     let relays = Relays::new(ZONE, CONFIG_BOUND_MS);
     let first = relays.to_ask(&registry);
-    relays.heard(clock::now());
+    relays.told(clock::now());
     relays.told_by_relay(first[0], Some(100));
     assert_eq!(relays.to_ask(&registry), first);
 }
