--- a/crates/millwind-node/src/peer/link.rs
+++ b/crates/millwind-node/src/peer/link.rs
@@ -179,6 +179,8 @@
     }
     let mut pending: HashMap<u64, PendingCall> = HashMap::new();
     let mut last_heard = tokio::time::Instant::now();
+    // Bytes of an unfinished message at the last probe.
+    let mut received_bytes = 0;
     let mut probe = tokio::time::interval(KEEP_ALIVE_INTERVAL);
     probe.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -203,6 +205,12 @@
             }
             _ = probe.tick(), if !pending.is_empty() => {
                 pending.retain(|_, call| !call.reply.is_closed());
+                // A large result arrives in parts: a peer that sends one lives.
+                let received_before = received_bytes;
+                received_bytes = framed.read_buffer().len();
+                if received_bytes > received_before {
+                    last_heard = tokio::time::Instant::now();
+                }
                 if last_heard.elapsed() > SUSPICION_LIMIT {
                     silent.store(true, Ordering::Relaxed);
                     // Dropped with their reply senders, which tells their callers.
--- a/crates/millwind-node/tests/links.rs
+++ b/crates/millwind-node/tests/links.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use millwind_node::peer::{CallError, DialMap, Patience, PeerLinks};
-use millwind_wire::{AwaitPrimary, Hello, PeerMessage};
+use millwind_wire::{AwaitPrimary, ExecuteReply, ExecuteResult, Hello, PeerMessage, WirePosition, encode};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
 #[derive(Debug)]
@@ -110,3 +111,57 @@
     assert!(!write.is_finished(), "the write still waits for its answer");
     write.abort();
 }
+
+/// Size of a large result, and of the parts in which it arrives.
+const RESULT_BYTES: usize = 480_000;
+const PART_BYTES: usize = 20_000;
+/// Between two parts: the whole takes 2.4 s, beyond the silence after which a link
+/// is dropped.
+const PART_PAUSE: Duration = Duration::from_millis(100);
+
+fn large_result(request_id: u64) -> PeerMessage {
+    let position = WirePosition {
+        term: 1,
+        log_position: 1,
+    };
+    PeerMessage::ExecuteReply(ExecuteReply {
+        request_id,
+        result: ExecuteResult::Answered {
+            position,
+            transaction_status: b'I',
+            pin: 0,
+            batch: vec![7; RESULT_BYTES],
+        },
+        primary: 1,
+        held: position,
+        history: vec![],
+        lag_ms: 0,
+    })
+}
+
+/// A large result over a narrow link is no silence.
+#[tokio::test]
+async fn a_result_that_keeps_arriving_keeps_its_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let links = PeerLinks::new(hello(), Box::new(Plain));
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the link opens");
+        let message = encode(&large_result(1)).expect("encodes");
+        stream.write_u32(message.len() as u32).await.expect("writes");
+        for part in message.chunks(PART_BYTES) {
+            tokio::time::sleep(PART_PAUSE).await;
+            if stream.write_all(part).await.is_err() {
+                return;
+            }
+        }
+    });
+    let limit = Duration::from_secs(30);
+    let result = links
+        .call(address, 1, question(1), limit, Patience::WhileHeard)
+        .await;
+    assert!(
+        matches!(result, Ok(PeerMessage::ExecuteReply(_))),
+        "the link was given up"
+    );
+}
