A stopping node answers every statement that it has taken

Cause: a statement that arrives during a planned stop kept its whole time, also beyond the end of the process at 85% of the grace time; the connection was then closed without an answer.

Change: the deadline of a statement that arrives meanwhile ends 0.15 s before the process does, so that it is answered with what is known.

--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -56,6 +56,9 @@
 const BUSY_GRACE_PERCENT: u64 = 60;
 /// Share of the grace period after which the process ends in any case.
 const LAST_GRACE_PERCENT: u64 = 85;
+/// Statements that a stopping node has taken are answered so long before the process
+/// ends, in milliseconds: the answer must have left it.
+const LAST_ANSWER_MARGIN_MS: u64 = 150;
 /// Probes must have failed twice before sessions are closed.
 const PROBES_NOTICE: Duration = Duration::from_millis(2_200);
 /// A node that stops waits so long for the store to take that, in milliseconds:
@@ -269,6 +272,17 @@
         self.monitor_wake.notified().await;
     }
 
+    /// The deadline of a statement that has time until `deadline`. In a planned stop
+    /// it ends before the process does: a connection that closes in place of an
+    /// answer tells its caller nothing.
+    pub fn statement_deadline(&self, deadline: Instant) -> Instant {
+        let Phase::Stopping(since) = *self.phase.borrow() else {
+            return deadline;
+        };
+        let process_ms = self.settings.grace_ms * LAST_GRACE_PERCENT / 100;
+        deadline.min(since.plus_millis(process_ms.saturating_sub(LAST_ANSWER_MARGIN_MS)))
+    }
+
     /// During a planned stop: waits until a resting session may be closed.
     pub async fn may_close_session(&self, is_in_transaction: bool, resting: Duration) {
         let Phase::Stopping(since) = *self.phase.borrow() else {
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -358,13 +358,38 @@
             return self.run_in_transaction(operation).await;
         }
         let tenant = self.tenant_in_force()?;
-        let operation = operation(tenant, request, access, prepared, arrived, &self.trail);
+        let operation = self.operation(tenant, request, access, prepared, arrived);
         match access {
             Access::Read => self.single_read(operation).await,
             Access::Write => self.single_write(operation).await,
         }
     }
 
+    /// A statement of `tenant` that arrived at `arrived`, with its deadline.
+    fn operation(
+        &self,
+        tenant: Arc<EngineTenant>,
+        request: Request,
+        access: Access,
+        prepared: Option<(PreparedStatement, String)>,
+        arrived: Instant,
+    ) -> Operation {
+        let limit = tenant.settings.default_window_ms;
+        let margin = ANSWER_MARGIN_MS.min(limit / 4);
+        Operation {
+            deadline: self
+                .engine
+                .statement_deadline(arrived.plus_millis(limit - margin)),
+            tenant,
+            id: request.id,
+            text: request.text,
+            prepared,
+            access,
+            arrived,
+            trail: self.trail.clone(),
+        }
+    }
+
     /// The session's last commit in this group.
     fn written_in(&self, group: &GroupName) -> Option<Written> {
         self.written
@@ -384,28 +409,6 @@
     }
 }
 
-fn operation(
-    tenant: Arc<EngineTenant>,
-    request: Request,
-    access: Access,
-    prepared: Option<(PreparedStatement, String)>,
-    arrived: Instant,
-    trail: &Trail,
-) -> Operation {
-    let limit = tenant.settings.default_window_ms;
-    let margin = ANSWER_MARGIN_MS.min(limit / 4);
-    Operation {
-        deadline: arrived.plus_millis(limit - margin),
-        tenant,
-        id: request.id,
-        text: request.text,
-        prepared,
-        access,
-        arrived,
-        trail: trail.clone(),
-    }
-}
-
 async fn sleep_or_forever(limit: Option<Duration>) {
     match limit {
         Some(limit) => tokio::time::sleep(limit).await,
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -10,7 +10,7 @@
 use super::attempt::{self, Overloads, SessionConnection};
 use super::reads::begin_at_floor;
 use super::writes::{pause_after, usable_leader};
-use super::{Operation, Session, operation};
+use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal, Success};
 use crate::catalog::{Consistency, EngineTenant};
 use crate::clock;
@@ -112,14 +112,7 @@
     ) -> Result<Operation, Refusal> {
         let open = self.transaction.as_ref();
         let open = open.ok_or_else(|| Refusal::new(ErrorKind::Unsupported, "no transaction is open"))?;
-        Ok(operation(
-            open.tenant.clone(),
-            request,
-            access,
-            prepared,
-            arrived,
-            &self.trail,
-        ))
+        Ok(self.operation(open.tenant.clone(), request, access, prepared, arrived))
     }
 
     /// Runs a statement inside the open transaction.
@@ -219,14 +212,7 @@
         let Some(mut open) = self.transaction.take() else {
             return Err(Refusal::new(ErrorKind::Unsupported, "no transaction is open").into());
         };
-        let operation = operation(
-            open.tenant.clone(),
-            request,
-            Access::Write,
-            None,
-            arrived,
-            &self.trail,
-        );
+        let operation = self.operation(open.tenant.clone(), request, Access::Write, None, arrived);
         if open.connection.is_none() {
             return self.commit_empty(&open, &operation).await;
         }
