The age of news is looked at after comparisons, not between them

Change: the look is after each comparison again, and beside one that takes longer than the pause between two.

--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -21,9 +21,6 @@
 
 /// Between two comparisons.
 const INTERVAL: Duration = Duration::from_millis(800);
-/// Between two looks at the age of this node's news: a small part of the time for
-/// which they count as fresh.
-const JUDGEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Between two comparisons while news are urgent.
 const URGENT_INTERVAL: Duration = Duration::from_millis(150);
 /// Neighbours in a node's own zone.
@@ -58,24 +55,22 @@
 
     /// Compares catalogs for the life of the process.
     pub async fn run(self) {
-        // A long comparison must not keep the node from seeing that its news grow
-        // old.
-        tokio::join!(self.keep_comparing(), self.keep_judging());
-    }
-
-    async fn keep_comparing(&self) {
         loop {
             tokio::time::sleep(self.interval()).await;
             if let Some(source) = self.pick() {
-                self.compare(source).await;
+                self.compare_and_judge(source).await;
             }
             self.engine.relays.judge(&self.engine);
         }
     }
 
-    async fn keep_judging(&self) {
-        loop {
-            tokio::time::sleep(JUDGEMENT_INTERVAL).await;
+    /// Compares with `source`. The age of this node's news is looked at after each
+    /// comparison, when they are freshest: in between they grow older than those that
+    /// count as fresh, and all nodes would read the store in calm times. Only a long
+    /// comparison must not keep the node from seeing that they grow old.
+    async fn compare_and_judge(&self, source: Source) {
+        let mut comparing = std::pin::pin!(self.compare(source));
+        while tokio::time::timeout(INTERVAL, &mut comparing).await.is_err() {
             self.engine.relays.judge(&self.engine);
         }
     }
