--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -20,8 +20,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// A node that knows nothing yet gives a listing up after this silence, and after
 /// twice as long the next time: a store that comes back does not answer what it
-/// was asked while it was out. Above the answers of a slow store (some 0.4 s on
-/// the users' days).
+/// was asked while it was out. Above the answers of a slow store (0.4 s, a hundred
+/// times the usual 4 ms).
 const FIRST_LISTING_SILENCE: Duration = Duration::from_millis(500);
 /// While its calls are unanswered, a node that knows nothing yet sends another one
 /// after this time: the store may be back and answer only new ones.
--- a/crates/millwind-store/src/lib.rs
+++ b/crates/millwind-store/src/lib.rs
@@ -98,7 +98,7 @@
 }
 
 /// Silence after which a listing is given up where nothing else is known of the
-/// store: a few answers of a slow one (some 0.4 s each on the users' days).
+/// store: a few answers of a slow one (0.4 s each, a hundred times the usual 4 ms).
 pub const USUAL_SILENCE: Duration = Duration::from_millis(2_000);
 
 /// What the node needs of the platform's store.
