--- a/crates/millwind-core/src/ids.rs
+++ b/crates/millwind-core/src/ids.rs
@@ -45,9 +45,15 @@
     GroupName
 );
 name_type!(
-    /// A tenant; callers name it as the database in their startup message.
+    /// A tenant: towards PostgreSQL callers, a database with its settings; in the
+    /// engine, a customer with keys and a quota.
     TenantName
 );
+name_type!(
+    /// A database as callers name it in their startup message: a group with the
+    /// promises that its sessions are given.
+    DatabaseName
+);
 name_type!(
     /// A zone, the unit that can be cut off as a whole.
     ZoneName
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -38,7 +38,7 @@
 pub enum Purpose {
     /// A statement of this priority; zero comes first.
     Statement {
-        /// The tenant's priority.
+        /// The database's priority.
         priority: u8,
         /// When the caller should have the answer.
         aim: Instant,
--- a/crates/millwind-engine/src/catalog.rs
+++ b/crates/millwind-engine/src/catalog.rs
@@ -4,23 +4,23 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use millwind_core::ids::{GroupName, InstanceName, TenantName, ZoneName};
+use millwind_core::ids::{DatabaseName, GroupName, InstanceName, ZoneName};
 use millwind_core::tenant::TenantSettings;
 
-/// What the sessions of a tenant are promised about reads.
+/// What the sessions of a database are promised about reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Consistency {
     /// Every read sees every acknowledged commit.
     Primary,
-    /// A read may miss commits younger than the tenant's staleness.
+    /// A read may miss commits younger than the database's staleness.
     BoundedStaleness,
     /// As bounded staleness, but a session sees all its own commits.
     ReadYourWrites,
 }
 
-/// A tenant as the engine serves it.
+/// A database as callers name it, with the terms that its sessions are served on.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EngineTenant {
+pub struct Database {
     /// Settings that follow from its template.
     pub settings: TenantSettings,
     /// What its reads are promised.
@@ -45,8 +45,8 @@
 pub struct ConfigSnapshot {
     /// Rises with each change.
     pub version: u64,
-    /// Tenants by name.
-    pub tenants: HashMap<TenantName, Arc<EngineTenant>>,
+    /// Databases by name.
+    pub databases: HashMap<DatabaseName, Arc<Database>>,
     /// Groups by name.
     pub groups: HashMap<GroupName, GroupLimits>,
     /// A transaction that rests for so long may be ended, in milliseconds.
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -167,12 +167,12 @@
                 return false;
             }
             info!(
-                "event=config_applied version={version} previous={} source={} age_ms={} bytes={} tenants={} groups={}",
+                "event=config_applied version={version} previous={} source={} age_ms={} bytes={} databases={} groups={}",
                 held.unwrap_or_default(),
                 origin.source,
                 clock::now().millis_since(origin.known_since),
                 origin.bytes,
-                config.tenants.len(),
+                config.databases.len(),
                 config.groups.len()
             );
             state.config = Some(Arc::new(config));
@@ -506,7 +506,7 @@
         }
     }
 
-    /// Notes that a group is in use, by tenants of this staleness.
+    /// Notes that a group is in use, by databases of this staleness.
     pub fn used(&self, group: &GroupName, staleness_ms: Option<u64>) {
         let mut state = self.state();
         if !state.groups.contains_key(group) {
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -66,7 +66,7 @@
     operation: &Operation,
     session: &SessionState,
 ) -> Result<SessionConnection, AttemptError> {
-    let priority = operation.tenant.priority;
+    let priority = operation.database.priority;
     let aim = operation.aim();
     let connected = match engine.route(record).await {
         Route::Own => {
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -14,14 +14,14 @@
 use log::info;
 use millwind_core::Instant;
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::ids::{GroupName, TenantName};
+use millwind_core::ids::{DatabaseName, GroupName};
 use millwind_core::position::Position;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::answer::{Answer, Failure, Refusal, Success};
-use crate::catalog::EngineTenant;
+use crate::catalog::Database;
 use crate::clock;
 use crate::directory::Written;
 use crate::node::{Engine, Phase};
@@ -43,7 +43,7 @@
     engine: Arc<Engine>,
     stream: TcpStream,
     input: BytesMut,
-    tenant: TenantName,
+    database: DatabaseName,
     state: Arc<SessionState>,
     /// The session's last commit, with the group that holds it.
     written: Option<(GroupName, Written)>,
@@ -66,7 +66,7 @@
 /// One statement on its way, with the terms it runs under.
 #[derive(Debug, Clone)]
 struct Operation {
-    tenant: Arc<EngineTenant>,
+    database: Arc<Database>,
     id: String,
     text: String,
     prepared: Option<(PreparedStatement, String)>,
@@ -95,7 +95,7 @@
 
     /// When the caller should have the answer.
     fn aim(&self) -> Instant {
-        let target_ms = self.tenant.target_latency_ms;
+        let target_ms = self.database.target_latency_ms;
         self.arrived
             .plus_millis(target_ms.saturating_sub(ANSWER_MARGIN_MS))
     }
@@ -105,7 +105,7 @@
     }
 
     fn group(&self) -> &GroupName {
-        &self.tenant.settings.group
+        &self.database.settings.group
     }
 }
 
@@ -116,7 +116,7 @@
             engine,
             stream,
             input: BytesMut::with_capacity(READ_CAPACITY),
-            tenant: TenantName::from(""),
+            database: DatabaseName::from(""),
             state: Arc::default(),
             written: None,
             transaction: None,
@@ -132,18 +132,18 @@
     async fn start(&mut self) -> bool {
         let limit = Duration::from_secs(10);
         let message = tokio::time::timeout(limit, self.next_message()).await;
-        let Ok(Event::Message(CallerMessage::Startup { tenant })) = message else {
+        let Ok(Event::Message(CallerMessage::Startup { database })) = message else {
             return false;
         };
-        self.tenant = TenantName(tenant);
+        self.database = DatabaseName(database);
         let mut output = BytesMut::new();
-        let accepted = self.tenant_in_force();
+        let accepted = self.database_in_force();
         match &accepted {
             Ok(_) => self.engine.caller_codec.encode_welcome(&mut output),
             Err(refusal) => {
                 info!(
-                    "event=session_refused tenant={} kind={} config_version={}",
-                    self.tenant,
+                    "event=session_refused database={} kind={} config_version={}",
+                    self.database,
                     refusal.kind.name(),
                     self.engine.config_version()
                 );
@@ -154,15 +154,15 @@
         self.stream.write_all(&output).await.is_ok() && accepted.is_ok()
     }
 
-    fn tenant_in_force(&self) -> Result<Arc<EngineTenant>, Refusal> {
+    fn database_in_force(&self) -> Result<Arc<Database>, Refusal> {
         let Some(config) = self.engine.directory.config() else {
             return Err(Refusal::new(ErrorKind::NotServing, "no configuration yet"));
         };
         config
-            .tenants
-            .get(&self.tenant)
+            .databases
+            .get(&self.database)
             .cloned()
-            .ok_or_else(|| Refusal::new(ErrorKind::UnknownTenant, &self.tenant))
+            .ok_or_else(|| Refusal::new(ErrorKind::UnknownTenant, &self.database))
     }
 
     async fn run(&mut self) {
@@ -262,10 +262,10 @@
     /// One line for each statement that failed, was tried more than once or
     /// came late, and for a sample of the others.
     fn log_request(&self, id: &str, name: &str, answer: &Answer, micros: u64) {
-        let tenant = self.tenant_in_force().ok();
-        let target_us = tenant
+        let database = self.database_in_force().ok();
+        let target_us = database
             .as_ref()
-            .map_or(u64::MAX, |tenant| tenant.target_latency_ms * 1_000);
+            .map_or(u64::MAX, |database| database.target_latency_ms * 1_000);
         let is_plain = answer.is_ok() && self.trail.count() <= 1 && micros <= target_us;
         let sample = if is_plain { PLAIN_SAMPLE } else { 1 };
         if !self.engine.request_log.is_sampled(sample) || !self.engine.request_log.admit() {
@@ -275,11 +275,11 @@
             Ok(_) => ("ok", ""),
             Err(failure) => (failure.name(), failure.detail()),
         };
-        let belief = tenant.map_or_else(String::new, |tenant| self.belief(&tenant.settings.group));
+        let belief = database.map_or_else(String::new, |database| self.belief(&database.settings.group));
         info!(
-            "event=request id={id} session={} tenant={} statement={name} outcome={outcome} micros={micros} sample={sample} config_version={} {belief} {} detail={detail:?}",
+            "event=request id={id} session={} database={} statement={name} outcome={outcome} micros={micros} sample={sample} config_version={} {belief} {} detail={detail:?}",
             self.number,
-            self.tenant,
+            self.database,
             self.engine.config_version(),
             self.trail,
         );
@@ -357,30 +357,30 @@
             let operation = self.operation_in_transaction(request, access, prepared, arrived)?;
             return self.run_in_transaction(operation).await;
         }
-        let tenant = self.tenant_in_force()?;
-        let operation = self.operation(tenant, request, access, prepared, arrived);
+        let database = self.database_in_force()?;
+        let operation = self.operation(database, request, access, prepared, arrived);
         match access {
             Access::Read => self.single_read(operation).await,
             Access::Write => self.single_write(operation).await,
         }
     }
 
-    /// A statement of `tenant` that arrived at `arrived`, with its deadline.
+    /// A statement in `database` that arrived at `arrived`, with its deadline.
     fn operation(
         &self,
-        tenant: Arc<EngineTenant>,
+        database: Arc<Database>,
         request: Request,
         access: Access,
         prepared: Option<(PreparedStatement, String)>,
         arrived: Instant,
     ) -> Operation {
-        let limit = tenant.settings.default_window_ms;
+        let limit = database.settings.default_window_ms;
         let margin = ANSWER_MARGIN_MS.min(limit / 4);
         Operation {
             deadline: self
                 .engine
                 .statement_deadline(arrived.plus_millis(limit - margin)),
-            tenant,
+            database,
             id: request.id,
             text: request.text,
             prepared,
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -44,7 +44,7 @@
 impl Session {
     /// Runs a read outside of a transaction.
     pub(super) async fn single_read(&mut self, operation: Operation) -> Answer {
-        match operation.tenant.consistency {
+        match operation.database.consistency {
             Consistency::Primary => self.leader_read(operation).await,
             Consistency::BoundedStaleness | Consistency::ReadYourWrites => self.floor_read(operation).await,
         }
@@ -95,7 +95,7 @@
     /// it safe.
     async fn floor_read(&mut self, operation: Operation) -> Answer {
         let engine = self.engine.clone();
-        let staleness = operation.tenant.settings.staleness_ms;
+        let staleness = operation.database.settings.staleness_ms;
         engine.directory.used(operation.group(), Some(staleness));
         let operation = Arc::new(operation);
         let mut rounds = 0;
@@ -113,13 +113,13 @@
     /// What a read of this operation must see: the least position that proves
     /// it safe, or the terms from which the owner that runs it works that out.
     pub(super) async fn floor_for(&self, operation: &Operation) -> Result<ReadFloor, Refusal> {
-        let written = match operation.tenant.consistency {
+        let written = match operation.database.consistency {
             Consistency::BoundedStaleness => None,
             _ => self.written_in(operation.group()),
         };
         let terms = StalenessTerms {
             arrived: operation.arrived,
-            staleness_ms: operation.tenant.settings.staleness_ms,
+            staleness_ms: operation.database.settings.staleness_ms,
             written,
         };
         let mut position = terms.known_position(&self.engine, operation.group());
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -12,7 +12,7 @@
 use super::writes::{pause_after, usable_leader};
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal, Success};
-use crate::catalog::{Consistency, EngineTenant};
+use crate::catalog::{Consistency, Database};
 use crate::clock;
 use crate::execution::AttemptError;
 use crate::floor::ReadFloor;
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(super) struct OpenTransaction {
     /// Terms in force when it began; a change binds the next transaction.
-    tenant: Arc<EngineTenant>,
+    database: Arc<Database>,
     read_only: bool,
     /// The connection it runs on; none before its first statement.
     connection: Option<SessionConnection>,
@@ -38,7 +38,7 @@
 
     /// Whether it runs on a leader, so that each answer proves the lead.
     fn is_on_leader(&self) -> bool {
-        !self.read_only || self.tenant.consistency == Consistency::Primary
+        !self.read_only || self.database.consistency == Consistency::Primary
     }
 
     /// Gives its connection back, which rolls it back, and keeps it as failed.
@@ -56,7 +56,7 @@
             return Err(Refusal::new(ErrorKind::Unsupported, "a transaction is open").into());
         }
         self.transaction = Some(OpenTransaction {
-            tenant: self.tenant_in_force()?,
+            database: self.database_in_force()?,
             read_only,
             connection: None,
             has_written: false,
@@ -79,8 +79,8 @@
             && !open.is_failed
         {
             debug!(
-                "event=transaction_abandoned tenant={} reason={reason:?}",
-                self.tenant
+                "event=transaction_abandoned database={} reason={reason:?}",
+                self.database
             );
             open.fail();
             self.engine.metrics.transactions_abandoned.inc();
@@ -112,7 +112,7 @@
     ) -> Result<Operation, Refusal> {
         let open = self.transaction.as_ref();
         let open = open.ok_or_else(|| Refusal::new(ErrorKind::Unsupported, "no transaction is open"))?;
-        Ok(self.operation(open.tenant.clone(), request, access, prepared, arrived))
+        Ok(self.operation(open.database.clone(), request, access, prepared, arrived))
     }
 
     /// Runs a statement inside the open transaction.
@@ -139,7 +139,7 @@
         open: &mut OpenTransaction,
         operation: &Operation,
     ) -> Result<Reply, Failure> {
-        let staleness = open.tenant.settings.staleness_ms;
+        let staleness = open.database.settings.staleness_ms;
         let is_on_leader = open.is_on_leader();
         let engine = self.engine.clone();
         engine
@@ -212,7 +212,7 @@
         let Some(mut open) = self.transaction.take() else {
             return Err(Refusal::new(ErrorKind::Unsupported, "no transaction is open").into());
         };
-        let operation = self.operation(open.tenant.clone(), request, Access::Write, None, arrived);
+        let operation = self.operation(open.database.clone(), request, Access::Write, None, arrived);
         if open.connection.is_none() {
             return self.commit_empty(&open, &operation).await;
         }
--- a/crates/millwind-engine/src/statement.rs
+++ b/crates/millwind-engine/src/statement.rs
@@ -62,10 +62,10 @@
 /// What a caller sends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerMessage {
-    /// Opens the session on a tenant.
+    /// Opens a session on a database.
     Startup {
-        /// Name of the tenant.
-        tenant: String,
+        /// Name of the database.
+        database: String,
     },
     /// A statement.
     Request(Request),
