--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -13,7 +13,7 @@
 use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
 use crate::catalog_intake::ConfigOrigin;
@@ -127,6 +127,8 @@
     leaders_changed: Notify,
     observed: Notify,
     completed: Notify,
+    /// Version of the configuration in force, zero before the first.
+    config_version: watch::Sender<u64>,
 }
 
 impl Directory {
@@ -145,6 +147,7 @@
             leaders_changed: Notify::new(),
             observed: Notify::new(),
             completed: Notify::new(),
+            config_version: watch::Sender::new(0),
         }
     }
 
@@ -157,6 +160,11 @@
         self.state().config.clone()
     }
 
+    /// Version of the configuration in force, as it changes.
+    pub fn config_versions(&self) -> watch::Receiver<u64> {
+        self.config_version.subscribe()
+    }
+
     /// Puts a configuration in force unless a newer one is; true if it changed.
     pub fn apply_config(&self, config: ConfigSnapshot, origin: &ConfigOrigin) -> bool {
         let version = config.version;
@@ -177,6 +185,7 @@
             );
             state.config = Some(Arc::new(config));
         }
+        self.config_version.send_replace(version);
         self.completed.notify_waiters();
         true
     }
--- a/crates/millwind-engine/src/session/caller.rs
+++ b/crates/millwind-engine/src/session/caller.rs
@@ -53,15 +53,11 @@
     /// whose key is no longer its tenant's is rolled back first: nothing of it is
     /// kept, and its caller is told so.
     pub(super) fn check_caller(&mut self) -> Result<(), Refusal> {
+        self.check_transaction();
         let Some(config) = self.engine.directory.config() else {
             return Ok(());
         };
-        if let Some((database, user)) = self.transaction_terms() {
-            let now = self.user_in_force(&config, &database);
-            if now.as_ref() != Ok(&user) {
-                self.log_withdrawn(config.version, "transaction");
-                self.abandon_transaction("the caller's key was taken away");
-            }
+        if self.transaction.is_some() {
             return Ok(());
         }
         let Some(database) = config.databases.get(&self.database) else {
@@ -71,6 +67,20 @@
         self.user_in_force(&config, database).map(drop)
     }
 
+    /// Rolls an open transaction back whose key is no longer its tenant's.
+    pub(super) fn check_transaction(&mut self) {
+        let Some(config) = self.engine.directory.config() else {
+            return;
+        };
+        let Some((database, user)) = self.transaction_terms() else {
+            return;
+        };
+        if self.user_in_force(&config, &database).as_ref() != Ok(&user) {
+            self.log_withdrawn(config.version, "transaction");
+            self.abandon_transaction("the caller's key was taken away");
+        }
+    }
+
     /// Whether the session must end: its caller's key was taken away, and no
     /// transaction is left to be answered for.
     pub(super) fn has_ended(&self) -> bool {
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -21,6 +21,7 @@
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::answer::{Answer, Failure, Refusal, Success};
 use crate::backend::ConnectionUser;
@@ -66,6 +67,8 @@
     Closed,
     Malformed,
     TransactionIdle,
+    /// Another configuration is in force.
+    Configured,
     Stop,
 }
 
@@ -164,8 +167,9 @@
     }
 
     async fn run(&mut self) {
+        let mut versions = self.engine.directory.config_versions();
         loop {
-            match self.next_event().await {
+            match self.next_event(&mut versions).await {
                 Event::Message(CallerMessage::Request(request)) => {
                     let answer = self.handle(request).await;
                     if self.send(&answer).await.is_err() || self.has_ended() {
@@ -173,13 +177,19 @@
                     }
                 }
                 Event::TransactionIdle => self.abandon_transaction("transaction rested too long"),
+                Event::Configured => {
+                    self.check_transaction();
+                    if self.has_ended() {
+                        return;
+                    }
+                }
                 Event::Message(_) | Event::Closed | Event::Malformed | Event::Stop => return,
             }
         }
     }
 
     /// The next message, the end of the connection, or the time to act.
-    async fn next_event(&mut self) -> Event {
+    async fn next_event(&mut self, versions: &mut watch::Receiver<u64>) -> Event {
         let idle_limit = self.transaction_idle_limit();
         let mut phase = self.engine.phase.subscribe();
         let is_in_transaction = self.transaction.is_some();
@@ -187,6 +197,7 @@
             tokio::select! {
                 event = self.next_message() => return event,
                 () = sleep_or_forever(idle_limit) => return Event::TransactionIdle,
+                Ok(()) = versions.changed() => return Event::Configured,
                 _ = phase.changed() => {}
             }
         }
