A tenant's statements go to the owner that comes first for it

Hypothesis: each of the three owners of an instance opened a connection for each of 72 tenants; sent to one of them by rendezvous hashing, a tenant's next statement finds the connection of its last one open. Where callers are not told apart nothing changes.

--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! capacity runs share one implementation.
 
 pub mod admission;
+pub mod affinity;
 pub mod catalog_freshness;
 pub mod catalog_relay;
 pub mod classify;
--- a/crates/millwind-core/tests/quota.rs
+++ b/crates/millwind-core/tests/quota.rs
@@ -4,9 +4,7 @@
 use std::collections::BTreeMap;
 
 use millwind_core::Instant;
-use millwind_core::quota::{
-    Admission, Allowance, Budget, Loan, Quota, STAND_IN_PERCENT, UNCOUNTED_PERCENT,
-};
+use millwind_core::quota::{Admission, Allowance, Budget, Loan, Quota, STAND_IN_PERCENT, UNCOUNTED_PERCENT};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -120,9 +118,7 @@
 
     fn is_down(&self, counter: usize, now_ms: u64) -> bool {
         match self.scene.trouble {
-            Trouble::Restart { at_ms, for_ms } => {
-                counter == 0 && (at_ms..at_ms + for_ms).contains(&now_ms)
-            }
+            Trouble::Restart { at_ms, for_ms } => counter == 0 && (at_ms..at_ms + for_ms).contains(&now_ms),
             _ => false,
         }
     }
@@ -153,13 +149,18 @@
                 true => quota.part(STAND_IN_PERCENT as f64),
                 false => quota.whole(),
             };
-            let budget = self.budgets.entry(counter).or_insert_with(|| Budget::new(part, arrived));
+            let budget = self
+                .budgets
+                .entry(counter)
+                .or_insert_with(|| Budget::new(part, arrived));
             return (asked_ms + 2 * ONE_WAY_MS, budget.lend(part, wanted, arrived));
         }
         let percent = UNCOUNTED_PERCENT as f64 / self.scene.nodes as f64;
         let part = quota.part(percent);
         let now = Instant::from_millis(asked_ms);
-        let budget = self.nodes[node].uncounted.get_or_insert_with(|| Budget::new(part, now));
+        let budget = self.nodes[node]
+            .uncounted
+            .get_or_insert_with(|| Budget::new(part, now));
         (asked_ms, budget.lend(part, wanted, now))
     }
 
@@ -263,7 +264,12 @@
 
 /// The most operations that ran in any window, and what the users let pass.
 fn worst_window(outcome: &Outcome, quota: Quota, from_ms: u64) -> (u64, u64) {
-    let ran: Vec<u64> = outcome.ran.iter().copied().filter(|ran| *ran >= from_ms).collect();
+    let ran: Vec<u64> = outcome
+        .ran
+        .iter()
+        .copied()
+        .filter(|ran| *ran >= from_ms)
+        .collect();
     let mut first = 0;
     let mut most = 0;
     for (index, ran_ms) in ran.iter().enumerate() {
@@ -304,9 +310,19 @@
         "refused of {}: {} with loans, {} with even parts",
         lent.asked, lent.refused, even.refused
     );
-    assert!(lent.refused * 100 <= lent.asked, "{} of {}", lent.refused, lent.asked);
+    assert!(
+        lent.refused * 100 <= lent.asked,
+        "{} of {}",
+        lent.refused,
+        lent.asked
+    );
     // What the loans are for: an even part of the quota refuses most at busy nodes.
-    assert!(even.refused * 2 > even.asked, "{} of {}", even.refused, even.asked);
+    assert!(
+        even.refused * 2 > even.asked,
+        "{} of {}",
+        even.refused,
+        even.asked
+    );
 }
 
 /// The load pattern: ten times the usual rate, for all of the time.
@@ -373,19 +389,21 @@
         0_u64..500,
         troubles(),
     )
-        .prop_map(|(seed, nodes, rate_per_s, asked_percent, run_delay_ms, trouble)| Scene {
-            seed,
-            nodes,
-            quota: Quota {
-                rate_per_s,
-                burst: rate_per_s,
+        .prop_map(
+            |(seed, nodes, rate_per_s, asked_percent, run_delay_ms, trouble)| Scene {
+                seed,
+                nodes,
+                quota: Quota {
+                    rate_per_s,
+                    burst: rate_per_s,
+                },
+                asked_per_s: rate_per_s * asked_percent / 100,
+                busy_nodes: nodes.div_ceil(4),
+                run_delay_ms,
+                trouble,
+                length_ms: 18_000,
             },
-            asked_per_s: rate_per_s * asked_percent / 100,
-            busy_nodes: nodes.div_ceil(4),
-            run_delay_ms,
-            trouble,
-            length_ms: 18_000,
-        })
+        )
 }
 
 proptest! {
--- a/crates/millwind-engine/src/connection_shares.rs
+++ b/crates/millwind-engine/src/connection_shares.rs
@@ -7,6 +7,7 @@
 use log::info;
 use millwind_core::ids::{GroupName, InstanceName};
 
+use crate::backend::ConnectionUser;
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::forward::{OWNERS, Route, Standing};
@@ -61,8 +62,8 @@
         share.max(1)
     }
 
-    /// The way of a statement to an instance.
-    pub async fn route(&self, record: &InstanceRecord) -> Route {
+    /// The way of a statement of `user` to an instance.
+    pub async fn route(&self, record: &InstanceRecord, user: &ConnectionUser) -> Route {
         if self.is_ample(&record.group) {
             return Route::Own;
         }
@@ -70,7 +71,15 @@
             .directory
             .instance(&record.name)
             .is_none_or(|known| known.contact.failing_since.is_none());
-        let route = self.owners.route(&self.registry, record, is_reached).await;
+        let route = match user.tenant() {
+            Some(tenant) => {
+                let registry = &self.registry;
+                self.owners
+                    .route_of_tenant(registry, record, tenant, is_reached)
+                    .await
+            }
+            None => self.owners.route(&self.registry, record, is_reached).await,
+        };
         if matches!(route, Route::Own) && !self.runs_statements_on(record) {
             self.note_direct_use(record);
         }
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
+use millwind_core::affinity;
+use millwind_core::ids::{InstanceName, TenantName};
 use rand::RngExt;
 
 use super::link::OwnerLink;
@@ -156,6 +157,35 @@
         Route::Own
     }
 
+    /// The way of a tenant's statement to `record`: through the owner that comes first
+    /// for the tenant, so that it finds the connection of the tenant's last statement
+    /// open. Only where that one is not reached another owner opens one of its own.
+    pub async fn route_of_tenant(
+        &self,
+        registry: &Registry,
+        record: &InstanceRecord,
+        tenant: &TenantName,
+        prefers_own: bool,
+    ) -> Route {
+        let ranked = self.ranked(registry, record);
+        let owners = &ranked[..ranked.len().min(OWNERS)];
+        let names: Vec<_> = owners.iter().map(|owner| owner.address.to_string()).collect();
+        for index in affinity::order(tenant.as_str(), &names) {
+            let owner = &owners[index];
+            if owner.is_self && prefers_own {
+                return Route::Own;
+            }
+            if owner.is_self || self.is_avoided(owner.address, &record.name) {
+                continue;
+            }
+            if let Some(link) = self.links.best_proven(&[owner.address]).await {
+                self.unreached().remove(&record.name);
+                return Route::Through(link);
+            }
+        }
+        self.route(registry, record, prefers_own).await
+    }
+
     fn unreached(&self) -> MutexGuard<'_, HashMap<InstanceName, (Instant, Instant)>> {
         self.unreached.lock().unwrap_or_else(PoisonError::into_inner)
     }
