A connection that becomes free goes to the next of the same tenant

Change: millwind_core::connection_queue: within its rank a statement whose tenant's connection becomes free goes first; nobody is passed over more than four times.

--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod concurrency_limit;
 pub mod config_state;
 pub mod confirmation;
+pub mod connection_queue;
 pub mod control;
 pub mod credential;
 pub mod error_kind;
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use millwind_core::Instant;
+use millwind_core::connection_queue::{Waiting, next_in_line};
 use millwind_core::session_state::{PreparedStatement, SessionState};
 use tokio::sync::oneshot;
 
@@ -95,6 +96,8 @@
 struct Waiter {
     rank: u8,
     user: ConnectionUser,
+    /// Others that came later and went first.
+    passed_over: u8,
     grant: oneshot::Sender<Grant>,
 }
 
@@ -130,6 +133,21 @@
         self.mean_use_us * turns / self.open.max(1) as u64 + self.mean_use_us
     }
 
+    /// Takes the one out of the line that a connection of `user` goes to next.
+    fn next_for(&mut self, user: &ConnectionUser) -> Option<Waiter> {
+        self.waiters.retain(|waiter| !waiter.grant.is_closed());
+        let view = |waiter: &Waiter| Waiting {
+            rank: waiter.rank,
+            is_same_user: waiter.user == *user,
+            passed_over: waiter.passed_over,
+        };
+        let index = next_in_line(self.waiters.iter().map(view))?;
+        for passed_over in self.waiters.iter_mut().take(index) {
+            passed_over.passed_over += 1;
+        }
+        self.waiters.remove(index)
+    }
+
     /// Whether a connection may be opened now: not right after the instance
     /// said that it takes no more, and for a while after that one at a time.
     fn may_open(&self, now: Instant) -> bool {
@@ -405,6 +423,7 @@
             let waiter = Waiter {
                 rank,
                 user: user.clone(),
+                passed_over: 0,
                 grant: sender,
             };
             let index = state.waiters.partition_point(|other| other.rank <= rank);
@@ -419,7 +438,7 @@
     }
 
     /// Takes back a settled connection that is outside of any transaction: the
-    /// first that waits gets it, or the right to open one in its place.
+    /// next in line gets it, or the right to open one in its place.
     fn give_back(&self, connection: Connection) {
         let mut returned = connection;
         loop {
@@ -428,7 +447,7 @@
                 if state.is_retired || state.open > state.share + 1 {
                     return drop(state);
                 }
-                let Some(waiter) = pop_live(&mut state.waiters) else {
+                let Some(waiter) = state.next_for(returned.user()) else {
                     state.idle.push(returned);
                     return;
                 };
