A tenant's statement takes its turn before its connection

Cause: all connections of an owner were held by statements that waited for their turns, so none rested for its tenant's next statement, and connections were opened beside the turns, in slots that these counted on. Change: where connections belong to tenants the turn is taken first, the connection opened within it; a turn that is over goes to the next of the same tenant. Where transactions hold all connections the turn is given up meanwhile.

--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -13,7 +13,7 @@
 use super::connection::Connection;
 use super::demand::PeakDemand;
 use super::link_error::LinkError;
-use super::turns::{Turns, Urgency};
+use super::turns::{Turn, Turns, Urgency};
 use super::user::ConnectionUser;
 use crate::catalog::InstanceRecord;
 use crate::clock;
@@ -250,6 +250,30 @@
         state.open.saturating_sub(unused)
     }
 
+    /// A connection of `user` if one rests or can be opened at once; none where one
+    /// would have to be waited for.
+    pub async fn acquire_at_once(
+        self: &Arc<Self>,
+        purpose: Purpose,
+        user: &ConnectionUser,
+        session: &SessionState,
+        needed: Option<&PreparedStatement>,
+        deadline: Instant,
+    ) -> Result<Option<PooledConnection>, LinkError> {
+        if let Some(connection) = self.take_idle(user, session, needed)? {
+            self.state().note_demand();
+            return Ok(Some(PooledConnection::new(self.clone(), connection, purpose)));
+        }
+        let Some(permit) = self.take_permit(purpose).or_else(|| self.make_room(user)) else {
+            return Ok(None);
+        };
+        match self.open(permit, purpose, user, deadline).await {
+            // The instance is full: one of those that are open will do.
+            Err(error) if error.is_over_limit() && self.may_share(deadline) => Ok(None),
+            opened => opened.map(Some),
+        }
+    }
+
     /// A connection of `user` outside of any transaction, for one statement or
     /// transaction of `session`. Where all that this node may hold are open, one
     /// that rests on behalf of another user is closed for it.
@@ -262,16 +286,9 @@
         deadline: Instant,
     ) -> Result<PooledConnection, LinkError> {
         loop {
-            if let Some(connection) = self.take_idle(user, session, needed)? {
-                self.state().note_demand();
-                return Ok(PooledConnection::new(self.clone(), connection, purpose));
-            }
-            if let Some(permit) = self.take_permit(purpose).or_else(|| self.make_room(user)) {
-                match self.open(permit, purpose, user, deadline).await {
-                    // The instance is full: one of those that are open will do.
-                    Err(error) if error.is_over_limit() && self.may_share(deadline) => continue,
-                    opened => return opened,
-                }
+            let at_once = self.acquire_at_once(purpose, user, session, needed, deadline);
+            if let Some(connection) = at_once.await? {
+                return Ok(connection);
             }
             let rank = self.rank(purpose, deadline).ok_or(LinkError::NoConnection)?;
             let limit = self.wait_limit(deadline);
@@ -514,6 +531,8 @@
     connection: Option<Connection>,
     /// A statement of its present user has run on it.
     has_run: bool,
+    /// The turn of its first statement, if that was taken before the connection.
+    turn: Option<Turn>,
 }
 
 impl PooledConnection {
@@ -524,6 +543,7 @@
             since: clock::now(),
             connection: Some(connection),
             has_run: false,
+            turn: None,
         }
     }
 
@@ -543,6 +563,16 @@
         }
     }
 
+    /// Keeps the turn in which it was opened for its first statement.
+    pub fn keep_turn(&mut self, turn: Turn) {
+        self.turn = Some(turn);
+    }
+
+    /// The turn that was kept for the statement that runs now.
+    pub fn take_turn(&mut self) -> Option<Turn> {
+        self.turn.take()
+    }
+
     /// A statement of its present user has run on it.
     pub fn note_run(&mut self) {
         self.has_run = true;
--- a/crates/millwind-engine/src/backend/turns.rs
+++ b/crates/millwind-engine/src/backend/turns.rs
@@ -6,9 +6,11 @@
 
 use millwind_core::Instant;
 use millwind_core::concurrency_limit::{ConcurrencyLimit, TurnEnd};
+use millwind_core::connection_queue::{Waiting, next_in_line};
 use tokio::sync::oneshot;
 
 use super::link_error::LinkError;
+use super::user::ConnectionUser;
 use crate::clock;
 
 /// Weight of a new sample in the mean time of a turn, as one part in so many.
@@ -27,8 +29,22 @@
     Late,
 }
 
+impl Urgency {
+    /// Its place in line; lower goes first.
+    fn rank(self) -> u8 {
+        match self {
+            Urgency::InTransaction => 0,
+            Urgency::Priority(priority) => priority.saturating_add(1).min(u8::MAX - 1),
+            Urgency::Late => u8::MAX,
+        }
+    }
+}
+
 struct Waiter {
     urgency: Urgency,
+    user: ConnectionUser,
+    /// Others that came later and went first.
+    passed_over: u8,
     turn: oneshot::Sender<Turn>,
 }
 
@@ -53,6 +69,7 @@
 #[derive(Debug)]
 pub struct Turn {
     turns: Arc<Turns>,
+    user: ConnectionUser,
     began: Instant,
     end: TurnEnd,
 }
@@ -66,7 +83,7 @@
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        self.turns.over(self.began, self.end);
+        self.turns.over(self.began, self.end, &self.user);
     }
 }
 
@@ -85,11 +102,23 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for a turn; one whose answer would come after `aim` counts as late.
+    /// As [`Turns::take_for`], for the system or callers that are not told apart.
+    pub async fn take(
+        self: &Arc<Self>,
+        urgency: Urgency,
+        aim: Instant,
+        deadline: Instant,
+    ) -> Result<Turn, LinkError> {
+        self.take_for(&ConnectionUser::System, urgency, aim, deadline)
+            .await
+    }
+
+    /// Waits for a turn of `user`; one whose answer would come after `aim` counts as late.
     /// Fails at `deadline`, or at once where the statement is not expected to be
     /// served by then.
-    pub async fn take(
+    pub async fn take_for(
         self: &Arc<Self>,
+        user: &ConnectionUser,
         urgency: Urgency,
         aim: Instant,
         deadline: Instant,
@@ -98,12 +127,12 @@
             let mut state = self.state();
             if state.running < state.limit.allowed() {
                 state.running += 1;
-                return Ok(self.begin());
+                return Ok(self.begin(user.clone()));
             }
             let place = state
                 .place(urgency, aim, deadline)
                 .ok_or(LinkError::NoConnection)?;
-            state.enqueue(place)
+            state.enqueue(place, user.clone())
         };
         match tokio::time::timeout_at(clock::deadline(deadline), waiting).await {
             Ok(Ok(turn)) => Ok(turn),
@@ -112,16 +141,17 @@
         }
     }
 
-    fn begin(self: &Arc<Self>) -> Turn {
+    fn begin(self: &Arc<Self>, user: ConnectionUser) -> Turn {
         Turn {
             turns: self.clone(),
+            user,
             began: clock::now(),
             end: TurnEnd::Unknown,
         }
     }
 
-    /// A turn is over: those that wait may begin theirs.
-    fn over(self: &Arc<Self>, began: Instant, end: TurnEnd) {
+    /// A turn of `user` is over: those that wait may begin theirs.
+    fn over(self: &Arc<Self>, began: Instant, end: TurnEnd, user: &ConnectionUser) {
         let now = clock::now();
         let mut begun = Vec::new();
         {
@@ -133,14 +163,17 @@
                 state.note_turn(now.0.saturating_sub(began.0));
             }
             while state.running < state.limit.allowed() {
-                let Some(waiter) = state.next_waiter() else { break };
+                let Some(waiter) = state.next_waiter(user) else {
+                    break;
+                };
                 state.running += 1;
                 begun.push(waiter);
             }
         }
         // Outside of the lock: a turn that nobody takes is over at once.
         for waiter in begun {
-            drop(waiter.turn.send(self.begin()));
+            let turn = self.begin(waiter.user);
+            drop(waiter.turn.send(turn));
         }
     }
 }
@@ -174,20 +207,32 @@
         (expected(Urgency::Late) <= deadline).then_some(Urgency::Late)
     }
 
-    fn enqueue(&mut self, urgency: Urgency) -> oneshot::Receiver<Turn> {
+    fn enqueue(&mut self, urgency: Urgency, user: ConnectionUser) -> oneshot::Receiver<Turn> {
         let (turn, receiver) = oneshot::channel();
         let index = self.waiters.partition_point(|other| other.urgency <= urgency);
-        self.waiters.insert(index, Waiter { urgency, turn });
+        let waiter = Waiter {
+            urgency,
+            user,
+            passed_over: 0,
+            turn,
+        };
+        self.waiters.insert(index, waiter);
         receiver
     }
 
-    /// The next one that still waits.
-    fn next_waiter(&mut self) -> Option<Waiter> {
-        while let Some(waiter) = self.waiters.pop_front() {
-            if !waiter.turn.is_closed() {
-                return Some(waiter);
-            }
+    /// The next one that still waits, after a turn of `user`, whose connection it leaves
+    /// open.
+    fn next_waiter(&mut self, user: &ConnectionUser) -> Option<Waiter> {
+        self.waiters.retain(|waiter| !waiter.turn.is_closed());
+        let view = |waiter: &Waiter| Waiting {
+            rank: waiter.urgency.rank(),
+            is_same_user: waiter.user == *user,
+            passed_over: waiter.passed_over,
+        };
+        let index = next_in_line(self.waiters.iter().map(view))?;
+        for passed_over in self.waiters.iter_mut().take(index) {
+            passed_over.passed_over += 1;
         }
-        None
+        self.waiters.remove(index)
     }
 }
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -12,7 +12,8 @@
 
 use crate::answer::{Failure, Refusal};
 use crate::backend::pool::PooledConnection;
-use crate::backend::{ConnectionUser, LinkError, Purpose};
+use crate::backend::turns::Turn;
+use crate::backend::{ConnectionUser, LinkError, Pool, Purpose, Urgency};
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::directory::Directory;
@@ -148,16 +149,20 @@
         aim: wanted.aim,
     };
     let asked = clock::now();
-    let connected = engine
-        .pool(record)
-        .acquire(
-            purpose,
-            wanted.user,
-            wanted.session,
-            wanted.needed,
-            wanted.deadline,
-        )
-        .await;
+    let pool = engine.pool(record);
+    let connected = match wanted.user {
+        ConnectionUser::System => {
+            pool.acquire(
+                purpose,
+                wanted.user,
+                wanted.session,
+                wanted.needed,
+                wanted.deadline,
+            )
+            .await
+        }
+        ConnectionUser::Tenant(_) => connect_in_turn(&pool, purpose, wanted).await,
+    };
     connected.map_err(|error| {
         note_connect_error(engine, record, asked, &error);
         match error {
@@ -167,6 +172,33 @@
     })
 }
 
+/// Takes the statement's turn first and its connection within it. Opening one takes as
+/// much of a slot as a statement: without turns all connections of a node would be
+/// held by statements that wait, and none would rest for its tenant's next one.
+async fn connect_in_turn(
+    pool: &Arc<Pool>,
+    purpose: Purpose,
+    wanted: Wanted<'_>,
+) -> Result<PooledConnection, LinkError> {
+    let Wanted {
+        user,
+        session,
+        needed,
+        deadline,
+        ..
+    } = wanted;
+    let urgency = Urgency::Priority(wanted.priority);
+    let turn = pool.turns().take_for(user, urgency, wanted.aim, deadline).await?;
+    let at_once = pool.acquire_at_once(purpose, user, session, needed, deadline);
+    if let Some(mut connection) = at_once.await? {
+        connection.keep_turn(turn);
+        return Ok(connection);
+    }
+    // Transactions that rest hold all connections: others may have the turn.
+    drop(turn);
+    pool.acquire(purpose, user, session, needed, deadline).await
+}
+
 fn note_connect_error(engine: &Arc<Engine>, record: &InstanceRecord, asked: Instant, error: &LinkError) {
     if error.is_evidence() || error.is_wrong_instance() {
         let directory = &engine.directory;
@@ -223,11 +255,10 @@
 ) -> Result<Reply, AttemptError> {
     let pool = connection.pool().clone();
     let record = pool.record();
-    let turn = pool
-        .turns()
-        .take(connection.urgency(), connection.aim(), deadline)
-        .await;
-    let turn = turn.map_err(AttemptError::Link)?;
+    let turn = match connection.take_turn() {
+        Some(turn) => turn,
+        None => take_turn(&pool, connection, deadline).await?,
+    };
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
     turn.end(turn_end(&exchanged));
@@ -256,6 +287,16 @@
     Ok(reply)
 }
 
+async fn take_turn(
+    pool: &Arc<Pool>,
+    connection: &PooledConnection,
+    deadline: Instant,
+) -> Result<Turn, AttemptError> {
+    let (user, urgency, aim) = (connection.user(), connection.urgency(), connection.aim());
+    let turn = pool.turns().take_for(user, urgency, aim, deadline).await;
+    turn.map_err(AttemptError::Link)
+}
+
 /// What the end of an exchange tells of the load of its instance.
 fn turn_end(exchanged: &Result<Reply, LinkError>) -> TurnEnd {
     let Ok(reply) = exchanged else {
