--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -13,12 +13,12 @@
 use super::connection::Connection;
 use super::demand::PeakDemand;
 use super::link_error::LinkError;
-use super::turns::{Turn, Turns, Urgency};
+use super::pooled::PooledConnection;
+use super::turns::Turns;
 use super::user::ConnectionUser;
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::ports::BackEndCodec;
-use crate::statement::{Command, Envelope, TransactionState};
 
 /// Longest wait for a new connection, in milliseconds.
 const CONNECT_LIMIT_MS: u64 = 1_000;
@@ -32,8 +32,6 @@
 const CAREFUL_TICK_MS: u64 = 60;
 /// Weight of a new sample in the mean time of use, as one part in so many.
 const USE_WEIGHT: u64 = 16;
-/// A connection is given this long to roll back before it is closed.
-const ROLLBACK_LIMIT_MS: u64 = 3_000;
 
 /// What a connection is wanted for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -290,6 +288,10 @@
             if let Some(connection) = at_once.await? {
                 return Ok(connection);
             }
+            // One may have become free while another was refused.
+            if let Some(connection) = self.take_idle(user, session, needed)? {
+                return Ok(PooledConnection::new(self.clone(), connection, purpose));
+            }
             let rank = self.rank(purpose, deadline).ok_or(LinkError::NoConnection)?;
             let limit = self.wait_limit(deadline);
             match self.wait(rank, user, limit).await {
@@ -416,7 +418,8 @@
         (expected(LATE_RANK) <= deadline).then_some(LATE_RANK)
     }
 
-    fn note_use(&self, since: Instant) {
+    /// Takes in that a connection was used since `since`.
+    pub(super) fn note_use(&self, since: Instant) {
         let used_us = clock::now().0.saturating_sub(since.0);
         let mut state = self.state();
         state.mean_use_us = (state.mean_use_us * (USE_WEIGHT - 1) + used_us) / USE_WEIGHT;
@@ -456,7 +459,7 @@
 
     /// Takes back a settled connection that is outside of any transaction: the
     /// next in line gets it, or the right to open one in its place.
-    fn give_back(&self, connection: Connection) {
+    pub(super) fn give_back(&self, connection: Connection) {
         let mut returned = connection;
         loop {
             let waiter = {
@@ -520,113 +523,6 @@
     None
 }
 
-/// A connection that goes back to its pool when dropped: at once if it is
-/// settled, after a rollback if a transaction is open, never if an answer is
-/// outstanding.
-#[derive(Debug)]
-pub struct PooledConnection {
-    pool: Arc<Pool>,
-    purpose: Purpose,
-    since: Instant,
-    connection: Option<Connection>,
-    /// A statement of its present user has run on it.
-    has_run: bool,
-    /// The turn of its first statement, if that was taken before the connection.
-    turn: Option<Turn>,
-}
-
-impl PooledConnection {
-    fn new(pool: Arc<Pool>, connection: Connection, purpose: Purpose) -> Self {
-        PooledConnection {
-            pool,
-            purpose,
-            since: clock::now(),
-            connection: Some(connection),
-            has_run: false,
-            turn: None,
-        }
-    }
-
-    /// How urgent the next statement on it is.
-    pub fn urgency(&self) -> Urgency {
-        match self.purpose {
-            Purpose::Statement { priority, .. } if !self.has_run => Urgency::Priority(priority),
-            _ => Urgency::InTransaction,
-        }
-    }
-
-    /// When the caller should have the answer to the first statement on it.
-    pub fn aim(&self) -> Instant {
-        match self.purpose {
-            Purpose::Statement { aim, .. } => aim,
-            Purpose::Probe => clock::now(),
-        }
-    }
-
-    /// Keeps the turn in which it was opened for its first statement.
-    pub fn keep_turn(&mut self, turn: Turn) {
-        self.turn = Some(turn);
-    }
-
-    /// The turn that was kept for the statement that runs now.
-    pub fn take_turn(&mut self) -> Option<Turn> {
-        self.turn.take()
-    }
-
-    /// A statement of its present user has run on it.
-    pub fn note_run(&mut self) {
-        self.has_run = true;
-    }
-
-    /// The pool it belongs to.
-    pub fn pool(&self) -> &Arc<Pool> {
-        &self.pool
-    }
-}
-
-impl std::ops::Deref for PooledConnection {
-    type Target = Connection;
-
-    fn deref(&self) -> &Connection {
-        self.connection.as_ref().expect("present until dropped")
-    }
-}
-
-impl std::ops::DerefMut for PooledConnection {
-    fn deref_mut(&mut self) -> &mut Connection {
-        self.connection.as_mut().expect("present until dropped")
-    }
-}
-
-impl Drop for PooledConnection {
-    fn drop(&mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        self.pool.note_use(self.since);
-        if !connection.is_settled() {
-            return;
-        }
-        if connection.transaction() == TransactionState::Idle {
-            self.pool.give_back(connection);
-            return;
-        }
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            runtime.spawn(roll_back(self.pool.clone(), connection));
-        }
-    }
-}
-
-async fn roll_back(pool: Arc<Pool>, mut connection: Connection) {
-    let envelope = Envelope::own(Command::Rollback);
-    let deadline = clock::now().plus_millis(ROLLBACK_LIMIT_MS);
-    let result = connection.exchange(&envelope, deadline).await;
-    let is_clean = result.is_ok_and(|reply| reply.state == TransactionState::Idle);
-    if is_clean && connection.is_settled() {
-        pool.give_back(connection);
-    }
-}
-
 /// Opens up to `count` connections ahead of need.
 pub async fn open_ahead(pool: Arc<Pool>, count: usize, pace: Duration) {
     let mut held = Vec::new();
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -11,7 +11,7 @@
 use millwind_core::session_state::{PreparedStatement, SessionState};
 
 use crate::answer::{Failure, Refusal};
-use crate::backend::pool::PooledConnection;
+use crate::backend::PooledConnection;
 use crate::backend::turns::Turn;
 use crate::backend::{ConnectionUser, LinkError, Pool, Purpose, Urgency};
 use crate::catalog::InstanceRecord;
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -20,7 +20,7 @@
 use super::messages::{leader_report, read_execution, read_floor, read_session, read_user, write_answer};
 use super::{Transport, write_all};
 use crate::backend::LinkError;
-use crate::backend::pool::PooledConnection;
+use crate::backend::PooledConnection;
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::execution::{self, AttemptError, Wanted};
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -9,7 +9,7 @@
 use super::Operation;
 use crate::answer::{Answer, Failure, Success};
 use crate::backend::LinkError;
-use crate::backend::pool::PooledConnection;
+use crate::backend::PooledConnection;
 use crate::catalog::InstanceRecord;
 use crate::execution::{self, AttemptError, Wanted};
 use crate::floor::ReadFloor;
