What the limit on passing over counts, told as it is

Only the first in line is asked how many went ahead of it, so one behind it may be passed over more often than four times before it is first itself; the comment and the message of said four at most for everyone. Comment alone; the test of the queue (at most four for each that waited ahead) passes as before.

--- a/crates/millwind-core/src/connection_queue.rs
+++ b/crates/millwind-core/src/connection_queue.rs
@@ -6,8 +6,9 @@
 //! the instance spends on that (12 ms of a slot) as much as on the statement itself.
 //! Given to the next of the same tenant, it runs one after the other.
 
-/// A statement is passed over by so many others at most: their statements take less
-/// time together than its aim leaves it (4 times some 15 ms of 600 ms and more).
+/// The first in line gives way until so many went ahead of it: their statements take
+/// less time together than its aim leaves it (4 times some 15 ms of 600 ms and more).
+/// Those behind it may be passed over as often again while they are not the first.
 const MOST_PASSED_OVER: u8 = 4;
 
 /// One that waits for a connection.
