One decision on which instances a statement may use: regions, evacuated zones, endings

Readers, writers and owners each judged by themselves whether an instance is used; what customers allow and what operators evacuate was known nowhere. The types (data residency, evacuations, warm-up terms, incarnations) and the one judgement stand in the core without I/O; reads, writes, forwarding and owners ask it and name the reason in their refusal. Statements travel only to nodes in regions that their customer allows.

--- a/crates/millwind-core/src/error_kind.rs
+++ b/crates/millwind-core/src/error_kind.rs
@@ -66,6 +66,12 @@
     AnswerTooLarge = 18,
     /// The tenant asks for more than its quota.
     QuotaExceeded = 19,
+    /// No instance that could run it stands in a region that the customer allows.
+    RegionNotAllowed = 20,
+    /// Every instance that could run it stands in a zone that is being evacuated.
+    ZoneEvacuated = 21,
+    /// The only instance that could run it has just started and takes few statements.
+    WarmingUp = 22,
 }
 
 /// One row of the table from kind to answer.
@@ -85,7 +91,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of its code.
-    pub const ALL: [ErrorKind; 19] = [
+    pub const ALL: [ErrorKind; 22] = [
         ErrorKind::UnknownTenant,
         ErrorKind::AuthenticationFailed,
         ErrorKind::TooManyClients,
@@ -105,6 +111,9 @@
         ErrorKind::InvalidSetting,
         ErrorKind::AnswerTooLarge,
         ErrorKind::QuotaExceeded,
+        ErrorKind::RegionNotAllowed,
+        ErrorKind::ZoneEvacuated,
+        ErrorKind::WarmingUp,
     ];
 
     /// The kind with this code on the internal wire.
@@ -139,6 +148,9 @@
             ErrorKind::InvalidSetting => "invalid_setting",
             ErrorKind::AnswerTooLarge => "answer_too_large",
             ErrorKind::QuotaExceeded => "quota_exceeded",
+            ErrorKind::RegionNotAllowed => "region_not_allowed",
+            ErrorKind::ZoneEvacuated => "zone_evacuated",
+            ErrorKind::WarmingUp => "warming_up",
         }
     }
 
@@ -200,6 +212,21 @@
                 row("54000", RolledBack, No, 0, "answer is larger than the node holds")
             }
             ErrorKind::QuotaExceeded => row("53400", NotRun, Yes, 1_000, "tenant is over its quota"),
+            ErrorKind::RegionNotAllowed => row(
+                "57P03",
+                NotRun,
+                Yes,
+                1_000,
+                "no instance for it in a region that its customer allows",
+            ),
+            ErrorKind::ZoneEvacuated => row(
+                "57P03",
+                NotRun,
+                Yes,
+                500,
+                "its instance's zone is being evacuated",
+            ),
+            ErrorKind::WarmingUp => row("53400", NotRun, Yes, 300, "its instance is still warming up"),
         }
     }
 }
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -16,11 +16,15 @@
 pub mod connection_queue;
 pub mod control;
 pub mod credential;
+pub mod data_residency;
+pub mod eligibility;
 pub mod error_kind;
+pub mod evacuation;
 pub mod failover;
 pub mod freshness;
 pub mod group_view;
 pub mod ids;
+pub mod incarnation;
 pub mod invariant;
 pub mod lead_permit;
 pub mod leader_observation;
@@ -37,6 +41,7 @@
 pub mod session_state;
 pub mod tenant;
 pub mod token;
+pub mod warm_up;
 
 /// A point in time in microseconds on the caller's monotonic clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
--- a/crates/millwind-core/src/selection.rs
+++ b/crates/millwind-core/src/selection.rs
@@ -32,8 +32,6 @@
     pub is_leader: bool,
     /// It failed or lagged a moment ago.
     pub is_avoided: bool,
-    /// It gets no new work.
-    pub is_leaving: bool,
 }
 
 impl ReadCandidate {
@@ -54,14 +52,11 @@
     }
 }
 
-/// The candidates that may be used, the one expected to answer first in front.
+/// The candidates, the one expected to answer first in front.
 pub fn order_by_expected_time(candidates: &[ReadCandidate]) -> Vec<InstanceName> {
-    let mut usable: Vec<_> = candidates
-        .iter()
-        .filter(|candidate| !candidate.is_leaving)
-        .collect();
-    usable.sort_by_key(|candidate| candidate.cost());
-    usable
+    let mut ordered: Vec<_> = candidates.iter().collect();
+    ordered.sort_by_key(|candidate| candidate.cost());
+    ordered
         .into_iter()
         .map(|candidate| candidate.instance.clone())
         .collect()
--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -1,5 +1,6 @@
 //! Why an exchange with an instance came to nothing.
 
+use millwind_core::eligibility::Ineligible;
 use millwind_core::error_kind::ErrorKind;
 use thiserror::Error;
 
@@ -48,6 +49,12 @@
     /// The answer was no message of the protocol.
     #[error("answer cannot be read")]
     Protocol,
+    /// The statement may not use the instance, or the way to it.
+    #[error("not eligible: {}", .0.name())]
+    Ineligible(Ineligible),
+    /// The instance has just started, and takes no more statements now.
+    #[error("the instance is warming up and takes no more statements now")]
+    WarmingUp,
 }
 
 impl LinkError {
@@ -67,6 +74,8 @@
             LinkError::Silent => "silent",
             LinkError::NoPermit => "no_permit",
             LinkError::Protocol => "protocol",
+            LinkError::Ineligible(reason) => reason.name(),
+            LinkError::WarmingUp => "warming_up",
         }
     }
 
@@ -110,6 +119,9 @@
         match self {
             LinkError::NoConnection => ErrorKind::QueueFull,
             LinkError::NoObservation => ErrorKind::NoPrimary,
+            LinkError::Ineligible(Ineligible::RegionNotAllowed) => ErrorKind::RegionNotAllowed,
+            LinkError::Ineligible(Ineligible::ZoneEvacuated) => ErrorKind::ZoneEvacuated,
+            LinkError::WarmingUp => ErrorKind::WarmingUp,
             _ => ErrorKind::BackEndUnreachable,
         }
     }
--- a/crates/millwind-engine/src/catalog.rs
+++ b/crates/millwind-engine/src/catalog.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 
 use millwind_core::credential::KeyDigest;
+use millwind_core::data_residency::AllowedRegions;
 use millwind_core::ids::{DatabaseName, GroupName, InstanceName, TenantName, ZoneName};
+use millwind_core::incarnation::Incarnation;
 use millwind_core::quota::Quota;
 use millwind_core::tenant::TenantSettings;
+use millwind_core::warm_up::WarmUpTerms;
 
 /// What the sessions of a database are promised about reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -33,6 +36,8 @@
     pub priority: u8,
     /// Its callers need no key.
     pub is_public: bool,
+    /// Regions in which its statements may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// The tenants whose callers are told apart.
@@ -42,19 +47,24 @@
     pub by_key: HashMap<KeyDigest, TenantName>,
     /// What each may ask for; a tenant without a quota is not limited.
     pub quotas: HashMap<TenantName, Quota>,
+    /// Regions in which the statements of each may run; one that is not listed
+    /// allows all.
+    pub allowed_regions: HashMap<TenantName, AllowedRegions>,
 }
 
 /// What is configured for a database group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GroupLimits {
     /// Connections an instance accepts from all nodes together.
     pub connections: u32,
     /// Replicas that have received a commit before it is acknowledged.
     pub sync_replicas: usize,
+    /// How its instances warm up; none where they may be loaded at once.
+    pub warm_up: Option<WarmUpTerms>,
 }
 
 /// One version of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ConfigSnapshot {
     /// Rises with each change.
     pub version: u64,
@@ -85,4 +95,8 @@
     pub is_leaving: bool,
     /// It sees itself as the leader.
     pub claims_lead: bool,
+    /// It is slow for so much longer, by its own word, in milliseconds.
+    pub warm_up_left_ms: u64,
+    /// Which life of the instance wrote it; none where it does not tell.
+    pub incarnation: Option<Incarnation>,
 }
--- a/crates/millwind-engine/src/connection_shares.rs
+++ b/crates/millwind-engine/src/connection_shares.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 
 use log::info;
+use millwind_core::data_residency::AllowedRegions;
 use millwind_core::ids::{GroupName, InstanceName};
 
 use crate::backend::ConnectionUser;
 use crate::catalog::InstanceRecord;
 use crate::clock;
-use crate::forward::{OWNERS, Route, Standing};
+use crate::forward::{Carriers, OWNERS, Route, Standing, Way};
 use crate::node::Engine;
 
 /// Connections to an instance per node from which on none is scarce.
@@ -62,8 +63,14 @@
         share.max(1)
     }
 
-    /// The way of a statement of `user` to an instance.
-    pub async fn route(&self, record: &InstanceRecord, user: &ConnectionUser) -> Route {
+    /// The way of a statement of `user` to an instance; its text travels only to nodes
+    /// in `regions`.
+    pub async fn route(
+        &self,
+        record: &InstanceRecord,
+        user: &ConnectionUser,
+        regions: &AllowedRegions,
+    ) -> Route {
         if self.is_ample(&record.group) {
             return Route::Own;
         }
@@ -71,14 +78,18 @@
             .directory
             .instance(&record.name)
             .is_none_or(|known| known.contact.failing_since.is_none());
+        let way = Way {
+            registry: &self.registry,
+            record,
+            carriers: Carriers {
+                regions,
+                topology: &self.settings.topology,
+            },
+            prefers_own: is_reached,
+        };
         let route = match user.tenant() {
-            Some(tenant) => {
-                let registry = &self.registry;
-                self.owners
-                    .route_of_tenant(registry, record, tenant, is_reached)
-                    .await
-            }
-            None => self.owners.route(&self.registry, record, is_reached).await,
+            Some(tenant) => self.owners.route_of_tenant(&way, tenant).await,
+            None => self.owners.route(&way).await,
         };
         if matches!(route, Route::Own) && !self.runs_statements_on(record) {
             self.note_direct_use(record);
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -9,7 +9,8 @@
 
 use log::info;
 use millwind_core::Instant;
-use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::evacuation::{EvacuationChange, Evacuations};
+use millwind_core::ids::{GroupName, InstanceName, ZoneName};
 use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
@@ -92,6 +93,7 @@
     /// Since when this node is registered, so that a promoter asks it for its
     /// permits; news of before give it none.
     registered_since: Option<Instant>,
+    evacuations: Evacuations,
     /// This node ends and takes no permits any more.
     is_ending: bool,
     groups: HashMap<GroupName, Group>,
@@ -205,6 +207,29 @@
         }
     }
 
+    /// Takes in all requests to evacuate a zone that the store held at `revision`.
+    pub fn apply_evacuations(&self, zones: &[ZoneName], revision: u64) -> EvacuationChange {
+        let change = self.state().evacuations.apply(zones, revision, clock::now());
+        if !change.is_empty() {
+            info!(
+                "event=evacuations_changed begun={:?} taken_back={:?} revision={revision}",
+                change.begun, change.taken_back
+            );
+            self.leaders_changed.notify_waiters();
+        }
+        change
+    }
+
+    /// Since when this node knows that a zone is being evacuated; none where it is not.
+    pub fn evacuated_since(&self, zone: &ZoneName) -> Option<Instant> {
+        self.state().evacuations.since(zone)
+    }
+
+    /// The zones that are being evacuated.
+    pub fn evacuations(&self) -> Evacuations {
+        self.state().evacuations.clone()
+    }
+
     /// Limits of a group; none if it is not configured.
     pub fn group_limits(&self, group: &GroupName) -> Option<GroupLimits> {
         let config = self.config()?;
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -44,6 +44,11 @@
         matches!(self, AttemptError::Link(LinkError::NoConnection))
     }
 
+    /// Whether no instance may be used by the statement, so that trying on is in vain.
+    pub fn is_ineligible(&self) -> bool {
+        matches!(self, AttemptError::Link(LinkError::Ineligible(_)))
+    }
+
     /// What the caller is told when nothing was kept.
     pub fn into_failure(self) -> Failure {
         match self {
--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use millwind_core::Instant;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::ids::{GroupName, InstanceName, TenantName};
 use millwind_core::position::{LogPosition, Position, Term};
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
@@ -33,7 +34,7 @@
 ];
 
 /// Numbers of the failures of links on the wire.
-const LINK_ERRORS: [(u8, LinkError); 11] = [
+const LINK_ERRORS: [(u8, LinkError); 15] = [
     (1, LinkError::Refused),
     (2, LinkError::ConnectTimeout),
     (3, LinkError::TurnedAway),
@@ -45,6 +46,10 @@
     (9, LinkError::NoObservation),
     (10, LinkError::OwnerUnreachable),
     (11, LinkError::NoPermit),
+    (12, LinkError::Ineligible(Ineligible::RegionNotAllowed)),
+    (13, LinkError::Ineligible(Ineligible::ZoneEvacuated)),
+    (14, LinkError::Ineligible(Ineligible::Leaving)),
+    (15, LinkError::WarmingUp),
 ];
 
 fn micros_since(time: Instant) -> u64 {
--- a/crates/millwind-engine/src/forward/mod.rs
+++ b/crates/millwind-engine/src/forward/mod.rs
@@ -28,7 +28,7 @@
 pub use doubt::LinkDoubt;
 pub use lease::Lease;
 pub use link::OwnerLink;
-pub use owners::{OWNERS, Owners, Route, Standing};
+pub use owners::{Carriers, OWNERS, Owners, Route, Standing, Way};
 pub use server::serve;
 
 pub(crate) use messages::{leader_report, take_leader_report};
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -7,6 +7,8 @@
 
 use millwind_core::Instant;
 use millwind_core::affinity;
+use millwind_core::data_residency::{AllowedRegions, Topology};
+use millwind_core::eligibility::judge_carrier;
 use millwind_core::ids::{InstanceName, TenantName};
 use rand::RngExt;
 
@@ -53,6 +55,34 @@
     Unreachable,
 }
 
+/// The nodes that the text of a statement may travel to.
+#[derive(Debug, Clone, Copy)]
+pub struct Carriers<'a> {
+    /// Regions that the statement's customer allows.
+    pub regions: &'a AllowedRegions,
+    /// Regions of the zones.
+    pub topology: &'a Topology,
+}
+
+impl Carriers<'_> {
+    fn allow(&self, node: &Owner) -> bool {
+        judge_carrier(self.regions, self.topology.region_of(&node.zone)).is_ok()
+    }
+}
+
+/// What a statement's way follows from.
+#[derive(Debug, Clone, Copy)]
+pub struct Way<'a> {
+    /// The nodes.
+    pub registry: &'a Registry,
+    /// The instance.
+    pub record: &'a InstanceRecord,
+    /// Nodes that it may pass.
+    pub carriers: Carriers<'a>,
+    /// This node uses its own connections where it owns some.
+    pub prefers_own: bool,
+}
+
 type Ranked = Arc<Vec<Owner>>;
 
 /// Owners of all instances.
@@ -132,17 +162,18 @@
         link.is_some_and(|link| link.was_heard_within(most_ms))
     }
 
-    /// The way of a statement to `record`. A node that reaches no owner uses
+    /// The way of a statement to its instance. A node that reaches no owner uses
     /// connections of its own.
-    pub async fn route(&self, registry: &Registry, record: &InstanceRecord, prefers_own: bool) -> Route {
-        let ranked = self.ranked(registry, record);
+    pub async fn route(&self, way: &Way<'_>) -> Route {
+        let record = way.record;
+        let ranked = self.ranked(way.registry, record);
         let (owners, stand_ins) = ranked.split_at(ranked.len().min(OWNERS));
-        if prefers_own && owners.iter().any(|owner| owner.is_self) {
+        if way.prefers_own && owners.iter().any(|owner| owner.is_self) {
             return Route::Own;
         }
         let mut was_avoided = false;
-        let owners = self.usable(owners, record, &mut was_avoided);
-        let stand_ins = self.usable(stand_ins, record, &mut was_avoided);
+        let owners = self.usable(owners, way, &mut was_avoided);
+        let stand_ins = self.usable(stand_ins, way, &mut was_avoided);
         let found = match self.links.best_proven(&owners).await {
             Some(link) => Some(link),
             None => self.await_any(&owners, &stand_ins).await,
@@ -160,22 +191,18 @@
     /// The way of a tenant's statement to `record`: through the owner that comes first
     /// for the tenant, so that it finds the connection of the tenant's last statement
     /// open. Only where that one is not reached another owner opens one of its own.
-    pub async fn route_of_tenant(
-        &self,
-        registry: &Registry,
-        record: &InstanceRecord,
-        tenant: &TenantName,
-        prefers_own: bool,
-    ) -> Route {
-        let ranked = self.ranked(registry, record);
+    pub async fn route_of_tenant(&self, way: &Way<'_>, tenant: &TenantName) -> Route {
+        let record = way.record;
+        let ranked = self.ranked(way.registry, record);
         let owners = &ranked[..ranked.len().min(OWNERS)];
         let names: Vec<_> = owners.iter().map(|owner| owner.address.to_string()).collect();
         for index in affinity::order(tenant.as_str(), &names) {
             let owner = &owners[index];
-            if owner.is_self && prefers_own {
+            if owner.is_self && way.prefers_own {
                 return Route::Own;
             }
-            if owner.is_self || self.is_avoided(owner.address, &record.name) {
+            let is_unused = owner.is_self || !way.carriers.allow(owner);
+            if is_unused || self.is_avoided(owner.address, &record.name) {
                 continue;
             }
             if let Some(link) = self.links.best_proven(&[owner.address]).await {
@@ -183,7 +210,7 @@
                 return Route::Through(link);
             }
         }
-        self.route(registry, record, prefers_own).await
+        self.route(way).await
     }
 
     fn unreached(&self) -> MutexGuard<'_, HashMap<InstanceName, (Instant, Instant)>> {
@@ -216,10 +243,11 @@
 
     /// Addresses of the other ones of `nodes` that may reach the instance, from
     /// a random one on.
-    fn usable(&self, nodes: &[Owner], record: &InstanceRecord, was_avoided: &mut bool) -> Vec<SocketAddr> {
+    fn usable(&self, nodes: &[Owner], way: &Way<'_>, was_avoided: &mut bool) -> Vec<SocketAddr> {
         let mut usable = Vec::new();
-        for node in nodes.iter().filter(|node| !node.is_self) {
-            if self.is_avoided(node.address, &record.name) {
+        let others = nodes.iter().filter(|node| !node.is_self);
+        for node in others.filter(|node| way.carriers.allow(node)) {
+            if self.is_avoided(node.address, &way.record.name) {
                 *was_avoided = true;
             } else {
                 usable.push(node.address);
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -9,6 +9,8 @@
 use futures::StreamExt;
 use log::debug;
 use millwind_core::Instant;
+use millwind_core::data_residency::AllowedRegions;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::ids::{GroupName, InstanceName, TenantName};
 use millwind_core::position::Position;
 use millwind_wire::forward::{
@@ -23,6 +25,7 @@
 use crate::backend::PooledConnection;
 use crate::catalog::InstanceRecord;
 use crate::clock;
+use crate::eligibility::InstanceUse;
 use crate::execution::{self, AttemptError, Wanted};
 use crate::floor::ReadFloor;
 use crate::node::{Engine, Phase};
@@ -290,13 +293,23 @@
 fn usable_instance(
     engine: &Engine,
     name: &str,
+    wants_leader: bool,
     avoids_outliers: bool,
 ) -> Result<Arc<InstanceRecord>, AttemptError> {
     let known = engine.directory.instance(&InstanceName::from(name));
     let known = known.ok_or(AttemptError::Link(LinkError::Retired))?;
-    if !engine.takes_new_work(&known) {
-        return Err(AttemptError::Link(LinkError::Retired));
-    }
+    let usage = match wants_leader {
+        true => InstanceUse::Leader,
+        false => InstanceUse::Replica,
+    };
+    // The asking node knows what regions its caller allows.
+    engine
+        .judge_instance(&known, usage, &AllowedRegions::Any)
+        .map_err(|reason| match reason {
+            Ineligible::Leaving => LinkError::Retired,
+            reason => LinkError::Ineligible(reason),
+        })
+        .map_err(AttemptError::Link)?;
     let contact = &known.contact;
     let is_tried = clock::now() < contact.avoid_until || contact.statements.under_way() > 0;
     if contact.failing_since.is_some() && is_tried {
@@ -322,8 +335,9 @@
     if *engine.phase.borrow() != Phase::Running {
         return Err(AttemptError::Link(LinkError::OwnerUnreachable));
     }
-    let record = usable_instance(engine, &start.instance, start.begin == ForwardedBegin::ReadOnly)?;
     let wants_leader = start.begin == ForwardedBegin::ReadWrite || statement.proves_leader == 1;
+    let avoids_outliers = start.begin == ForwardedBegin::ReadOnly;
+    let record = usable_instance(engine, &start.instance, wants_leader, avoids_outliers)?;
     if wants_leader && !engine.directory.may_lead(&record.group, &record.name, true) {
         return Err(AttemptError::Link(LinkError::InstanceFailing));
     }
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod counted_store;
 pub mod directory;
 pub mod duty;
+pub mod eligibility;
 pub mod execution;
 pub mod failover;
 pub mod floor;
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -74,6 +74,9 @@
 /// After it the nodes are listed within this time, so that most know by then that
 /// relays read the rest: a few times an answer's usual time between regions.
 const FIRST_START_LISTING: Duration = Duration::from_millis(300);
+/// Part of the evacuation bound in which a leader of the zone is still used, in
+/// percent: the rest is for the news on its way and for statements under way.
+const EVACUATED_LEADER_PERCENT: u64 = 50;
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 
@@ -220,6 +223,14 @@
         }
     }
 
+    /// Whether the leader of a zone whose evacuation was heard of at `since` must get
+    /// nothing new any more.
+    pub fn is_evacuation_due(&self, since: Instant) -> bool {
+        let bound = self.settings.evacuation_bound_ms;
+        let patience = bound * EVACUATED_LEADER_PERCENT / 100;
+        clock::now().millis_since(since) >= patience
+    }
+
     /// Whether a leader still takes new work: one that will end does for a
     /// while, until another takes over.
     pub fn takes_new_work(&self, known: &Known) -> bool {
--- a/crates/millwind-engine/src/ports.rs
+++ b/crates/millwind-engine/src/ports.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use futures::future::BoxFuture;
-use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::ids::{GroupName, InstanceName, ZoneName};
 use thiserror::Error;
 
 use crate::answer::Answer;
@@ -110,6 +110,11 @@
     fn config_key(&self) -> &str;
     /// Prefix of the instances' records.
     fn instances_prefix(&self) -> &str;
+    /// Prefix of the operators' requests to evacuate a zone.
+    fn evacuations_prefix(&self) -> &str;
+    /// The zone that the request under `key` asks to evacuate, whatever its value; none for a key
+    /// that names no zone.
+    fn read_evacuation(&self, key: &str) -> Option<ZoneName>;
     /// Prefix under which the system keeps its own keys.
     fn own_prefix(&self) -> &str;
     /// Reads a configuration.
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millwind_core::Instant;
+use millwind_core::ids::ZoneName;
 use millwind_core::lead_permit::PERMIT_MS;
 use millwind_store::{Entry, Listing};
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,8 @@
 pub struct Owner {
     /// Where it is reached.
     pub address: SocketAddr,
+    /// Zone it runs in.
+    pub zone: ZoneName,
     /// It is this node.
     pub is_self: bool,
 }
@@ -188,6 +191,7 @@
         let (first, rest) = inside.split_at(inside.len().min(near));
         let owner = |(_, name, node): &Weighted<'_>| Owner {
             address: node.record.peer_address,
+            zone: ZoneName::from(node.record.zone.as_str()),
             is_self: **name == self.node,
         };
         let chosen = first.iter().chain(&outside).chain(rest);
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -68,7 +68,7 @@
 ) -> Result<SessionConnection, AttemptError> {
     let priority = operation.database.priority;
     let aim = operation.aim();
-    let connected = match engine.route(record, &operation.user).await {
+    let connected = match engine.route(record, &operation.user, &operation.regions).await {
         Route::Own => {
             let wanted = Wanted {
                 priority,
--- a/crates/millwind-engine/src/session/caller.rs
+++ b/crates/millwind-engine/src/session/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use log::info;
+use millwind_core::data_residency::AllowedRegions;
 use millwind_core::error_kind::ErrorKind;
 
 use super::Session;
@@ -18,6 +19,8 @@
     pub(super) database: Arc<Database>,
     /// On whose behalf it runs.
     pub(super) user: ConnectionUser,
+    /// Regions in which it may run, by the terms of both.
+    pub(super) regions: AllowedRegions,
 }
 
 impl Session {
@@ -29,7 +32,12 @@
         let database = config.databases.get(&self.database).cloned();
         let database = database.ok_or_else(|| Refusal::new(ErrorKind::UnknownTenant, &self.database))?;
         let user = self.user_in_force(&config, &database)?;
-        Ok(Terms { database, user })
+        let regions = regions_in_force(&config, &database, &user);
+        Ok(Terms {
+            database,
+            user,
+            regions,
+        })
     }
 
     /// On whose behalf the caller's statements run. Callers of a public database
@@ -109,3 +117,15 @@
         }
     }
 }
+
+/// Regions that both the database and the tenant allow.
+fn regions_in_force(config: &ConfigSnapshot, database: &Database, user: &ConnectionUser) -> AllowedRegions {
+    let tenants = config.tenants.as_ref();
+    let of_tenant = user
+        .tenant()
+        .and_then(|tenant| tenants?.allowed_regions.get(tenant));
+    match of_tenant {
+        Some(of_tenant) => database.allowed_regions.both(of_tenant),
+        None => database.allowed_regions.clone(),
+    }
+}
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -15,6 +15,7 @@
 use log::info;
 use millwind_core::Instant;
 use millwind_core::credential::KeyDigest;
+use millwind_core::data_residency::AllowedRegions;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::{DatabaseName, GroupName};
 use millwind_core::position::Position;
@@ -77,6 +78,8 @@
 struct Operation {
     database: Arc<Database>,
     user: ConnectionUser,
+    /// Regions in which it may run.
+    regions: AllowedRegions,
     id: String,
     text: String,
     prepared: Option<(PreparedStatement, String)>,
@@ -398,6 +401,7 @@
                 .statement_deadline(arrived.plus_millis(limit - margin)),
             database: terms.database,
             user: terms.user,
+            regions: terms.regions,
             id: request.id,
             text: request.text,
             prepared,
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -7,6 +7,8 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
+use millwind_core::data_residency::AllowedRegions;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::selection::{ReadCandidate, order_by_expected_time};
@@ -19,6 +21,7 @@
 use crate::backend::LinkError;
 use crate::catalog::{Consistency, InstanceRecord};
 use crate::clock;
+use crate::eligibility::InstanceUse;
 use crate::execution::AttemptError;
 use crate::floor::{ReadFloor, StalenessTerms};
 use crate::node::Engine;
@@ -57,7 +60,7 @@
         engine.directory.used(operation.group(), None);
         let mut overloads = Overloads::default();
         loop {
-            let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
+            let record = usable_leader(&engine, &operation).await?;
             let attempt = operation.within(patience(&engine, &record));
             match self.leader_read_on(&record, &attempt).await {
                 Ok(reply) => return attempt::success(reply),
@@ -148,7 +151,8 @@
 ) -> Result<(), Failure> {
     let has_run = matches!(&error, AttemptError::BackEnd(error)
         if !error.kind.is_not_run());
-    if has_run || clock::now() >= operation.deadline || overloads.is_enough(&error) {
+    let is_in_vain = error.is_ineligible() || overloads.is_enough(&error);
+    if has_run || clock::now() >= operation.deadline || is_in_vain {
         return Err(read_failure(error));
     }
     pause_after(&error).await;
@@ -171,11 +175,25 @@
     }
 }
 
-/// Instances of a group in the order in which a read tries them.
-pub(super) fn read_order(engine: &Engine, group: &GroupName) -> Vec<Arc<InstanceRecord>> {
+/// Instances that a read may use, in the order in which it tries them; the reason why
+/// the last of the others may not be used where there is none.
+pub(super) fn read_order(
+    engine: &Engine,
+    group: &GroupName,
+    regions: &AllowedRegions,
+) -> Result<Vec<Arc<InstanceRecord>>, Ineligible> {
     let now = clock::now();
     let leader = engine.directory.leader(group);
-    let known = engine.directory.instances_of(group);
+    let mut known = engine.directory.instances_of(group);
+    let mut reason = None;
+    known.retain(|known| {
+        let judged = engine.judge_instance(known, InstanceUse::Replica, regions);
+        reason = judged.err().or(reason);
+        judged.is_ok()
+    });
+    if let (true, Some(reason)) = (known.is_empty(), reason) {
+        return Err(reason);
+    }
     let candidates: Vec<_> = known
         .iter()
         .map(|known| ReadCandidate {
@@ -190,7 +208,6 @@
             is_avoided: known.contact.avoid_until > now
                 || known.contact.failing_since.is_some()
                 || known.contact.is_sick(),
-            is_leaving: known.is_leaving,
         })
         .collect();
     let find = |name: InstanceName| {
@@ -199,10 +216,8 @@
             .find(|known| known.record.name == name)
             .map(|known| known.record.clone())
     };
-    order_by_expected_time(&candidates)
-        .into_iter()
-        .filter_map(find)
-        .collect()
+    let order = order_by_expected_time(&candidates);
+    Ok(order.into_iter().filter_map(find).collect())
 }
 
 /// Tries a read on the instances in order, and on a second one at the same
@@ -214,7 +229,8 @@
     operation: &Arc<Operation>,
     floor: ReadFloor,
 ) -> Result<Reply, AttemptError> {
-    let mut order = read_order(engine, operation.group()).into_iter();
+    let order = read_order(engine, operation.group(), &operation.regions);
+    let mut order = order.map_err(ineligible)?.into_iter();
     let mut running: FuturesUnordered<Attempt> = FuturesUnordered::new();
     let mut last = AttemptError::Link(LinkError::NoConnection);
     let mut hedge_at = clock::now();
@@ -259,6 +275,10 @@
     }
 }
 
+fn ineligible(reason: Ineligible) -> AttemptError {
+    AttemptError::Link(LinkError::Ineligible(reason))
+}
+
 /// How long a read waits for an answer before another owner is tried, which may
 /// reach the instance where this one does not; none without owners.
 fn patience(engine: &Engine, record: &InstanceRecord) -> Option<Duration> {
@@ -309,7 +329,8 @@
     floor: ReadFloor,
 ) -> Result<SessionConnection, AttemptError> {
     let mut last = AttemptError::Link(LinkError::NoConnection);
-    for record in read_order(engine, operation.group()) {
+    let order = read_order(engine, operation.group(), &operation.regions);
+    for record in order.map_err(ineligible)? {
         match attempt::begin(engine, &record, operation, session, true, floor).await {
             Ok(connection) => return Ok(connection),
             Err(error) => last = error,
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -163,7 +163,8 @@
             };
             open.connection = None;
             let has_run = matches!(&error, AttemptError::BackEnd(error) if !error.kind.is_not_run());
-            if has_run || clock::now() >= operation.deadline || overloads.is_enough(&error) {
+            let is_in_vain = error.is_ineligible() || overloads.is_enough(&error);
+            if has_run || clock::now() >= operation.deadline || is_in_vain {
                 return Err(failure_in_transaction(error));
             }
             pause_after(&error).await;
@@ -179,7 +180,7 @@
         let state = self.state.clone();
         let is_on_leader = open.is_on_leader();
         let mut connection = if is_on_leader {
-            let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
+            let record = usable_leader(&engine, operation).await?;
             attempt::begin(&engine, &record, operation, &state, false, ReadFloor::Any).await?
         } else {
             let floor = self.floor_for(operation).await?;
@@ -259,7 +260,7 @@
         let engine = self.engine.clone();
         let state = self.state.clone();
         let mut connection = if open.is_on_leader() {
-            let record = usable_leader(&engine, operation.group(), operation.deadline).await?;
+            let record = usable_leader(&engine, operation).await?;
             attempt::begin(&engine, &record, operation, &state, false, ReadFloor::Any).await
         } else {
             let floor = self.floor_for(operation).await?;
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use millwind_core::Instant;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::ids::GroupName;
 
 use super::attempt::{self, Overloads};
 use super::{Operation, Session};
@@ -14,6 +13,7 @@
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::directory::Known;
+use crate::eligibility::InstanceUse;
 use crate::execution::AttemptError;
 use crate::floor::ReadFloor;
 use crate::node::Engine;
@@ -34,7 +34,7 @@
         engine.directory.used(&group, None);
         let mut overloads = Overloads::default();
         loop {
-            let record = usable_leader(&engine, &group, operation.deadline).await?;
+            let record = usable_leader(&engine, &operation).await?;
             let attempted = self.write_on(&record, &operation).await;
             let error = match attempted {
                 Ok(answer) => return answer,
@@ -71,18 +71,25 @@
     }
 }
 
-/// The leader of a group, once one is known that answers.
+/// The leader of the operation's group, once one is known that answers. Where the known
+/// one may not be used the operation is refused at once.
 pub(super) async fn usable_leader(
     engine: &Arc<Engine>,
-    group: &GroupName,
-    deadline: Instant,
+    operation: &Operation,
 ) -> Result<Arc<InstanceRecord>, Refusal> {
+    let (group, deadline) = (operation.group(), operation.deadline);
     loop {
         let leader = engine.directory.leader(group);
         let known = leader.and_then(|leader| engine.directory.instance(&leader.instance));
         let watches = engine.watches(group);
         let reason = match known {
-            Some(known) if is_usable(engine, &known, watches) => return Ok(known.record),
+            Some(known) if is_usable(engine, &known, watches) => {
+                match engine.judge_instance(&known, InstanceUse::Leader, &operation.regions) {
+                    Ok(()) => return Ok(known.record),
+                    Err(Ineligible::Leaving) => format!("leader {} will end", known.record.name),
+                    Err(reason) => return Err(unusable_leader(&known, reason, operation)),
+                }
+            }
             Some(known) => format!("leader {} does not answer", known.record.name),
             None => "no leader is known".to_owned(),
         };
@@ -107,7 +114,18 @@
     let may_lead = engine
         .directory
         .may_lead(&known.record.group, &known.record.name, runs_here);
-    is_reached && may_lead && engine.takes_new_work(known)
+    is_reached && may_lead
+}
+
+fn unusable_leader(known: &Known, reason: Ineligible, operation: &Operation) -> Refusal {
+    let detail = format!(
+        "leader {} in zone {}: {}, allowed regions: {}",
+        known.record.name,
+        known.record.zone,
+        reason.name(),
+        operation.regions
+    );
+    Refusal::new(LinkError::Ineligible(reason).kind(), detail)
 }
 
 /// A busy or changing instance is asked again after a moment.
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use millwind_core::data_residency::Topology;
+use millwind_core::ids::{RegionName, ZoneName};
+use millwind_core::warm_up::WarmUpTolerance;
 use thiserror::Error;
 
 /// Settings of a node, from whatever file the adapter read them.
@@ -42,6 +45,13 @@
     /// A configuration must be in force everywhere within this time after the
     /// operators were told that it is accepted, in milliseconds.
     pub config_bound_ms: u64,
+    /// Regions of the deployment's zones, this node's own among them.
+    pub topology: Topology,
+    /// Nothing new reaches an instance of a zone so long after the operators were
+    /// told that its evacuation is accepted, in milliseconds.
+    pub evacuation_bound_ms: u64,
+    /// Statements that cold instances are let have beyond their group's terms.
+    pub warm_up_tolerance: WarmUpTolerance,
 }
 
 /// Why settings are refused.
@@ -57,6 +67,11 @@
 }
 
 impl EngineSettings {
+    /// Region of this node; none where its zone is not among those of the settings.
+    pub fn region(&self) -> Option<&RegionName> {
+        self.topology.region_of(&ZoneName::from(self.zone.as_str()))
+    }
+
     /// Checks every field against its range.
     pub fn check(&self) -> Result<(), SettingsError> {
         check_text("name", &self.name)?;
@@ -65,6 +80,22 @@
         check_range("grace_ms", self.grace_ms, 100, 600_000, "100 to 600000 ms")?;
         let config_bound = self.config_bound_ms;
         check_range("config_bound_ms", config_bound, 500, 600_000, "500 to 600000 ms")?;
+        let evacuation_bound = self.evacuation_bound_ms;
+        check_range(
+            "evacuation_bound_ms",
+            evacuation_bound,
+            500,
+            600_000,
+            "500 to 600000 ms",
+        )?;
+        let overage = self.warm_up_tolerance.overage_percent;
+        check_range(
+            "warm_up_tolerance.overage_percent",
+            overage,
+            100,
+            10_000,
+            "100 to 10000 percent",
+        )?;
         let clients = self.maximum_clients as u64;
         check_range("maximum_clients", clients, 1, 1_000_000, "1 to 1000000")
     }
--- a/crates/millwind-engine/tests/inquiry.rs
+++ b/crates/millwind-engine/tests/inquiry.rs
@@ -20,6 +20,8 @@
         is_leaving: false,
         claims_lead: true,
         slots: 3,
+        warm_up_left_ms: 0,
+        incarnation: None,
     });
     Arc::new(directory)
 }
