--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -166,6 +166,13 @@
     pub received: Position,
     /// Whether it will soon end.
     pub is_leaving: bool,
+    /// Whether its zone is being evacuated: it could lead only for a moment.
+    pub is_evacuated: bool,
+    /// What its region would serve of the statements that need the leader, in any unit;
+    /// the same for all where customers allow every region.
+    pub allowed_worth: u64,
+    /// Whether it has just started and takes few statements.
+    pub is_cold: bool,
     /// Whether an earlier order named it, which may still be carried out; breaks
     /// ties.
     pub is_named: bool,
@@ -182,7 +189,9 @@
 /// since they did.
 ///
 /// Where the present leader is alive, `must_hold` is what it has reported: a
-/// replica that lacks it would undo acknowledged commits without need.
+/// replica that lacks it would undo acknowledged commits without need. Those that hold it
+/// all lose nothing, so that among them the one goes first that serves most; else the one
+/// that has received most.
 pub fn choose_successor(
     answered: &[Successor],
     replicas: usize,
@@ -202,7 +211,13 @@
         .filter(|successor| sync_replicas == 0 || successor.received == furthest)
         .filter(|successor| must_hold.is_none_or(|least| successor.received >= least))
         .max_by_key(|successor| {
-            let furthest = (!successor.is_leaving, successor.received);
-            (furthest, successor.is_named, successor.is_near)
+            let loses_least = must_hold.is_none().then_some(successor.received);
+            let serves = (
+                !successor.is_evacuated,
+                successor.allowed_worth,
+                !successor.is_cold,
+            );
+            let breaks_ties = (successor.received, successor.is_named, successor.is_near);
+            (!successor.is_leaving, loses_least, serves, breaks_ties)
         })
 }
--- a/crates/millwind-core/tests/failover.rs
+++ b/crates/millwind-core/tests/failover.rs
@@ -77,6 +77,9 @@
         instance: InstanceName::from(name),
         received: Position::new(1, number),
         is_leaving: false,
+        is_evacuated: false,
+        allowed_worth: 0,
+        is_cold: false,
         is_named: false,
         is_near: false,
     }
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -387,6 +387,9 @@
                 instance: known.record.name.clone(),
                 received: status.received,
                 is_leaving: known.is_leaving,
+                is_evacuated: engine.directory.evacuated_since(&known.record.zone).is_some(),
+                allowed_worth: 0,
+                is_cold: false,
                 is_named: named_before.as_ref() == Some(&known.record.name),
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
