Records by other writers name no instance, and stop no listing

Cause: a value that is no base64 ended the whole listing; a record that could not be read left the former one in use and was told with every heartbeat; an unknown state counted as leaving, missing roles and other types of some fields were taken; keys that are no names became instances.

Ruled out: keeping the last readable record in use, since its writer no longer says so.

--- a/crates/millwind-engine/src/catalog.rs
+++ b/crates/millwind-engine/src/catalog.rs
@@ -7,7 +7,7 @@
 use millwind_core::credential::KeyDigest;
 use millwind_core::data_residency::AllowedRegions;
 use millwind_core::ids::{DatabaseName, GroupName, InstanceName, TenantName, ZoneName};
-use millwind_core::incarnation::Incarnation;
+use millwind_core::incarnation::{Incarnation, LifeSigns};
 use millwind_core::quota::Quota;
 use millwind_core::tenant::TenantSettings;
 use millwind_core::warm_up::WarmUpTerms;
@@ -99,4 +99,29 @@
     pub warm_up_left_ms: u64,
     /// Which life of the instance wrote it; none where it does not tell.
     pub incarnation: Option<Incarnation>,
+    /// How often this life has written its record, if it tells: begins anew with each
+    /// life, so that it orders nothing across lives.
+    pub heartbeat: Option<u64>,
+}
+
+impl InstanceRecord {
+    /// What tells lives of the instance apart.
+    pub fn life_signs(&self) -> LifeSigns {
+        LifeSigns {
+            incarnation: self.incarnation,
+            heartbeat: self.heartbeat,
+            address: self.address,
+            is_leaving: self.is_leaving,
+        }
+    }
+
+    /// Whether `later` says the same but for its heartbeat.
+    pub fn differs_by_heartbeat_alone(&self, later: &InstanceRecord) -> bool {
+        let heartbeat = self.heartbeat;
+        *self
+            == InstanceRecord {
+                heartbeat,
+                ..later.clone()
+            }
+    }
 }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -4,13 +4,13 @@
 
 use log::warn;
 use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
 
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
 use crate::connection_shares::AMPLE_SHARE;
 use crate::node::Engine;
-use crate::ports::CatalogCodec;
+use crate::passed_over::shortened;
+use crate::ports::{CatalogCodec, CatalogError};
 
 /// Connections opened ahead of need to a new instance.
 const WARM_CONNECTIONS: usize = 1;
@@ -99,39 +99,75 @@
         };
         match codec.read_config(value) {
             Ok(config) => {
+                self.passed_over.forget(codec.config_key());
                 let version = config.version;
                 if version > self.config_version() {
                     self.catalog_cache.keep_config(version, value, known_since);
                     self.apply_config(config, &origin);
                 }
             }
-            Err(error) => warn!(
-                "event=config_refused source={source} error={:?}",
-                error.to_string()
-            ),
+            Err(error) => {
+                let reason = shortened(&error.to_string());
+                if self.passed_over.note(codec.config_key(), &reason) {
+                    warn!("event=config_refused source={source} error={reason:?}");
+                }
+            }
         }
     }
 
     /// Takes in an instance's document of `revision`, or that it was removed,
-    /// unless a newer one is known.
-    pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
-        if !self.catalog_cache.see_instance(key, revision) {
-            return;
-        }
-        let Some(value) = value else {
-            let name = key.strip_prefix(codec.instances_prefix()).unwrap_or(key);
-            if self.directory.remove_record(&InstanceName::from(name)) {
-                self.catalog_cache.keep_instance(key, None, revision);
+    /// unless a newer one is known; true if the document names an instance.
+    ///
+    /// A document that cannot be read names none: an instance that was known under its
+    /// key is gone, as if the record had been removed, since nobody can tell what the
+    /// writer meant by it; all others hold.
+    pub fn take_instance(
+        &self,
+        codec: &dyn CatalogCodec,
+        key: &str,
+        value: Option<&[u8]>,
+        revision: u64,
+    ) -> bool {
+        let record = match value.map(|value| codec.read_instance(key, value)) {
+            Some(Ok(record)) => record,
+            Some(Err(error)) => {
+                self.pass_over(key, revision, &error);
+                self.drop_record(codec, key, revision);
+                return false;
+            }
+            None => {
+                self.passed_over.forget(key);
+                self.drop_record(codec, key, revision);
+                return false;
             }
-            return;
         };
-        match codec.read_instance(key, value) {
-            Ok(record) => {
-                if self.apply_record(record) {
-                    self.catalog_cache.keep_instance(key, Some(value), revision);
-                }
+        if self.catalog_cache.see_instance(key, revision) {
+            self.passed_over.forget(key);
+            if self.apply_record(record) {
+                self.catalog_cache.keep_instance(key, value, revision);
             }
-            Err(error) => warn!("event=instance_refused key={key} error={:?}", error.to_string()),
+        }
+        true
+    }
+
+    /// Tells of a document that cannot be read.
+    fn pass_over(&self, key: &str, revision: u64, error: &CatalogError) {
+        let reason = shortened(&error.to_string());
+        if self.passed_over.note(key, &reason) {
+            self.metrics.records_passed_over.inc();
+            let key = shortened(key);
+            warn!("event=record_passed_over key={key:?} revision={revision} reason={reason:?}");
+        }
+    }
+
+    /// The record under `key` names no instance since `revision`.
+    fn drop_record(&self, codec: &dyn CatalogCodec, key: &str, revision: u64) {
+        // Only names are remembered: no record can ever be read under another key.
+        let Some(name) = codec.instance_name(key) else {
+            return;
+        };
+        if self.catalog_cache.see_instance(key, revision) && self.directory.remove_record(&name) {
+            self.catalog_cache.keep_instance(key, None, revision);
         }
     }
 
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -1,11 +1,13 @@
 //! Takes the operators' configuration and the instances' records from the
 //! store into the directory.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use millwind_core::Instant;
+use millwind_core::ids::InstanceName;
 use millwind_store::{Entry, Listing};
 use tokio::sync::watch;
 
@@ -89,13 +91,13 @@
         InstanceFollower { engine, codec }
     }
 
-    fn apply(&self, entry: &Entry) -> Option<millwind_core::ids::InstanceName> {
-        let name = entry.key.strip_prefix(self.codec.instances_prefix())?;
-        let name = millwind_core::ids::InstanceName::from(name);
-        self.engine
-            .take_instance(&*self.codec, &entry.key, entry.value.as_deref(), entry.revision);
-        entry.value.as_ref()?;
-        Some(name)
+    /// Takes in what lies under one key; the instance that it names, if any.
+    fn apply(&self, entry: &Entry) -> Option<InstanceName> {
+        let value = entry.value.as_deref();
+        let names_one = self
+            .engine
+            .take_instance(&*self.codec, &entry.key, value, entry.revision);
+        names_one.then(|| self.codec.instance_name(&entry.key)).flatten()
     }
 }
 
@@ -113,8 +115,14 @@
         let revision = listing.revision;
         for missing in self.engine.directory.listing_applied(&present) {
             let key = format!("{}{missing}", self.codec.instances_prefix());
+            // A record of before this listing that a peer still sends is old.
+            self.engine.catalog_cache.see_instance(&key, revision);
             self.engine.catalog_cache.keep_instance(&key, None, revision);
         }
+        let keys: HashSet<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+        self.engine
+            .passed_over
+            .keep_listed(self.codec.instances_prefix(), |key| keys.contains(key));
         self.engine.catalog_cache.instances_known_to(revision);
         self.engine.store_heard();
     }
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -245,7 +245,8 @@
         let claimed_before = previous.is_some_and(|known| known.record.claims_lead && !known.is_gone);
         let leaving_before = previous.and_then(|known| known.leaving_since);
         let is_new = previous.is_none_or(|known| known.is_gone);
-        let has_changed = is_new || previous.is_some_and(|known| *known.record != record);
+        let has_changed =
+            is_new || previous.is_some_and(|known| !known.record.differs_by_heartbeat_alone(&record));
         if has_changed {
             info!(
                 "event=instance_seen instance={} group={} address={} zone={} leaving={} claims_lead={}",
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod node;
 pub mod own_keys;
+pub mod passed_over;
 pub mod peer_reach;
 pub mod peers;
 pub mod ports;
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -79,6 +79,10 @@
     pub forwarded_in: Counter,
     /// Operations refused since their tenant was over its quota.
     pub quota_refusals: Counter,
+    /// Documents in the store that cannot be read, each counted once a change.
+    pub records_passed_over: Counter,
+    /// Instances that were seen to begin anew under their names.
+    pub lives_begun: Counter,
     /// Loans that were asked for on behalf of tenants' callers.
     pub quota_loans: Counter,
 }
@@ -108,6 +112,8 @@
             forwarded_in: Counter::default(),
             quota_refusals: Counter::default(),
             quota_loans: Counter::default(),
+            records_passed_over: Counter::default(),
+            lives_begun: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Statements answered", metrics.answers.clone());
@@ -183,6 +189,16 @@
             "Statements run for other nodes",
             metrics.forwarded_in.clone(),
         );
+        registry.register(
+            "records_passed_over",
+            "Documents in the store that cannot be read, counted with each change",
+            metrics.records_passed_over.clone(),
+        );
+        registry.register(
+            "lives_begun",
+            "Instances that began anew under the name that they had",
+            metrics.lives_begun.clone(),
+        );
         Metrics { registry, ..metrics }
     }
 }
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -26,6 +26,7 @@
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::own_keys::OwnKeys;
+use crate::passed_over::PassedOver;
 use crate::peer_reach::{self, PeerReach};
 use crate::peers::{self, Exchange, PeerClient};
 use crate::ports::{BackEndCodec, CallerCodec, CatalogCodec, Promoter};
@@ -112,6 +113,8 @@
     pub peers: PeerClient,
     /// Documents for peers that cannot read the store.
     pub catalog_cache: CatalogCache,
+    /// Documents in the store that cannot be read.
+    pub passed_over: PassedOver,
     /// The system's own keys in the store.
     pub own_keys: Arc<OwnKeys>,
     /// The nodes that read the store on behalf of others.
@@ -506,6 +509,7 @@
         registry,
         peers: PeerClient::default(),
         catalog_cache: CatalogCache::default(),
+        passed_over: PassedOver::default(),
         own_keys: Arc::new(OwnKeys::new(own_followers, relays.reading())),
         relays,
         store_contact: Arc::new(StoreContact::default()),
--- a/crates/millwind-engine/src/ports.rs
+++ b/crates/millwind-engine/src/ports.rs
@@ -119,7 +119,10 @@
     fn own_prefix(&self) -> &str;
     /// Reads a configuration.
     fn read_config(&self, value: &[u8]) -> Result<ConfigSnapshot, CatalogError>;
-    /// Reads the record of the instance named by `key`.
+    /// The instance that `key` stands for; none where it names none.
+    fn instance_name(&self, key: &str) -> Option<InstanceName>;
+    /// Reads the record of the instance named by `key`. Anybody may have written it: what
+    /// is not wholly of the expected form is an error.
     fn read_instance(&self, key: &str, value: &[u8]) -> Result<InstanceRecord, CatalogError>;
 }
 
--- a/crates/millwind-engine/tests/inquiry.rs
+++ b/crates/millwind-engine/tests/inquiry.rs
@@ -22,6 +22,7 @@
         slots: 3,
         warm_up_left_ms: 0,
         incarnation: None,
+        heartbeat: None,
     });
     Arc::new(directory)
 }
