What is believed of an instance is believed of one life of it

Cause: an instance that begins again under its name kept the contact, testimony, leader belief, told terms, step-down and retirement of its former life, and its pool's connections; a promotion rested on the pause of a replica that had forgotten it.

millwind_core::incarnation::began_anew decides from two records (another start, or where none is told a count that begins anew, another address, an end taken back). directory::lives ends the beliefs; Pools::begin_life ends the connections; a leader leads again only by its own proof, and not without the log that it held (10 s); the word that it stepped down holds for one life and not past a refused connection; failover::pauses keeps the connections on which replicas paused and asks again if one has ended.

Ruled out: pools keyed by the caller's record (a statement that holds a former record would bring the former pool back); ordering lives by their start (clocks jump).

--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -208,6 +208,12 @@
         drop(surplus);
     }
 
+    /// Whether the instance is no longer used, or began anew: what is answered on a
+    /// connection of this pool tells nothing of the one that lives now.
+    pub fn is_retired(&self) -> bool {
+        self.state().is_retired
+    }
+
     /// Closes idle connections and refuses statements from now on.
     pub fn retire(&self) {
         let (idle, waiters) = {
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -70,6 +70,22 @@
         pool
     }
 
+    /// The instance of `record` began anew: its pool starts without connections and with
+    /// nothing learnt of its load. Whoever still holds the former record gets the new
+    /// pool as well.
+    pub fn begin_life(&self, record: &InstanceRecord, version: u64, share: usize) {
+        let shared = Shared {
+            pool: Pool::new(record.clone(), self.codec.clone(), share),
+            version,
+        };
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let former = pools.insert(record.name.clone(), shared);
+        drop(pools);
+        if let Some(former) = former {
+            former.pool.retire();
+        }
+    }
+
     fn all(&self) -> Vec<Arc<Pool>> {
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         pools.values().map(|shared| shared.pool.clone()).collect()
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -173,14 +173,23 @@
 
     /// Takes in an instance's record; true if more than its heartbeat changed.
     fn apply_record(&self, record: InstanceRecord) -> bool {
-        let is_new = self
-            .directory
-            .instance(&record.name)
-            .is_none_or(|known| known.is_gone);
-        let has_changed = self.directory.apply_record(record.clone());
-        if is_new {
+        let change = self.directory.apply_record(record.clone());
+        if change.has_begun_anew {
+            self.begin_life(&record);
+        }
+        if change.is_new || change.has_begun_anew {
             self.warm_up(&record);
         }
-        has_changed
+        change.has_changed || change.has_begun_anew
+    }
+
+    /// An instance began anew: connections to its former life are closed, with what was
+    /// set and prepared on them, and its group's leader is looked for at once.
+    fn begin_life(&self, record: &InstanceRecord) {
+        self.metrics.lives_begun.inc();
+        self.pools
+            .begin_life(record, self.registry.version(), self.share_of(record));
+        self.doubt_leader();
+        self.wake_monitor();
     }
 }
--- a/crates/millwind-engine/src/directory/contact.rs
+++ b/crates/millwind-engine/src/directory/contact.rs
@@ -182,6 +182,9 @@
         }
         contact.failing_since.get_or_insert(asked);
         contact.is_refusing = is_refusing;
+        if is_refusing {
+            state.doubt_life(instance);
+        }
     }
 
     /// `instance` lacked a position that a read needs.
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -2,6 +2,7 @@
 //! group, what the leaders reported, and how each instance answers.
 
 mod contact;
+mod lives;
 mod permits;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -11,6 +12,7 @@
 use millwind_core::Instant;
 use millwind_core::evacuation::{EvacuationChange, Evacuations};
 use millwind_core::ids::{GroupName, InstanceName, ZoneName};
+use millwind_core::incarnation::began_anew;
 use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
@@ -22,6 +24,7 @@
 use crate::peers::Testimony;
 
 pub use contact::Contact;
+use lives::{FormerLog, SteppedDown, begin_life};
 
 /// An instance with what is known of it.
 #[derive(Debug, Clone)]
@@ -41,6 +44,19 @@
     pub contact: Contact,
     /// What peers said of it, and when.
     pub testimony: Option<(Instant, Testimony)>,
+    /// Since when this life of the instance is known; none for the first one.
+    pub life_began: Option<Instant>,
+}
+
+/// What an instance's record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordChange {
+    /// More than its heartbeat.
+    pub has_changed: bool,
+    /// The instance was not known, or was gone.
+    pub is_new: bool,
+    /// The instance began anew under its name.
+    pub has_begun_anew: bool,
 }
 
 /// Who is believed to lead a group.
@@ -69,8 +85,10 @@
     /// Terms that instances have said they lead, where their logs don't show it:
     /// a new leader's log stands in an earlier term until its first commit.
     told_terms: HashMap<InstanceName, Term>,
-    /// The newest term whose leader has told this node that it leads no longer.
-    stepped_down: Term,
+    /// The leader of the newest term that has told this node that it leads no longer.
+    stepped_down: Option<SteppedDown>,
+    /// What the leader held before it began anew.
+    former_log: Option<FormerLog>,
     /// The leader whose term was closed last: its word that it leads is not
     /// believed without proof of a later term.
     retired: Option<InstanceName>,
@@ -236,14 +254,17 @@
         config.groups.get(group).copied()
     }
 
-    /// Takes in an instance's record as the store holds it now; true if more
-    /// than its heartbeat changed.
-    pub fn apply_record(&self, record: InstanceRecord) -> bool {
+    /// Takes in an instance's record as the store holds it now. A life begun anew leads
+    /// only once it has proved it, whatever its record says.
+    pub fn apply_record(&self, record: InstanceRecord) -> RecordChange {
         let now = clock::now();
         let mut state = self.state();
-        let previous = state.instances.get(&record.name);
+        let previous = state.instances.get(&record.name).cloned();
+        let began = previous
+            .as_ref()
+            .and_then(|known| began_anew(&known.record.life_signs(), &record.life_signs()));
+        let previous = previous.as_ref();
         let claimed_before = previous.is_some_and(|known| known.record.claims_lead && !known.is_gone);
-        let leaving_before = previous.and_then(|known| known.leaving_since);
         let is_new = previous.is_none_or(|known| known.is_gone);
         let has_changed =
             is_new || previous.is_some_and(|known| !known.record.differs_by_heartbeat_alone(&record));
@@ -253,32 +274,46 @@
                 record.name, record.group, record.address, record.zone, record.is_leaving, record.claims_lead
             );
         }
-        let contact = previous.map_or_else(|| self.new_contact(&record), |known| known.contact);
-        let testimony = previous.and_then(|known| known.testimony);
-        let newly_claims = record.claims_lead && !claimed_before;
+        let same_life = previous.filter(|_| began.is_none());
+        let leaving_before = same_life.and_then(|known| known.leaving_since);
         let name = record.name.clone();
         let group = record.group.clone();
+        let newly_claims = record.claims_lead && !claimed_before;
         let leaving_since = match (record.is_leaving, leaving_before) {
             (true, Some(since)) if !is_new => Some(since),
             (true, _) => Some(now),
             (false, _) => None,
         };
+        if let (Some(evidence), Some(former)) = (began, previous) {
+            begin_life(&mut state, former, &record, evidence);
+            self.leaders_changed.notify_waiters();
+        }
         let known = Known {
+            contact: same_life.map_or_else(|| self.new_contact(&record), |known| known.contact),
+            testimony: same_life.and_then(|known| known.testimony),
+            life_began: match began {
+                Some(_) => Some(now),
+                None => previous.and_then(|known| known.life_began),
+            },
             record: Arc::new(record),
             heard: now,
             leaving_since,
             is_gone: false,
             is_leaving: false,
-            contact,
-            testimony,
         };
         state.insert(known);
-        if newly_claims {
-            self.claimed(&mut state, &group, &name);
-        } else if claimed_before {
-            demoted_by_record(&mut state, &group, &name);
+        if began.is_none() {
+            if newly_claims {
+                self.claimed(&mut state, &group, &name);
+            } else if claimed_before {
+                demoted_by_record(&mut state, &group, &name);
+            }
+        }
+        RecordChange {
+            has_changed,
+            is_new,
+            has_begun_anew: began.is_some(),
         }
-        has_changed
     }
 
     /// An instance newly says that it leads: believed unless another one has
@@ -369,6 +404,10 @@
             .map(|known| known.record.name.clone())
             .collect();
         for name in &forgotten {
+            // It may come back under this name, and is not compared with this life then.
+            for group in state.groups.values_mut() {
+                group.end_life(name);
+            }
             state.remove(name);
         }
         forgotten
@@ -448,11 +487,22 @@
         position: Position,
     ) -> bool {
         let mut state = self.state();
+        if !state.is_of_present_life(instance, asked) {
+            // It counts as an answer, and tells nothing of the one that lives now.
+            return self.is_fenced;
+        }
         let term = led_term(&state, group, instance, position);
         if !self.permit_in(&state, group, term).covers_answer() {
             return false;
         }
         let entry = state.groups.entry(group.clone()).or_default();
+        if entry.lacks_former_log(instance, term, position) {
+            info!(
+                "event=leader_lacks_former_log group={group} instance={instance} term={term} position={}:{}",
+                position.term, position.log_position.0
+            );
+            return false;
+        }
         entry.observations.record(asked, position);
         self.observed.notify_waiters();
         let newest_term = entry.observations.newest().map(|newest| newest.position.term);
@@ -463,6 +513,7 @@
             return true;
         }
         entry.retired = None;
+        entry.former_log = None;
         let leader = Leader {
             instance: instance.clone(),
             term: Some(term),
--- a/crates/millwind-engine/src/directory/permits.rs
+++ b/crates/millwind-engine/src/directory/permits.rs
@@ -7,7 +7,8 @@
 use millwind_core::lead_permit::{ClosedTerms, Permit, is_confirmed};
 use millwind_core::position::Term;
 
-use super::{Directory, State};
+use super::lives::SteppedDown;
+use super::{Directory, Group, State};
 use crate::clock;
 
 impl Directory {
@@ -95,20 +96,23 @@
         *told = term.max(*told);
     }
 
-    /// The leader of `term` has told this node that it leads no longer.
-    pub fn has_stepped_down(&self, group: &GroupName, term: Term) {
+    /// `instance`, the leader of `term`, has told this node that it leads no longer.
+    /// That holds for this life of it.
+    pub fn has_stepped_down(&self, group: &GroupName, instance: &InstanceName, term: Term) {
         let mut state = self.state();
         let entry = state.groups.entry(group.clone()).or_default();
-        entry.stepped_down = entry.stepped_down.max(term);
+        if entry.stepped_down.as_ref().is_none_or(|told| told.term <= term) {
+            entry.stepped_down = Some(SteppedDown {
+                instance: instance.clone(),
+                term,
+            });
+        }
     }
 
     /// The newest term whose leader has told this node that it leads no longer.
     pub fn stepped_down(&self, group: &GroupName) -> Term {
         let state = self.state();
-        state
-            .groups
-            .get(group)
-            .map_or(Term(0), |entry| entry.stepped_down)
+        state.groups.get(group).map_or(Term(0), Group::stepped_down_term)
     }
 
     /// The leader whose term was closed last, until another has proved its lead.
@@ -124,7 +128,7 @@
             return false;
         };
         let is_retired = entry.retired.as_ref() == Some(instance);
-        is_retired && entry.stepped_down < entry.closed_terms.closed()
+        is_retired && entry.stepped_down_term() < entry.closed_terms.closed()
     }
 
     /// What is known of the closed terms of a group.
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -242,7 +242,7 @@
         note_error(engine, record, &error);
         return Err(AttemptError::BackEnd(error));
     }
-    if !read_only && !prove_leader(engine, record, inquiry.asked, reply.position) {
+    if !read_only && !prove_leader_by(engine, &pool, inquiry.asked, reply.position) {
         return Err(AttemptError::Link(LinkError::NoPermit));
     }
     Ok(())
@@ -286,7 +286,7 @@
         note_error(engine, record, error);
         return Err(AttemptError::BackEnd(error.clone()));
     }
-    if proves_leader && !prove_leader(engine, record, inquiry.asked, reply.position) {
+    if proves_leader && !prove_leader_by(engine, &pool, inquiry.asked, reply.position) {
         return Err(AttemptError::Link(LinkError::NoPermit));
     }
     Ok(reply)
@@ -330,6 +330,16 @@
     }
 }
 
+/// Takes in that an instance answered on a connection of `pool` as a leader. The answer
+/// of a former life proves nothing for the one that lives now; where promotions fence it
+/// is delivered all the same, since it is true of what that life has run.
+fn prove_leader_by(engine: &Engine, pool: &Pool, asked: Instant, position: Option<Position>) -> bool {
+    if pool.is_retired() {
+        return engine.directory.is_fenced();
+    }
+    prove_leader(engine, pool.record(), asked, position)
+}
+
 /// Takes in that `record` answered a question sent at `asked` as a leader; false
 /// if the answer does not count, since another may lead by now.
 pub fn prove_leader(
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -7,19 +7,21 @@
 
 use futures::future::join_all;
 use log::{info, warn};
+use millwind_core::Instant;
 use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::lead_permit::term_to_close;
 use millwind_core::position::{Position, Term};
 use millwind_store::Store;
 
+use super::pauses::Pauses;
 use super::revocation::ClosedTerm;
 use super::{Monitor, health};
 use crate::clock;
 use crate::duty::{Claim, DutyError};
 use crate::ports::{PromotionAnswer, PromotionOrder};
 use crate::statement::{Command, InstanceStatus};
-use crate::term_closing::ask_status;
+use crate::term_closing::ask_status_over;
 
 /// Each node that comes later in the order waits this much longer.
 const RANK_STEP: Duration = Duration::from_millis(500);
@@ -45,6 +47,8 @@
     newest_term: Term,
     /// Another instance that says that it leads.
     leading: Option<InstanceName>,
+    /// What the comparison of positions rests on.
+    pauses: Pauses,
 }
 
 /// A leader that is being replaced.
@@ -191,7 +195,7 @@
         let held = self.duties.held_token(group);
         if let (Some(token), true, true) = (held, is_first, choice.is_by_majority) {
             self.record_in_background(group, &choice.instance);
-            return self.promote(group, choice.instance, token).await;
+            return self.promote(group, choice, token).await;
         }
         let claim = Claim::Order(choice.instance.clone());
         let token = match self.duties.take(group, claim).await {
@@ -204,8 +208,10 @@
         };
         let is_old = clock::now().millis_since(chosen_at) > CHOICE_MS;
         if !is_old && choice.is_by_majority {
-            return self.promote(group, choice.instance, token).await;
+            return self.promote(group, choice, token).await;
         }
+        // Its connections are wanted for the next comparison.
+        drop(choice);
         // This node may have been cut off: another leader may have taken over
         // meanwhile, and promoting over it would undo its commits.
         if !self.read_records().await {
@@ -216,7 +222,7 @@
             return Ended::Yield;
         }
         match self.choose(lost, excluded).await {
-            Some(choice) => self.promote(group, choice.instance, token).await,
+            Some(choice) => self.promote(group, choice, token).await,
             None => Ended::Again,
         }
     }
@@ -265,25 +271,36 @@
             is_live: lost.reason.is_of_live_leader(),
             token,
         };
+        let life = self.life_of(closed.leader.as_ref());
         if !self.revoke(&closed).await {
             return Ended::Yield;
         }
         let is_old = clock::now().millis_since(chosen_at) > CHOICE_MS;
         let chosen = match is_old {
             false => Some(choice),
-            true => self.choose(lost, excluded).await,
+            true => {
+                drop(choice);
+                self.choose(lost, excluded).await
+            }
         };
         let Some(choice) = chosen else {
             return Ended::Again;
         };
         let claim = Claim::Order(choice.instance.clone());
         match self.duties.take(group, claim).await {
-            Ok(token) => self.promote(group, choice.instance, token).await,
+            // It has forgotten that it stepped down: permits for its term count again.
+            Ok(_) if self.life_of(closed.leader.as_ref()) != life => Ended::Again,
+            Ok(token) => self.promote(group, choice, token).await,
             Err(DutyError::Taken) => Ended::Yield,
             Err(DutyError::Store(_)) => Ended::Again,
         }
     }
 
+    /// Since when the present life of an instance is known.
+    pub(super) fn life_of(&self, instance: Option<&InstanceName>) -> Option<Instant> {
+        self.engine.directory.life_began(instance?)
+    }
+
     /// The term that must be closed before `choice` is promoted.
     fn term_to_close(&self, group: &GroupName, choice: &Choice) -> Term {
         let directory = &self.engine.directory;
@@ -320,7 +337,11 @@
     }
 
     /// Orders the promotion, and waits until the replica leads.
-    async fn promote(&self, group: &GroupName, chosen: InstanceName, token: u64) -> Ended {
+    async fn promote(&self, group: &GroupName, choice: Choice, token: u64) -> Ended {
+        if !choice.pauses.hold(&self.engine.directory) {
+            return Ended::Again;
+        }
+        let chosen = choice.instance;
         let order = PromotionOrder {
             group: group.clone(),
             instance: chosen.clone(),
@@ -373,13 +394,19 @@
         let pause = self.pause_command(group, sync_replicas);
         let questions = replicas
             .iter()
-            .map(|known| ask_status(engine, &known.record, pause));
-        let statuses = join_all(questions).await;
-        let answered: Vec<_> = replicas
-            .iter()
-            .zip(statuses)
-            .filter_map(|(known, status)| Some((known, status?)))
-            .collect();
+            .map(|known| ask_status_over(engine, &known.record, pause));
+        let answers = join_all(questions).await;
+        let mut pauses = Pauses::default();
+        let mut answered = Vec::new();
+        for (known, answer) in replicas.iter().zip(answers) {
+            let Some((status, connection)) = answer else {
+                continue;
+            };
+            if sync_replicas > 0 {
+                pauses.add(&engine.directory, &known.record.name, connection);
+            }
+            answered.push((known, status));
+        }
         let named_before = self.duties.get(group).and_then(|duty| duty.record.chosen);
         let successors: Vec<_> = answered
             .iter()
@@ -419,6 +446,7 @@
                 .iter()
                 .find(|(_, status)| status.is_leader)
                 .map(|(known, _)| known.record.name.clone()),
+            pauses,
         })
     }
 
--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -54,12 +54,19 @@
         let started = clock::now();
         let mut has_stepped_down = false;
         let mut is_complete = self.read_nodes().await;
+        let mut life = self.life_of(closed.leader.as_ref());
         if closed.is_live {
             has_stepped_down = self.hand_over(closed).await;
         }
         let mut answered = BTreeSet::new();
         let since = self.closed_since(closed);
         loop {
+            let life_now = self.life_of(closed.leader.as_ref());
+            if life_now != life {
+                // A process that begins anew has forgotten that it stepped down.
+                has_stepped_down = false;
+                life = life_now;
+            }
             if !has_stepped_down {
                 has_stepped_down = self.ask_round(closed, true, &mut answered).await;
             }
--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -280,6 +280,10 @@
     let instance = InstanceName(report.instance.clone());
     let position = read_position(report.position);
     let directory = &engine.directory;
+    if !directory.is_of_present_life(&instance, asked) {
+        // The peer has not heard yet that it began anew.
+        return;
+    }
     directory.leads_term(group, &instance, Term(report.term));
     directory.leader_proved(group, &instance, asked, position);
 }
--- a/crates/millwind-engine/src/term_closing.rs
+++ b/crates/millwind-engine/src/term_closing.rs
@@ -13,7 +13,7 @@
 use millwind_core::session_state::SessionState;
 use millwind_wire::exchange::TermClosing;
 
-use crate::backend::{ConnectionUser, Purpose};
+use crate::backend::{ConnectionUser, LinkError, PooledConnection, Purpose};
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::node::Engine;
@@ -98,7 +98,9 @@
         return None;
     }
     engine.metrics.step_downs.inc();
-    engine.directory.has_stepped_down(&record.group, term);
+    engine
+        .directory
+        .has_stepped_down(&record.group, &record.name, term);
     status
 }
 
@@ -108,6 +110,17 @@
     record: &InstanceRecord,
     command: Command<'static>,
 ) -> Option<InstanceStatus> {
+    let (status, _) = ask_status_over(engine, record, command).await?;
+    Some(status)
+}
+
+/// The same with the connection on which it was told: as long as that one is open, so
+/// is the life of the instance that told it.
+pub async fn ask_status_over(
+    engine: &Arc<Engine>,
+    record: &InstanceRecord,
+    command: Command<'static>,
+) -> Option<(InstanceStatus, PooledConnection)> {
     let deadline = clock::now().plus_millis(QUESTION_MS);
     let session = SessionState::default();
     let pool = engine.pool(record);
@@ -115,10 +128,11 @@
         let mut connection = pool
             .acquire(Purpose::Probe, &ConnectionUser::System, &session, None, deadline)
             .await?;
-        connection.exchange(&Envelope::own(command), deadline).await
+        let reply = connection.exchange(&Envelope::own(command), deadline).await?;
+        Ok::<_, LinkError>((reply, connection))
     };
     match asking.await {
-        Ok(reply) => engine.backend_codec().read_status(&reply),
+        Ok((reply, connection)) => Some((engine.backend_codec().read_status(&reply)?, connection)),
         Err(error) => {
             info!(
                 "event=status_not_told group={} instance={} error={}",
