Model: a leader and a replica that begin anew have forgotten what they were told

leadership: the old leader may begin anew once and leads its term again unless another was promoted; the word that it stepped down counts for the life that gave it (StepDownOfLife). pausing (new): a promotion after replicas paused undoes no acknowledged commit, while a replica may begin anew (PauseOfLife).

--- a/crates/millwind-model/src/leadership.rs
+++ b/crates/millwind-model/src/leadership.rs
@@ -6,6 +6,11 @@
 //! the term, reads which nodes are registered, asks them for their permits, tells
 //! the old leader to step down, and orders the promotion. Any message may be
 //! late or never arrive. Time passes in halves of a permit's life.
+//!
+//! The old leader may begin anew: it has forgotten that it was told to step down, and
+//! leads its term on unless a promotion has taken effect. The promoter knows of its life
+//! what the instance's record and its own connections tell when it orders; an order takes
+//! effect at once.
 
 use millwind_core::Instant;
 use millwind_core::invariant::Invariant;
@@ -29,6 +34,8 @@
     pub broken: Option<Rule>,
     /// Units of time that pass at most; a permit lasts for two.
     pub units: u64,
+    /// How often the old leader begins anew at most.
+    pub restarts: u8,
 }
 
 /// A question for closed terms on its way.
@@ -63,8 +70,10 @@
     /// The nodes that it has read from the store.
     known: Option<[bool; NODES]>,
     answered: [bool; NODES],
-    has_told_leader: bool,
-    has_heard_leader: bool,
+    /// The life of the old leader that it has told to step down.
+    told_life: Option<u8>,
+    /// The life that has said that it leads no longer.
+    heard_life: Option<u8>,
     has_promoted: bool,
 }
 
@@ -74,6 +83,8 @@
     nodes: Vec<Node>,
     promoter: Promoter,
     old_leader_leads: bool,
+    /// How often the old leader has begun anew.
+    life: u8,
     unit: u64,
     /// A node that acknowledged a write which came after the promotion.
     acknowledged_late: Option<usize>,
@@ -85,7 +96,7 @@
 
 impl Leadership {
     /// The rules that guard here.
-    pub const RULES: [Rule; 8] = [
+    pub const RULES: [Rule; 9] = [
         Rule::PermitExpires,
         Rule::PermitAtAnswer,
         Rule::SettleWithinPermit,
@@ -94,6 +105,7 @@
         Rule::ListAfterClosing,
         Rule::RevokeBeforeOrder,
         Rule::StepDownHeard,
+        Rule::StepDownOfLife,
     ];
 
     fn keeps(&self, rule: Rule) -> bool {
@@ -215,6 +227,44 @@
         }
     }
 
+    /// What the promoter holds for true of the old leader's word.
+    fn has_stepped_down(&self, state: &State) -> bool {
+        let word = match self.keeps(Rule::StepDownHeard) {
+            true => state.promoter.heard_life,
+            false => state.promoter.told_life,
+        };
+        word.is_some_and(|life| life == state.life || !self.keeps(Rule::StepDownOfLife))
+    }
+
+    fn stepping_down(&self, state: &State, steps: &mut Vec<(String, State)>) {
+        let promoter = &state.promoter;
+        let has_told = promoter.told_life == Some(state.life);
+        if !has_told {
+            let mut next = state.clone();
+            next.promoter.told_life = Some(state.life);
+            steps.push(("the promoter tells the old leader to step down".to_owned(), next));
+        }
+        if has_told && state.old_leader_leads {
+            let mut next = state.clone();
+            next.old_leader_leads = false;
+            steps.push(("the old leader steps down".to_owned(), next));
+        }
+        if has_told && !state.old_leader_leads && promoter.heard_life != Some(state.life) {
+            let mut next = state.clone();
+            next.promoter.heard_life = Some(state.life);
+            steps.push(("the promoter hears that it has".to_owned(), next));
+        }
+    }
+
+    fn beginning_anew(&self, state: &State, steps: &mut Vec<(String, State)>) {
+        if state.life < self.restarts {
+            let mut next = state.clone();
+            next.life += 1;
+            next.old_leader_leads = !state.promoter.has_promoted;
+            steps.push(("the old leader begins anew".to_owned(), next));
+        }
+    }
+
     fn revoking(&self, state: &State, steps: &mut Vec<(String, State)>) {
         let promoter = &state.promoter;
         let (Some(closed_unit), Some(known)) = (promoter.closed_unit, promoter.known) else {
@@ -232,30 +282,13 @@
             next.promoter.answered[index] = true;
             steps.push((format!("node {index} hands its permit back"), next));
         }
-        if !promoter.has_told_leader {
-            let mut next = state.clone();
-            next.promoter.has_told_leader = true;
-            steps.push(("the promoter tells the old leader to step down".to_owned(), next));
-        }
-        if promoter.has_told_leader && state.old_leader_leads {
-            let mut next = state.clone();
-            next.old_leader_leads = false;
-            steps.push(("the old leader steps down".to_owned(), next));
-        }
-        if !state.old_leader_leads && !promoter.has_heard_leader {
-            let mut next = state.clone();
-            next.promoter.has_heard_leader = true;
-            steps.push(("the promoter hears that it has".to_owned(), next));
-        }
+        self.stepping_down(state, steps);
         let revocation = Revocation {
             closed: at(closed_unit),
             missing: (0..NODES)
                 .filter(|index| known[*index] && !promoter.answered[*index])
                 .count(),
-            has_stepped_down: match self.keeps(Rule::StepDownHeard) {
-                true => promoter.has_heard_leader,
-                false => promoter.has_told_leader,
-            },
+            has_stepped_down: self.has_stepped_down(state),
         };
         let may = may_promote(at(state.unit), &revocation) || !self.keeps(Rule::RevokeBeforeOrder);
         if may && !promoter.has_promoted {
@@ -278,7 +311,7 @@
     }
 
     fn bounds(&self) -> String {
-        format!("nodes={NODES} units={}", self.units)
+        format!("nodes={NODES} units={} restarts={}", self.units, self.restarts)
     }
 
     fn initial(&self) -> State {
@@ -291,6 +324,7 @@
             nodes: vec![first, Node::default()],
             promoter: Promoter::default(),
             old_leader_leads: true,
+            life: 0,
             unit: START_UNIT,
             acknowledged_late: None,
         }
@@ -303,6 +337,7 @@
         Self::registering(state, &mut steps);
         self.closing(state, &mut steps);
         self.revoking(state, &mut steps);
+        self.beginning_anew(state, &mut steps);
         if state.unit < START_UNIT + self.units {
             let mut next = state.clone();
             next.unit += 1;
--- a/crates/millwind-model/src/main.rs
+++ b/crates/millwind-model/src/main.rs
@@ -6,6 +6,7 @@
 use millwind_model::configuration::Configuration;
 use millwind_model::leadership::Leadership;
 use millwind_model::links::Links;
+use millwind_model::pausing::Pausing;
 use millwind_model::writes::{Bounds, Writes};
 use millwind_model::{Model, Outcome, Rule, check};
 
@@ -80,8 +81,14 @@
         broken,
     );
     let units = if large { 3 } else { 2 };
-    let leadership = report(&Leadership { broken, units }, broken);
-    let found = [writes, configuration, links, leadership]
+    let leadership = Leadership {
+        broken,
+        units,
+        restarts: 1,
+    };
+    let leadership = report(&leadership, broken);
+    let pausing = report(&Pausing { broken }, broken);
+    let found = [writes, configuration, links, leadership, pausing]
         .iter()
         .any(|outcome| outcome.counterexample.is_some());
     if let Some(rule) = broken {
--- a/crates/millwind-model/src/rule.rs
+++ b/crates/millwind-model/src/rule.rs
@@ -51,4 +51,8 @@
     RevokeBeforeOrder,
     /// A leader counts as stepped down once it has said so.
     StepDownHeard,
+    /// That word counts for the life of the leader that gave it.
+    StepDownOfLife,
+    /// A comparison of positions counts while all who paused for it live on.
+    PauseOfLife,
 }
--- a/crates/millwind-model/tests/check.rs
+++ b/crates/millwind-model/tests/check.rs
@@ -4,6 +4,7 @@
 use millwind_model::configuration::Configuration;
 use millwind_model::leadership::Leadership;
 use millwind_model::links::Links;
+use millwind_model::pausing::Pausing;
 use millwind_model::writes::{Bounds, Writes};
 use millwind_model::{Counterexample, Rule, check};
 
@@ -16,7 +17,11 @@
 }
 
 fn leadership(broken: Option<Rule>) -> Leadership {
-    Leadership { broken, units: 2 }
+    Leadership {
+        broken,
+        units: 2,
+        restarts: 1,
+    }
 }
 
 /// Looks only where the rule guards something: the whole model takes long.
@@ -63,6 +68,9 @@
     assert_eq!(configuration.counterexample, None);
     let links = check(&links(None));
     assert_eq!(links.counterexample, None);
+    let pausing = check(&Pausing { broken: None });
+    assert_eq!(pausing.counterexample, None);
+    assert!(pausing.states > 100, "only {} states explored", pausing.states);
     let leadership = check(&leadership(None));
     assert_eq!(leadership.counterexample, None);
     assert!(
@@ -77,6 +85,7 @@
     for rule in Rule::value_variants() {
         let broken = Some(*rule);
         let counterexample = leadership_violation(broken)
+            .or_else(|| check(&Pausing { broken }).counterexample)
             .or_else(|| writes(broken))
             .or_else(|| check(&links(broken)).counterexample)
             .or_else(|| check(&Configuration { broken, losses: 1 }).counterexample)
