A record that turns unreadable takes its instance out of use at once

A removed record has a grace, since the store drops those whose heartbeats it merely missed; nothing speaks for one that somebody overwrote.

--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -4,10 +4,12 @@
 
 use log::warn;
 use millwind_core::Instant;
+use millwind_core::ids::InstanceName;
 
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
 use crate::connection_shares::AMPLE_SHARE;
+use crate::directory::Directory;
 use crate::node::Engine;
 use crate::passed_over::shortened;
 use crate::ports::{CatalogCodec, CatalogError};
@@ -132,12 +134,12 @@
             Some(Ok(record)) => record,
             Some(Err(error)) => {
                 self.pass_over(key, revision, &error);
-                self.drop_record(codec, key, revision);
+                self.drop_record(codec, key, revision, Directory::disown);
                 return false;
             }
             None => {
                 self.passed_over.forget(key);
-                self.drop_record(codec, key, revision);
+                self.drop_record(codec, key, revision, Directory::remove_record);
                 return false;
             }
         };
@@ -160,13 +162,19 @@
         }
     }
 
-    /// The record under `key` names no instance since `revision`.
-    fn drop_record(&self, codec: &dyn CatalogCodec, key: &str, revision: u64) {
+    /// The record under `key` names no instance since `revision`; `drop` takes that in.
+    fn drop_record(
+        &self,
+        codec: &dyn CatalogCodec,
+        key: &str,
+        revision: u64,
+        drop: fn(&Directory, &InstanceName) -> bool,
+    ) {
         // Only names are remembered: no record can ever be read under another key.
         let Some(name) = codec.instance_name(key) else {
             return;
         };
-        if self.catalog_cache.see_instance(key, revision) && self.directory.remove_record(&name) {
+        if self.catalog_cache.see_instance(key, revision) && drop(&self.directory, &name) {
             self.catalog_cache.keep_instance(key, None, revision);
         }
     }
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -37,8 +37,10 @@
     pub leaving_since: Option<Instant>,
     /// Its record is gone from the store.
     pub is_gone: bool,
-    /// It gets no new work: it announced its end, or its record has been gone
-    /// for longer than one that merely missed its heartbeats.
+    /// What lies under its key cannot be read: nobody says that it may be used.
+    pub is_disowned: bool,
+    /// It gets no new work: it announced its end, is disowned, or its record has been
+    /// gone for longer than one that merely missed its heartbeats.
     pub is_leaving: bool,
     /// How it has answered.
     pub contact: Contact,
@@ -299,6 +301,7 @@
             heard: now,
             leaving_since,
             is_gone: false,
+            is_disowned: false,
             is_leaving: false,
         };
         state.insert(known);
@@ -353,6 +356,16 @@
         true
     }
 
+    /// The record of an instance cannot be read any more: it is gone, and gets no grace
+    /// as one whose heartbeats the store merely missed.
+    pub fn disown(&self, instance: &InstanceName) -> bool {
+        let is_news = self.remove_record(instance);
+        if let Some(known) = self.state().instances.get_mut(instance) {
+            known.is_disowned = true;
+        }
+        is_news
+    }
+
     /// The whole list of instances was read; returns those that are gone now.
     pub fn listing_applied(&self, present: &[InstanceName]) -> Vec<InstanceName> {
         let missing: Vec<InstanceName> = {
@@ -420,7 +433,7 @@
     }
 
     fn as_of_now(&self, known: &Known) -> Known {
-        let is_announced = known.record.is_leaving;
+        let is_announced = known.record.is_leaving || known.is_disowned;
         let is_over = |since: Instant| clock::now().millis_since(since) >= self.gone_grace_ms;
         Known {
             is_leaving: is_announced || (known.is_gone && known.leaving_since.is_some_and(is_over)),
