--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -9,8 +9,10 @@
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
 use crate::connection_shares::AMPLE_SHARE;
+use crate::directory::Directory;
 use crate::node::Engine;
-use crate::ports::CatalogCodec;
+use crate::passed_over::shortened;
+use crate::ports::{CatalogCodec, CatalogError};
 
 /// Connections opened ahead of need to a new instance.
 const WARM_CONNECTIONS: usize = 1;
@@ -99,52 +101,103 @@
         };
         match codec.read_config(value) {
             Ok(config) => {
+                self.passed_over.forget(codec.config_key());
                 let version = config.version;
                 if version > self.config_version() {
                     self.catalog_cache.keep_config(version, value, known_since);
                     self.apply_config(config, &origin);
                 }
             }
-            Err(error) => warn!(
-                "event=config_refused source={source} error={:?}",
-                error.to_string()
-            ),
+            Err(error) => {
+                let reason = shortened(&error.to_string());
+                if self.passed_over.note(codec.config_key(), &reason) {
+                    warn!("event=config_refused source={source} error={reason:?}");
+                }
+            }
         }
     }
 
     /// Takes in an instance's document of `revision`, or that it was removed,
-    /// unless a newer one is known.
-    pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
-        if !self.catalog_cache.see_instance(key, revision) {
-            return;
-        }
-        let Some(value) = value else {
-            let name = key.strip_prefix(codec.instances_prefix()).unwrap_or(key);
-            if self.directory.remove_record(&InstanceName::from(name)) {
-                self.catalog_cache.keep_instance(key, None, revision);
+    /// unless a newer one is known; true if the document names an instance.
+    ///
+    /// A document that cannot be read names none: an instance that was known under its
+    /// key is gone, as if the record had been removed, since nobody can tell what the
+    /// writer meant by it; all others hold.
+    pub fn take_instance(
+        &self,
+        codec: &dyn CatalogCodec,
+        key: &str,
+        value: Option<&[u8]>,
+        revision: u64,
+    ) -> bool {
+        let record = match value.map(|value| codec.read_instance(key, value)) {
+            Some(Ok(record)) => record,
+            Some(Err(error)) => {
+                self.pass_over(key, revision, &error);
+                self.drop_record(codec, key, revision, Directory::disown);
+                return false;
+            }
+            None => {
+                self.passed_over.forget(key);
+                self.drop_record(codec, key, revision, Directory::remove_record);
+                return false;
             }
-            return;
         };
-        match codec.read_instance(key, value) {
-            Ok(record) => {
-                if self.apply_record(record) {
-                    self.catalog_cache.keep_instance(key, Some(value), revision);
-                }
+        if self.catalog_cache.see_instance(key, revision) {
+            self.passed_over.forget(key);
+            if self.apply_record(record) {
+                self.catalog_cache.keep_instance(key, value, revision);
             }
-            Err(error) => warn!("event=instance_refused key={key} error={:?}", error.to_string()),
+        }
+        true
+    }
+
+    /// Tells of a document that cannot be read.
+    fn pass_over(&self, key: &str, revision: u64, error: &CatalogError) {
+        let reason = shortened(&error.to_string());
+        if self.passed_over.note(key, &reason) {
+            self.metrics.records_passed_over.inc();
+            let key = shortened(key);
+            warn!("event=record_passed_over key={key:?} revision={revision} reason={reason:?}");
+        }
+    }
+
+    /// The record under `key` names no instance since `revision`; `drop` takes that in.
+    fn drop_record(
+        &self,
+        codec: &dyn CatalogCodec,
+        key: &str,
+        revision: u64,
+        drop: fn(&Directory, &InstanceName) -> bool,
+    ) {
+        // Only names are remembered: no record can ever be read under another key.
+        let Some(name) = codec.instance_name(key) else {
+            return;
+        };
+        if self.catalog_cache.see_instance(key, revision) && drop(&self.directory, &name) {
+            self.catalog_cache.keep_instance(key, None, revision);
         }
     }
 
     /// Takes in an instance's record; true if more than its heartbeat changed.
     fn apply_record(&self, record: InstanceRecord) -> bool {
-        let is_new = self
-            .directory
-            .instance(&record.name)
-            .is_none_or(|known| known.is_gone);
-        let has_changed = self.directory.apply_record(record.clone());
-        if is_new {
+        let change = self.directory.apply_record(record.clone());
+        if change.has_begun_anew {
+            self.begin_life(&record);
+        }
+        if change.is_new || change.has_begun_anew {
             self.warm_up(&record);
         }
-        has_changed
+        change.has_changed || change.has_begun_anew
+    }
+
+    /// An instance began anew: connections to its former life are closed, with what was
+    /// set and prepared on them, and its group's leader is looked for at once.
+    fn begin_life(&self, record: &InstanceRecord) {
+        self.metrics.lives_begun.inc();
+        self.pools
+            .begin_life(record, self.registry.version(), self.share_of(record));
+        self.doubt_leader();
+        self.wake_monitor();
     }
 }
