--- a/crates/millwind-engine/src/quota.rs
+++ b/crates/millwind-engine/src/quota.rs
@@ -9,7 +9,7 @@
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::TenantName;
 use millwind_core::quota::{
-    Admission, Allowance, Beginning, Budget, Loan, PartialQuota, Quota, UNCOUNTED_PERCENT, lent_percent,
+    Admission, Allowance, Beginning, Budget, Loan, Quota, Supply, UNCOUNTED_PERCENT, lent_percent,
 };
 use tokio::sync::Notify;
 
@@ -78,7 +78,7 @@
 fn lend(
     budgets: &Mutex<HashMap<TenantName, Budget>>,
     tenant: &TenantName,
-    quota: PartialQuota,
+    quota: Supply,
     beginning: Beginning,
     wanted: u32,
 ) -> Loan {
