Who is cold, and who lends places to arrive at a cold instance

Decisions alone: an instance's sight (record, life, unused zone), the supply that keeps any second within the terms, and the owners' word that keeps two from lending at once.

--- a/crates/millwind-core/src/lending.rs
+++ b/crates/millwind-core/src/lending.rs
@@ -100,7 +100,7 @@
 
     fn refill(&mut self, supply: Supply, now: Instant) {
         let elapsed_us = now.0.saturating_sub(self.refilled.0);
-        self.refilled = now;
+        self.refilled = self.refilled.max(now);
         let added = supply.rate_per_s * elapsed_us as f64 / 1_000_000.0;
         self.available = (self.available + added).min(supply.most_saved);
     }
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod invariant;
 pub mod lead_permit;
 pub mod leader_observation;
+pub mod lender_lease;
 pub mod lending;
 pub mod membership;
 pub mod outcome;
--- a/crates/millwind-core/src/warm_up.rs
+++ b/crates/millwind-core/src/warm_up.rs
@@ -2,6 +2,7 @@
 //! only so many statements a second by all nodes together.
 
 use crate::Instant;
+use crate::lending::{BorrowingTerms, Supply};
 
 /// How instances of a group warm up.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -46,3 +47,125 @@
         matches!(self, Warmth::ColdUntil(until) if now < until)
     }
 }
+
+/// What a node has seen of one life of an instance that tells whether it is warm.
+///
+/// An instance tells for how long it stays slow. Its record may have travelled through
+/// other nodes and may be old, so what it tells counts from when this node read it; of
+/// several such times each is an upper bound, and the earliest holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sight {
+    /// It is cold until then by its own word.
+    told_until: Instant,
+    /// What its record told when it was last read, in milliseconds.
+    told_ms: u64,
+    /// It is taken to have begun then, whatever it tells.
+    begun: Option<Instant>,
+}
+
+impl Sight {
+    /// An instance that this node sees for the first time at `now`, whose record tells
+    /// that it stays slow for `told_ms`. One that tells nothing may have run for long.
+    pub fn first(told_ms: u64, now: Instant) -> Self {
+        Sight {
+            told_until: now.plus_millis(told_ms),
+            told_ms,
+            begun: None,
+        }
+    }
+
+    /// A new life of an instance is seen at `now`. One that does not tell for how long
+    /// it stays slow is taken to have begun just now.
+    pub fn new_life(told_ms: u64, now: Instant) -> Self {
+        Sight {
+            begun: (told_ms == 0).then_some(now),
+            ..Sight::first(told_ms, now)
+        }
+    }
+
+    /// The record of the same life is read again. One that tells that it stays slow for
+    /// longer than it told before has begun again, though it does not tell its life.
+    pub fn read_again(self, told_ms: u64, now: Instant) -> Self {
+        if told_ms > self.told_ms {
+            return Sight::new_life(told_ms, now);
+        }
+        Sight {
+            told_until: self.told_until.min(now.plus_millis(told_ms)),
+            told_ms,
+            ..self
+        }
+    }
+
+    /// The instance may be used again after nobody has used it for a while: it is taken
+    /// as cold from `now` on.
+    pub fn unused_until(self, now: Instant) -> Self {
+        Sight {
+            begun: Some(now),
+            ..self
+        }
+    }
+
+    /// Whether an instance of a group with these terms is warm. Without terms all are.
+    pub fn warmth(&self, terms: Option<WarmUpTerms>, now: Instant) -> Warmth {
+        let Some(terms) = terms else {
+            return Warmth::Warm;
+        };
+        let begun_until = self.begun.map(|begun| begun.plus_millis(terms.duration_ms));
+        let until = begun_until.map_or(self.told_until, |begun| begun.max(self.told_until));
+        match now < until {
+            true => Warmth::ColdUntil(until),
+            false => Warmth::Warm,
+        }
+    }
+}
+
+/// A place at a cold instance must be used within this time from when it was asked for,
+/// in milliseconds: a few round trips between regions (20 ms one way on the users'
+/// sites). The longer it is, the less can be lent, since places of an earlier second
+/// may still be used in the next.
+pub const PLACE_MS: u64 = 200;
+/// The window over which arrivals are summed, in milliseconds.
+const WINDOW_MS: u64 = 1_000;
+/// A node that got no place asks again after this time, in milliseconds: with the terms
+/// on the users' sites (12 a second) the lender has some two places by then.
+const DENIED_PAUSE_MS: u64 = 100;
+/// Part of the places of a window that may be lent at one moment, in percent.
+const SAVED_PERCENT: f64 = 10.0;
+/// Part of the rate that is lent: keeps sums of fractions below the next whole place.
+const ROUNDING: f64 = 0.98;
+
+/// How nodes borrow places to arrive. Nothing is asked for ahead of need: there are few
+/// places, and those that a node does not use are lost for all.
+pub const BORROWING: BorrowingTerms = BorrowingTerms {
+    loan_ms: PLACE_MS,
+    use_window_ms: WINDOW_MS,
+    ahead_percent: 0,
+    denied_pause_ms: DENIED_PAUSE_MS,
+};
+
+/// Statements that all nodes together may send to a cold instance within any second.
+pub fn most_arrivals(terms: WarmUpTerms, tolerance: WarmUpTolerance) -> u64 {
+    let nominal = terms.statements_per_s * tolerance.overage_percent as f64 / 100.0;
+    (nominal + tolerance.slack as f64) as u64
+}
+
+/// What one lender may lend of the places at a cold instance.
+///
+/// Places that are used within one second were lent within that second or within
+/// [`PLACE_MS`] before it; a budget lends no more in that time than what it had saved
+/// and what the rate brings, which is below one more than [`most_arrivals`]. It begins
+/// empty, so that the sum holds also where one lender follows another.
+pub fn supply(terms: WarmUpTerms, tolerance: WarmUpTolerance) -> Supply {
+    let most = most_arrivals(terms, tolerance) as f64;
+    let most_saved = (most * SAVED_PERCENT / 100.0).max(1.0);
+    let lending_s = (WINDOW_MS + PLACE_MS) as f64 / 1_000.0;
+    let rate_per_s = match most < 1.0 {
+        true => 0.0,
+        false => (most + 1.0 - most_saved) / lending_s * ROUNDING,
+    };
+    Supply {
+        rate_per_s,
+        most_saved,
+        first_loan: 0.0,
+    }
+}
--- a/crates/millwind-engine/src/quota.rs
+++ b/crates/millwind-engine/src/quota.rs
@@ -8,6 +8,7 @@
 use log::info;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::TenantName;
+use millwind_core::lending::Supply;
 use millwind_core::quota::{
     Admission, Allowance, Beginning, Budget, Loan, Quota, Supply, UNCOUNTED_PERCENT, lent_percent,
 };
