Statements take a place at a cold instance right before they are sent

Owners lend places over their links; one lends at a time, by the word of most owners. A read without a place goes to the next instance at once, a write or strict read waits while a place can come before its aim, the more urgent first, an open transaction until its deadline. Reads prefer warm instances, a warm successor goes first where none loses commits.

--- a/crates/millwind-core/src/selection.rs
+++ b/crates/millwind-core/src/selection.rs
@@ -12,6 +12,10 @@
 /// The expected time of an instance in another zone counts this much more, in
 /// percent: bytes between zones and regions are dear.
 const FAR_COST_PERCENT: u64 = 160;
+/// The expected time of a cold instance counts this much more, in percent: it is some
+/// three times slower on the users' sites, and takes few statements. One whose warm
+/// neighbours have long lines is still used.
+const COLD_COST_PERCENT: u64 = 300;
 /// An instance that failed or lagged a moment ago comes after all others.
 const AVOIDED_COST: u64 = 1 << 40;
 
@@ -32,6 +36,8 @@
     pub is_leader: bool,
     /// It failed or lagged a moment ago.
     pub is_avoided: bool,
+    /// It has just started.
+    pub is_cold: bool,
 }
 
 impl ReadCandidate {
@@ -45,6 +51,9 @@
         if !self.is_near {
             cost = cost * FAR_COST_PERCENT / 100;
         }
+        if self.is_cold {
+            cost = cost * COLD_COST_PERCENT / 100;
+        }
         if self.is_avoided {
             cost += AVOIDED_COST;
         }
--- a/crates/millwind-engine/src/answer.rs
+++ b/crates/millwind-engine/src/answer.rs
@@ -2,6 +2,7 @@
 
 use millwind_core::error_kind::ErrorKind;
 
+use crate::backend::LinkError;
 use crate::statement::BackEndError;
 
 /// A statement that the engine gives up, with the truth about it.
@@ -26,6 +27,14 @@
         }
     }
 
+    /// A refusal of `kind` since an exchange with an instance came to nothing.
+    pub fn of_link(kind: ErrorKind, error: LinkError) -> Self {
+        Refusal {
+            retry_after_ms: error.retry_after_ms(),
+            ..Refusal::new(kind, error)
+        }
+    }
+
     /// The same with the time after which the caller may come back.
     pub fn after_ms(self, retry_after_ms: u32) -> Self {
         Refusal {
--- a/crates/millwind-engine/src/backend/link_error.rs
+++ b/crates/millwind-engine/src/backend/link_error.rs
@@ -54,7 +54,10 @@
     Ineligible(Ineligible),
     /// The instance has just started, and takes no more statements now.
     #[error("the instance is warming up and takes no more statements now")]
-    WarmingUp,
+    WarmingUp {
+        /// When the caller may come back, in milliseconds.
+        retry_after_ms: u32,
+    },
 }
 
 impl LinkError {
@@ -75,7 +78,7 @@
             LinkError::NoPermit => "no_permit",
             LinkError::Protocol => "protocol",
             LinkError::Ineligible(reason) => reason.name(),
-            LinkError::WarmingUp => "warming_up",
+            LinkError::WarmingUp { .. } => "warming_up",
         }
     }
 
@@ -114,6 +117,14 @@
         matches!(self, LinkError::Refused | LinkError::Lost) || self.is_wrong_instance()
     }
 
+    /// When a caller may come back; none for what the table of errors says.
+    pub const fn retry_after_ms(&self) -> Option<u32> {
+        match self {
+            LinkError::WarmingUp { retry_after_ms } => Some(*retry_after_ms),
+            _ => None,
+        }
+    }
+
     /// What a caller is told where nothing has run.
     pub const fn kind(&self) -> ErrorKind {
         match self {
@@ -121,7 +132,7 @@
             LinkError::NoObservation => ErrorKind::NoPrimary,
             LinkError::Ineligible(Ineligible::RegionNotAllowed) => ErrorKind::RegionNotAllowed,
             LinkError::Ineligible(Ineligible::ZoneEvacuated) => ErrorKind::ZoneEvacuated,
-            LinkError::WarmingUp => ErrorKind::WarmingUp,
+            LinkError::WarmingUp { .. } => ErrorKind::WarmingUp,
             _ => ErrorKind::BackEndUnreachable,
         }
     }
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -3,6 +3,7 @@
 
 mod contact;
 mod permits;
+mod warmth;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,6 +15,7 @@
 use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
+use millwind_core::warm_up::{Sight, Warmth};
 use tokio::sync::{Notify, watch};
 
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
@@ -21,6 +23,8 @@
 use crate::clock;
 use crate::peers::Testimony;
 
+use warmth::sight_of;
+
 pub use contact::Contact;
 
 /// An instance with what is known of it.
@@ -41,6 +45,10 @@
     pub contact: Contact,
     /// What peers said of it, and when.
     pub testimony: Option<(Instant, Testimony)>,
+    /// What was seen of this life that tells whether it is warm.
+    sight: Sight,
+    /// Whether it is warm.
+    pub warmth: Warmth,
 }
 
 /// Who is believed to lead a group.
@@ -254,6 +262,7 @@
         }
         let contact = previous.map_or_else(|| self.new_contact(&record), |known| known.contact);
         let testimony = previous.and_then(|known| known.testimony);
+        let sight = sight_of(previous, &record, now);
         let newly_claims = record.claims_lead && !claimed_before;
         let name = record.name.clone();
         let group = record.group.clone();
@@ -270,6 +279,8 @@
             is_leaving: false,
             contact,
             testimony,
+            sight,
+            warmth: Warmth::Warm,
         };
         state.insert(known);
         if newly_claims {
@@ -376,14 +387,19 @@
     /// An instance with what is known of it.
     pub fn instance(&self, instance: &InstanceName) -> Option<Known> {
         let state = self.state();
-        state.instances.get(instance).map(|known| self.as_of_now(known))
+        state
+            .instances
+            .get(instance)
+            .map(|known| self.as_of_now(&state, known))
     }
 
-    fn as_of_now(&self, known: &Known) -> Known {
+    fn as_of_now(&self, state: &State, known: &Known) -> Known {
+        let now = clock::now();
         let is_announced = known.record.is_leaving;
-        let is_over = |since: Instant| clock::now().millis_since(since) >= self.gone_grace_ms;
+        let is_over = |since: Instant| now.millis_since(since) >= self.gone_grace_ms;
         Known {
             is_leaving: is_announced || (known.is_gone && known.leaving_since.is_some_and(is_over)),
+            warmth: known.sight.warmth(state.warm_up_terms(known), now),
             ..known.clone()
         }
     }
@@ -394,7 +410,7 @@
         let members = state.members.get(group).into_iter().flatten();
         members
             .filter_map(|name| state.instances.get(name))
-            .map(|known| self.as_of_now(known))
+            .map(|known| self.as_of_now(&state, known))
             .collect()
     }
 
@@ -421,7 +437,7 @@
         state
             .instances
             .values()
-            .map(|known| self.as_of_now(known))
+            .map(|known| self.as_of_now(&state, known))
             .collect()
     }
 
--- /dev/null
+++ b/crates/millwind-engine/src/directory/warmth.rs
@@ -0,0 +1,57 @@
+//! Which instances are cold.
+
+use millwind_core::Instant;
+use millwind_core::ids::{InstanceName, ZoneName};
+use millwind_core::warm_up::{Sight, WarmUpTerms};
+
+use super::{Directory, Known, State};
+use crate::catalog::InstanceRecord;
+use crate::clock;
+
+/// What is seen of an instance's warmth when its record is read, after what was seen
+/// before.
+pub(super) fn sight_of(previous: Option<&Known>, record: &InstanceRecord, now: Instant) -> Sight {
+    let told_ms = record.warm_up_left_ms;
+    let Some(previous) = previous else {
+        return Sight::first(told_ms, now);
+    };
+    let lives = (previous.record.incarnation, record.incarnation);
+    match lives {
+        (Some(former), Some(present)) if former != present => Sight::new_life(told_ms, now),
+        _ => previous.sight.read_again(told_ms, now),
+    }
+}
+
+impl State {
+    pub(super) fn warm_up_terms(&self, known: &Known) -> Option<WarmUpTerms> {
+        let config = self.config.as_ref()?;
+        config.groups.get(&known.record.group)?.warm_up
+    }
+}
+
+impl Directory {
+    /// The terms under which statements may be sent to an instance; none where it is
+    /// warm. One whose record was not read yet is not known here, and gets nothing.
+    pub fn cold_terms(&self, instance: &InstanceName) -> Option<WarmUpTerms> {
+        let state = self.state();
+        let known = state.instances.get(instance)?;
+        let terms = state.warm_up_terms(known)?;
+        let now = clock::now();
+        let warmth = known.sight.warmth(Some(terms), now);
+        warmth.is_cold(now).then_some(terms)
+    }
+
+    /// The instances of a zone may be used again, which nobody has used for a while:
+    /// they are taken as cold.
+    pub fn zone_unused_until_now(&self, zone: &ZoneName) {
+        let now = clock::now();
+        let mut state = self.state();
+        let of_zone = state
+            .instances
+            .values_mut()
+            .filter(|known| known.record.zone == *zone);
+        for known in of_zone {
+            known.sight = known.sight.unused_until(now);
+        }
+    }
+}
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -16,9 +16,10 @@
 use crate::backend::{ConnectionUser, LinkError, Pool, Purpose, Urgency};
 use crate::catalog::InstanceRecord;
 use crate::clock;
+use crate::cold_places::{PlaceNeed, PlaceWait};
 use crate::directory::Directory;
 use crate::node::Engine;
-use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply};
+use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply, TransactionState};
 
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,9 +40,12 @@
     }
 
     /// Whether the statement would have waited beyond its deadline where it was
-    /// sent: the instance has more to do than it can serve in time.
+    /// sent: the instance has more to do than it can serve in time, or is still cold.
     pub fn is_overload(&self) -> bool {
-        matches!(self, AttemptError::Link(LinkError::NoConnection))
+        matches!(
+            self,
+            AttemptError::Link(LinkError::NoConnection | LinkError::WarmingUp { .. })
+        )
     }
 
     /// Whether no instance may be used by the statement, so that trying on is in vain.
@@ -52,7 +56,7 @@
     /// What the caller is told when nothing was kept.
     pub fn into_failure(self) -> Failure {
         match self {
-            AttemptError::Link(error) => Refusal::new(error.kind(), error).into(),
+            AttemptError::Link(error) => Refusal::of_link(error.kind(), error).into(),
             AttemptError::BackEnd(error) => Failure::BackEnd(error),
         }
     }
@@ -260,10 +264,13 @@
 ) -> Result<Reply, AttemptError> {
     let pool = connection.pool().clone();
     let record = pool.record();
-    let turn = match connection.take_turn() {
-        Some(turn) => turn,
-        None => take_turn(&pool, connection, deadline).await?,
+    let need = match (connection.transaction(), proves_leader) {
+        (TransactionState::Idle, false) => PlaceNeed::Elsewhere,
+        (TransactionState::Idle, true) => PlaceNeed::ByAim,
+        _ if connection.urgency() == Urgency::InTransaction => PlaceNeed::ByDeadline,
+        _ => PlaceNeed::ByAim,
     };
+    let turn = turn_and_place(engine, connection, need, deadline).await?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
     turn.end(turn_end(&exchanged));
@@ -292,6 +299,38 @@
     Ok(reply)
 }
 
+/// Waits for the statement's turn, and for its place where the instance is cold. The
+/// place is taken last, so that the statement is sent right after it. Who waits for a
+/// place leaves the turn to others.
+async fn turn_and_place(
+    engine: &Arc<Engine>,
+    connection: &mut PooledConnection,
+    need: PlaceNeed,
+    deadline: Instant,
+) -> Result<Turn, AttemptError> {
+    let pool = connection.pool().clone();
+    let mut wait = PlaceWait::new(engine, pool.record(), need, connection.urgency());
+    loop {
+        let turn = match connection.take_turn() {
+            Some(turn) => turn,
+            None => take_turn(&pool, connection, deadline).await?,
+        };
+        let Err(refused) = engine.take_place(pool.record(), &wait).await else {
+            return Ok(turn);
+        };
+        drop(turn);
+        let until = match need {
+            PlaceNeed::ByDeadline => deadline,
+            _ => connection.aim().min(deadline),
+        };
+        if !wait.pause(until).await {
+            engine.note_place_refused(pool.record(), refused);
+            let retry_after_ms = refused.retry_after_ms;
+            return Err(AttemptError::Link(LinkError::WarmingUp { retry_after_ms }));
+        }
+    }
+}
+
 async fn take_turn(
     pool: &Arc<Pool>,
     connection: &PooledConnection,
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -389,7 +389,7 @@
                 is_leaving: known.is_leaving,
                 is_evacuated: engine.directory.evacuated_since(&known.record.zone).is_some(),
                 allowed_worth: 0,
-                is_cold: false,
+                is_cold: known.warmth.is_cold(clock::now()),
                 is_named: named_before.as_ref() == Some(&known.record.name),
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -195,7 +195,8 @@
                 engine.directory.avoid(&self.record.name);
                 // Nodes that stand in for an owner which has too much to do would
                 // only send more to the same instance.
-                if *error != LinkError::NoConnection {
+                let is_of_instance = matches!(error, LinkError::NoConnection | LinkError::WarmingUp { .. });
+                if !is_of_instance {
                     engine.owners.avoid(self.link.address(), &self.record.name);
                 }
             }
--- a/crates/millwind-engine/src/forward/link.rs
+++ b/crates/millwind-engine/src/forward/link.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use log::info;
-use millwind_wire::forward::{ForwardRequest, ForwardedAnswer, ForwardedBorrowing, ForwardedLoan};
+use millwind_wire::forward::{
+    ForwardRequest, ForwardedAnswer, ForwardedBorrowing, ForwardedLoan, ForwardedSubject,
+};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
@@ -114,14 +116,14 @@
         receiver
     }
 
-    /// Asks for `wanted` operations of a tenant; none if the link is lost.
-    pub async fn ask_loan(&self, tenant: &str, wanted: u32) -> Option<ForwardedLoan> {
+    /// Asks for a loan of `wanted` of `subject`; none if the link is lost.
+    pub async fn ask_loan(&self, subject: ForwardedSubject, wanted: u32) -> Option<ForwardedLoan> {
         let call = self.next_number();
         let (sender, receiver) = oneshot::channel();
         self.state.loans().insert(call, sender);
         let request = ForwardRequest::Borrow(ForwardedBorrowing {
             call,
-            tenant: tenant.to_owned(),
+            subject,
             wanted,
         });
         let _awaited = AwaitedLoan { link: self, call };
--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -34,7 +34,7 @@
 ];
 
 /// Numbers of the failures of links on the wire.
-const LINK_ERRORS: [(u8, LinkError); 15] = [
+const LINK_ERRORS: [(u8, LinkError); 14] = [
     (1, LinkError::Refused),
     (2, LinkError::ConnectTimeout),
     (3, LinkError::TurnedAway),
@@ -49,7 +49,6 @@
     (12, LinkError::Ineligible(Ineligible::RegionNotAllowed)),
     (13, LinkError::Ineligible(Ineligible::ZoneEvacuated)),
     (14, LinkError::Ineligible(Ineligible::Leaving)),
-    (15, LinkError::WarmingUp),
 ];
 
 fn micros_since(time: Instant) -> u64 {
@@ -230,6 +229,9 @@
 }
 
 fn write_link_error(error: &LinkError) -> ForwardedOutcome {
+    if let LinkError::WarmingUp { retry_after_ms } = *error {
+        return ForwardedOutcome::WarmingUp { retry_after_ms };
+    }
     let number = LINK_ERRORS.iter().find(|(_, kind)| kind == error);
     ForwardedOutcome::Link {
         kind: number.map_or(0, |(number, _)| *number),
@@ -256,6 +258,9 @@
             let error = known.map_or(LinkError::Protocol, |(_, error)| error.clone());
             Err(AttemptError::Link(error))
         }
+        ForwardedOutcome::WarmingUp { retry_after_ms } => {
+            Err(AttemptError::Link(LinkError::WarmingUp { retry_after_ms }))
+        }
     }
 }
 
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -12,10 +12,11 @@
 use millwind_core::data_residency::AllowedRegions;
 use millwind_core::eligibility::Ineligible;
 use millwind_core::ids::{GroupName, InstanceName, TenantName};
+use millwind_core::lending::Loan;
 use millwind_core::position::Position;
 use millwind_wire::forward::{
     ForwardReply, ForwardRequest, ForwardedBegin, ForwardedBorrowing, ForwardedLoan, ForwardedStart,
-    ForwardedStatement, decode_forward,
+    ForwardedStatement, ForwardedSubject, decode_forward,
 };
 use tokio::sync::mpsc;
 
@@ -181,7 +182,7 @@
             Ok(ForwardRequest::Run(statement)) => self.start(statement),
             Ok(ForwardRequest::End { lease }) => self.leases.end(lease),
             Ok(ForwardRequest::Ping) => drop(self.answers.send(ForwardReply::Pong)),
-            Ok(ForwardRequest::Borrow(borrowing)) => self.lend(&borrowing),
+            Ok(ForwardRequest::Borrow(borrowing)) => self.lend(borrowing),
             Err(error) => {
                 debug!("event=forward_refused error={:?}", error.to_string());
                 return false;
@@ -190,17 +191,20 @@
         true
     }
 
-    fn lend(&self, borrowing: &ForwardedBorrowing) {
-        let tenant = TenantName::from(borrowing.tenant.as_str());
-        let loan = self.engine.lend(&tenant, borrowing.wanted);
-        let answer = ForwardedLoan {
-            call: borrowing.call,
-            counts: u8::from(loan.is_some()),
-            operations: loan.map_or(0, |loan| loan.operations),
-            retry_after_ms: loan.map_or(0, |loan| loan.retry_after_ms),
-        };
-        // On a lost link nobody waits for the answer.
-        let _ = self.answers.send(ForwardReply::Loan(answer));
+    fn lend(&self, borrowing: ForwardedBorrowing) {
+        let engine = self.engine.clone();
+        let answers = self.answers.clone();
+        tokio::spawn(async move {
+            let loan = loan_of(&engine, &borrowing).await;
+            let answer = ForwardedLoan {
+                call: borrowing.call,
+                counts: u8::from(loan.is_some()),
+                operations: loan.map_or(0, |loan| loan.operations),
+                retry_after_ms: loan.map_or(0, |loan| loan.retry_after_ms),
+            };
+            // On a lost link nobody waits for the answer.
+            let _ = answers.send(ForwardReply::Loan(answer));
+        });
     }
 
     fn start(&self, statement: ForwardedStatement) {
@@ -216,6 +220,25 @@
     }
 }
 
+/// What this node lends of a subject; none where it does not lend it.
+async fn loan_of(engine: &Arc<Engine>, borrowing: &ForwardedBorrowing) -> Option<Loan> {
+    match &borrowing.subject {
+        ForwardedSubject::Tenant { name } => engine.lend(&TenantName::from(name.as_str()), borrowing.wanted),
+        ForwardedSubject::Instance { name } => {
+            let instance = InstanceName::from(name.as_str());
+            engine.lend_places(&instance, borrowing.wanted).await
+        }
+        ForwardedSubject::Word { instance, lender } => {
+            let instance = InstanceName::from(instance.as_str());
+            let is_given = engine.give_word(&instance, lender);
+            is_given.then_some(Loan {
+                operations: 0,
+                retry_after_ms: 0,
+            })
+        }
+    }
+}
+
 async fn run_statement(
     engine: &Arc<Engine>,
     leases: &Leases,
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Counters and latency histograms of a node, as Prometheus text.
 
+use millwind_core::ids::InstanceName;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -44,6 +46,27 @@
     }
 }
 
+/// Labels of what is told by instance.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct InstanceLabels {
+    /// Its name.
+    pub instance: String,
+}
+
+/// A count by instance.
+#[derive(Debug, Clone, Default)]
+pub struct InstanceCounts(Family<InstanceLabels, Counter>);
+
+impl InstanceCounts {
+    /// Counts one for an instance.
+    pub fn count(&self, instance: &InstanceName) {
+        let labels = InstanceLabels {
+            instance: instance.0.clone(),
+        };
+        self.0.get_or_create(&labels).inc();
+    }
+}
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -81,6 +104,12 @@
     pub quota_refusals: Counter,
     /// Loans that were asked for on behalf of tenants' callers.
     pub quota_loans: Counter,
+    /// Instances that are cold.
+    pub cold_instances: Gauge,
+    /// Statements that were given a place at a cold instance.
+    pub cold_arrivals: InstanceCounts,
+    /// Statements that found no place at one.
+    pub cold_refusals: InstanceCounts,
 }
 
 impl Default for Metrics {
@@ -108,6 +137,9 @@
             forwarded_in: Counter::default(),
             quota_refusals: Counter::default(),
             quota_loans: Counter::default(),
+            cold_instances: Gauge::default(),
+            cold_arrivals: InstanceCounts::default(),
+            cold_refusals: InstanceCounts::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Statements answered", metrics.answers.clone());
@@ -131,6 +163,21 @@
             "Loans of tenants' operations that this node asked for",
             metrics.quota_loans.clone(),
         );
+        registry.register(
+            "cold_instances",
+            "Instances that have just started",
+            metrics.cold_instances.clone(),
+        );
+        registry.register(
+            "cold_arrivals",
+            "Statements that this node sent to an instance while it was cold",
+            metrics.cold_arrivals.0.clone(),
+        );
+        registry.register(
+            "cold_refusals",
+            "Statements that found no place at an instance while it was cold",
+            metrics.cold_refusals.0.clone(),
+        );
         registry.register(
             "hedged_reads",
             "Reads tried on two instances",
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -17,6 +17,7 @@
 use crate::catalog::InstanceRecord;
 use crate::catalog_cache::CatalogCache;
 use crate::catalog_watch::{ConfigFollower, InstanceFollower};
+use crate::cold_places::ColdPlaces;
 use crate::counted_store::CountedStore;
 use crate::directory::{Directory, Known};
 use crate::duty::Duties;
@@ -130,6 +131,8 @@
     pub owners: Owners,
     /// Quotas of tenants.
     pub quotas: Quotas,
+    /// Places to arrive at cold instances.
+    pub cold_places: ColdPlaces,
     /// Which of the other nodes this one reaches.
     pub peer_reach: PeerReach,
     /// Connections leased to other nodes.
@@ -515,6 +518,7 @@
         stepping_down: Arc::default(),
         owners: Owners::default(),
         quotas: Quotas::default(),
+        cold_places: ColdPlaces::default(),
         peer_reach: PeerReach::default(),
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
@@ -573,6 +577,7 @@
     let mut seen = 0;
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
+        engine.follow_cold_instances();
         engine.pools.trim(|record| engine.spare_connections(record));
         for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
--- a/crates/millwind-engine/src/quota.rs
+++ b/crates/millwind-engine/src/quota.rs
@@ -2,7 +2,7 @@
 //! that this node counts for, and borrows for the callers that it serves.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use log::info;
@@ -10,14 +10,15 @@
 use millwind_core::ids::TenantName;
 use millwind_core::lending::Supply;
 use millwind_core::quota::{
-    Admission, Allowance, Beginning, Budget, Loan, Quota, Supply, UNCOUNTED_PERCENT, lent_percent,
+    Admission, Allowance, Beginning, Budget, Loan, Quota, UNCOUNTED_PERCENT, lent_percent,
 };
-use tokio::sync::Notify;
+use millwind_wire::forward::ForwardedSubject;
 
 use crate::answer::Refusal;
 use crate::backend::ConnectionUser;
 use crate::clock;
 use crate::forward::OwnerLink;
+use crate::lending::Borrower;
 use crate::node::Engine;
 
 /// A node that counts answers within this time: a few round trips between regions
@@ -32,26 +33,6 @@
 /// nodes differ in what they know of each other.
 const UNSPENT_MS: u64 = 8_000;
 
-/// A tenant's loans at this node, and those who wait for one.
-#[derive(Debug, Default)]
-struct Borrower {
-    allowance: Mutex<BorrowerState>,
-    answered: Notify,
-}
-
-#[derive(Debug, Default)]
-struct BorrowerState {
-    allowance: Allowance,
-    waiting: u32,
-    is_asking: bool,
-}
-
-impl Borrower {
-    fn state(&self) -> MutexGuard<'_, BorrowerState> {
-        self.allowance.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Quotas at this node.
 #[derive(Debug, Default)]
 pub struct Quotas {
@@ -65,7 +46,8 @@
 impl Quotas {
     fn borrower(&self, tenant: &TenantName) -> Arc<Borrower> {
         let mut borrowers = self.borrowers.lock().unwrap_or_else(PoisonError::into_inner);
-        borrowers.entry(tenant.clone()).or_default().clone()
+        let new = || Arc::new(Borrower::new(Allowance::default()));
+        borrowers.entry(tenant.clone()).or_insert_with(new).clone()
     }
 
     /// A node that counts was reached: what this one had saved up meanwhile is gone,
@@ -125,7 +107,7 @@
             return Ok(());
         };
         let borrower = self.quotas.borrower(tenant);
-        borrower.state().allowance.arrived(clock::now());
+        borrower.arrived(clock::now());
         loop {
             let answered = borrower.answered.notified();
             match self.try_admit(tenant, quota, &borrower) {
@@ -137,23 +119,13 @@
                 }
                 Admission::AskFirst => {}
             }
-            borrower.state().waiting += 1;
+            let _waiting = borrower.wait();
             answered.await;
-            borrower.state().waiting -= 1;
         }
     }
 
     fn try_admit(self: &Arc<Self>, tenant: &TenantName, quota: Quota, borrower: &Arc<Borrower>) -> Admission {
-        let now = clock::now();
-        let (admission, must_ask) = {
-            let mut state = borrower.state();
-            let admission = state.allowance.admit(now);
-            let is_needed = admission == Admission::AskFirst
-                || (admission == Admission::Admitted && state.allowance.is_low(now));
-            let must_ask = is_needed && !state.is_asking;
-            state.is_asking |= must_ask;
-            (admission, must_ask)
-        };
+        let (admission, must_ask) = borrower.try_admit(clock::now());
         if must_ask {
             let asking = self.clone().borrow(tenant.clone(), quota, borrower.clone());
             tokio::spawn(asking);
@@ -166,11 +138,7 @@
         // Callers that have arrived meanwhile ask for theirs.
         tokio::task::yield_now().await;
         let asked = clock::now();
-        let wanted = {
-            let mut state = borrower.state();
-            let waiting = state.waiting;
-            state.allowance.wanted(waiting, asked)
-        };
+        let wanted = borrower.wanted(asked);
         let (loan, lender) = self.ask_for_loan(&tenant, quota, wanted).await;
         if lender != Lender::Nobody {
             self.quotas.counted(&tenant);
@@ -179,11 +147,7 @@
         if loan.operations == 0 || lender == Lender::Nobody {
             self.log_denial(&tenant, wanted, loan, lender);
         }
-        let mut state = borrower.state();
-        state.allowance.lent(loan, asked, clock::now());
-        state.is_asking = false;
-        drop(state);
-        borrower.answered.notify_waiters();
+        borrower.lent(loan, asked, clock::now());
     }
 
     fn log_denial(&self, tenant: &TenantName, wanted: u32, loan: Loan, lender: Lender) {
@@ -243,7 +207,10 @@
     /// Asks the node at the other end for operations of a tenant; none if it does
     /// not count for it, or the link is lost.
     async fn borrow(&self, tenant: &TenantName, wanted: u32) -> Option<Loan> {
-        let answer = self.ask_loan(tenant.as_str(), wanted).await?;
+        let subject = ForwardedSubject::Tenant {
+            name: tenant.0.clone(),
+        };
+        let answer = self.ask_loan(subject, wanted).await?;
         (answer.counts == 1).then_some(Loan {
             operations: answer.operations,
             retry_after_ms: answer.retry_after_ms,
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -169,7 +169,7 @@
                 LinkError::Silent => ErrorKind::WindowTooShort,
                 _ => error.kind(),
             };
-            Refusal::new(kind, error).into()
+            Refusal::of_link(kind, error).into()
         }
         AttemptError::BackEnd(error) => Failure::BackEnd(error),
     }
@@ -208,6 +208,7 @@
             is_avoided: known.contact.avoid_until > now
                 || known.contact.failing_since.is_some()
                 || known.contact.is_sick(),
+            is_cold: known.warmth.is_cold(now),
         })
         .collect();
     let find = |name: InstanceName| {
--- a/crates/millwind-wire/src/forward.rs
+++ b/crates/millwind-wire/src/forward.rs
@@ -13,7 +13,7 @@
 
 /// Version of this protocol; the first byte of every message. It differs from
 /// that of the exchange, so that both may arrive at one listener.
-pub const FORWARD_VERSION: u8 = 5;
+pub const FORWARD_VERSION: u8 = 6;
 
 /// A place in a group's log.
 #[binrw]
@@ -178,18 +178,51 @@
     pub proves_leader: u8,
 }
 
-/// A question for operations of a tenant's quota.
+/// What is lent.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ForwardedSubject {
+    /// Operations of a tenant's quota.
+    #[brw(magic = 1u8)]
+    Tenant {
+        /// The tenant.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        name: String,
+    },
+    /// Statements that may be sent to an instance which is cold.
+    #[brw(magic = 2u8)]
+    Instance {
+        /// The instance.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        name: String,
+    },
+    /// The node's word that it lets no other lend places at an instance for a while.
+    #[brw(magic = 3u8)]
+    Word {
+        /// The instance.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        instance: String,
+        /// The node that wants to lend.
+        #[br(parse_with = text::read_text)]
+        #[bw(write_with = text::write_text)]
+        lender: String,
+    },
+}
+
+/// A question for a loan.
 #[binrw]
 #[brw(big)]
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardedBorrowing {
     /// Number of the call on this link.
     pub call: u64,
-    /// The tenant.
-    #[br(parse_with = text::read_text)]
-    #[bw(write_with = text::write_text)]
-    pub tenant: String,
-    /// Operations that are wanted.
+    /// What is to be lent.
+    pub subject: ForwardedSubject,
+    /// How much is wanted.
     pub wanted: u32,
 }
 
@@ -200,9 +233,9 @@
 pub struct ForwardedLoan {
     /// Number of the call.
     pub call: u64,
-    /// One if the node counts for the tenant; else the rest says nothing.
+    /// One if the node lends this subject, or gives its word; else the rest says nothing.
     pub counts: u8,
-    /// Operations that may be admitted.
+    /// Operations or statements that may be admitted.
     pub operations: u32,
     /// When refused callers may come back, in milliseconds.
     pub retry_after_ms: u32,
@@ -225,7 +258,7 @@
     /// Tell that the node lives.
     #[brw(magic = 3u8)]
     Ping,
-    /// Lend operations of a tenant's quota.
+    /// Lend something.
     #[brw(magic = 4u8)]
     Borrow(ForwardedBorrowing),
 }
@@ -274,6 +307,12 @@
         /// Number of the failure.
         kind: u8,
     },
+    /// The statement was not sent: the instance is cold and had no place for it.
+    #[brw(magic = 4u8)]
+    WarmingUp {
+        /// When the caller may come back, in milliseconds.
+        retry_after_ms: u32,
+    },
 }
 
 /// What a node knows of a group's leader.
@@ -333,7 +372,7 @@
     /// The node stops: open leases may end, new ones go elsewhere.
     #[brw(magic = 3u8)]
     Leaving,
-    /// The answer to a question for operations.
+    /// The answer to a question for a loan.
     #[brw(magic = 4u8)]
     Loan(ForwardedLoan),
 }
