--- a/crates/millwind-engine/src/cold_places.rs
+++ b/crates/millwind-engine/src/cold_places.rs
@@ -230,8 +230,7 @@
     /// A statement is told that it found no place.
     pub fn note_place_refused(&self, record: &InstanceRecord, refused: PlaceRefused) {
         self.metrics.cold_refusals.count(&record.name);
-        // Reads leave it alone for a moment.
-        self.directory.avoid(&record.name);
+        self.directory.avoid_while_full(&record.name);
         if self.request_log.admit() {
             info!(
                 "event=cold_place_refused instance={} group={} retry_after_ms={}",
--- a/crates/millwind-engine/src/directory/contact.rs
+++ b/crates/millwind-engine/src/directory/contact.rs
@@ -4,6 +4,7 @@
 use millwind_core::Instant;
 use millwind_core::ids::InstanceName;
 use millwind_core::outlier::StatementHealth;
+use millwind_core::warm_up::BORROWING;
 
 use super::Directory;
 use crate::catalog::InstanceRecord;
@@ -86,8 +87,18 @@
 
     /// An instance is left alone by reads for a moment.
     pub fn avoid(&self, instance: &InstanceName) {
+        self.avoid_for(instance, AVOID_MS);
+    }
+
+    /// A cold instance had no place: reads leave it alone until there may be one.
+    pub fn avoid_while_full(&self, instance: &InstanceName) {
+        self.avoid_for(instance, BORROWING.denied_pause_ms);
+    }
+
+    fn avoid_for(&self, instance: &InstanceName, avoid_ms: u64) {
         if let Some(known) = self.state().instances.get_mut(instance) {
-            known.contact.avoid_until = clock::now().plus_millis(AVOID_MS);
+            let until = clock::now().plus_millis(avoid_ms);
+            known.contact.avoid_until = known.contact.avoid_until.max(until);
         }
     }
 
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -190,13 +190,16 @@
                 inquiry.taken();
                 note_error(engine, &self.record, error);
             }
+            Err(AttemptError::Link(LinkError::WarmingUp { .. })) => {
+                inquiry.passed();
+                engine.directory.avoid_while_full(&self.record.name);
+            }
             Err(AttemptError::Link(error)) => {
                 inquiry.passed();
                 engine.directory.avoid(&self.record.name);
                 // Nodes that stand in for an owner which has too much to do would
                 // only send more to the same instance.
-                let is_of_instance = matches!(error, LinkError::NoConnection | LinkError::WarmingUp { .. });
-                if !is_of_instance {
+                if *error != LinkError::NoConnection {
                     engine.owners.avoid(self.link.address(), &self.record.name);
                 }
             }
