--- a/crates/millwind-core/src/warm_up.rs
+++ b/crates/millwind-core/src/warm_up.rs
@@ -123,7 +123,7 @@
 /// in milliseconds: a few round trips between regions (20 ms one way on the users'
 /// sites). The longer it is, the less can be lent, since places of an earlier second
 /// may still be used in the next.
-pub const PLACE_MS: u64 = 200;
+pub const PLACE_MS: u64 = 150;
 /// The window over which arrivals are summed, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 /// A node that got no place asks again after this time, in milliseconds: with the terms
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -103,7 +103,7 @@
     }
 
     /// Opens connections of a pool ahead of need, in the background.
-    pub fn warm_up(&self, pool: Arc<Pool>, count: usize) {
+    pub fn open_ahead(&self, pool: Arc<Pool>, count: usize) {
         if pool.open_connections() < count {
             tokio::spawn(open_ahead(pool, count, OPEN_PACE));
         }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -13,7 +13,7 @@
 use crate::ports::CatalogCodec;
 
 /// Connections opened ahead of need to a new instance.
-const WARM_CONNECTIONS: usize = 1;
+const AHEAD_CONNECTIONS: usize = 1;
 
 /// Who told this node of a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,19 +67,19 @@
             self.metrics.config_age.observe(age_ms as f64 / 1_000.0);
             self.pools.set_shares(|record| self.share_of(record));
             for known in self.directory.instances() {
-                self.warm_up(&known.record);
+                self.open_ahead(&known.record);
             }
             self.wake_monitor();
         }
     }
 
     /// Opens connections to an instance of a configured group ahead of need.
-    fn warm_up(&self, record: &InstanceRecord) {
+    fn open_ahead(&self, record: &InstanceRecord) {
         let is_configured = self.directory.group_limits(&record.group).is_some();
         let share = self.share_of(record);
         let is_of_use = !self.tells_tenants_apart() && share >= AMPLE_SHARE;
         if is_configured && !record.is_leaving && is_of_use && self.registry.is_listed() {
-            self.pools.warm_up(self.pool(record), WARM_CONNECTIONS);
+            self.pools.open_ahead(self.pool(record), AHEAD_CONNECTIONS);
         }
     }
 
@@ -143,7 +143,7 @@
             .is_none_or(|known| known.is_gone);
         let has_changed = self.directory.apply_record(record.clone());
         if is_new {
-            self.warm_up(&record);
+            self.open_ahead(&record);
         }
         has_changed
     }
--- a/crates/millwind-engine/src/cold_places.rs
+++ b/crates/millwind-engine/src/cold_places.rs
@@ -5,7 +5,7 @@
 //! whatever is cut off or starts anew: one owner lends at a time, by the word of most
 //! owners, and who reaches no lender sends nothing.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -35,6 +35,8 @@
 /// with the terms on the users' sites two places come within it, and those who wait
 /// don't all ask at the same moment.
 const PAUSE_MS: std::ops::Range<u64> = 60..140;
+/// Longest time after which a caller is told to come back, in milliseconds.
+const MOST_RETRY_AFTER_MS: f64 = 5_000.0;
 
 /// What a statement may do that finds no place at a cold instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,11 +120,11 @@
         true
     }
 
-    /// Whether one that is more urgent waits at this node.
-    fn is_behind_others(&self) -> bool {
+    /// Those at this node that wait and are more urgent.
+    fn ahead(&self) -> usize {
         let waiting = self.engine.cold_places.waiting();
         let ranks = waiting.get(&self.record.name);
-        ranks.is_some_and(|ranks| ranks.range(..self.rank).next().is_some())
+        ranks.map_or(0, |ranks| ranks.range(..self.rank).map(|(_, count)| *count).sum())
     }
 }
 
@@ -185,6 +187,13 @@
         borrowers.entry(instance.clone()).or_insert_with(new).clone()
     }
 
+    /// Forgets instances that are not known any more.
+    fn forget_others(&self, known: &HashSet<&InstanceName>) {
+        locked(&self.borrowers).retain(|instance, _| known.contains(instance));
+        locked(&self.last_lenders).retain(|instance, _| known.contains(instance));
+        locked(&self.lenders).retain(|instance, _| known.contains(instance));
+    }
+
     fn waiting(&self) -> MutexGuard<'_, Waiting> {
         locked(&self.waiting)
     }
@@ -201,10 +210,9 @@
         let Some(terms) = self.directory.cold_terms(&record.name) else {
             return Ok(());
         };
-        if wait.is_behind_others() {
-            let supply = supply(terms, self.settings.warm_up_tolerance);
-            let retry_after_ms = (1_000.0 / supply.rate_per_s.max(1.0)) as u32;
-            return Err(PlaceRefused { retry_after_ms });
+        let ahead = wait.ahead();
+        if ahead > 0 {
+            return Err(self.refused_behind(ahead, terms));
         }
         let borrower = self.cold_places.borrower(&record.name);
         borrower.arrived(clock::now());
@@ -227,6 +235,16 @@
         }
     }
 
+    /// A statement leaves the places to `ahead` others that are more urgent: its caller
+    /// may come back when they have theirs.
+    fn refused_behind(&self, ahead: usize, terms: WarmUpTerms) -> PlaceRefused {
+        let rate_per_s = supply(terms, self.settings.warm_up_tolerance).rate_per_s;
+        let wait_ms = (ahead + 1) as f64 * OWNERS as f64 * 1_000.0 / rate_per_s.max(0.001);
+        PlaceRefused {
+            retry_after_ms: wait_ms.min(MOST_RETRY_AFTER_MS) as u32,
+        }
+    }
+
     /// A statement is told that it found no place.
     pub fn note_place_refused(&self, record: &InstanceRecord, refused: PlaceRefused) {
         self.metrics.cold_refusals.count(&record.name);
@@ -397,23 +415,26 @@
         (is_settled || may_give) && entry.word.give(lender, now)
     }
 
-    /// Looks which instances are cold, and who owns those that may be.
+    /// Looks which instances are cold, and who owns those.
     pub(crate) fn follow_cold_instances(&self) {
+        let config = self.directory.config();
+        let warms_up =
+            config.is_some_and(|config| config.groups.values().any(|limits| limits.warm_up.is_some()));
+        if !warms_up {
+            return self.log_changes(Vec::new());
+        }
         let now = clock::now();
+        let instances = self.directory.instances();
         let mut cold = Vec::new();
-        for known in self.directory.instances() {
-            let limits = self.directory.group_limits(&known.record.group);
-            if limits.and_then(|limits| limits.warm_up).is_none() {
-                continue;
-            }
+        for known in instances.iter().filter(|known| known.warmth.is_cold(now)) {
             let owners = self.place_owners(&known.record);
             let mut lenders = locked(&self.cold_places.lenders);
             let lender = lenders.entry(known.record.name.clone()).or_default();
             lender.note_owners(&owners, now);
-            if known.warmth.is_cold(now) {
-                cold.push(known.record.name.clone());
-            }
+            cold.push(known.record.name.clone());
         }
+        let known: HashSet<_> = instances.iter().map(|known| &known.record.name).collect();
+        self.cold_places.forget_others(&known);
         self.log_changes(cold);
     }
 
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -225,6 +225,9 @@
             );
             self.leaders_changed.notify_waiters();
         }
+        for zone in &change.taken_back {
+            self.zone_unused_until_now(zone);
+        }
         change
     }
 
