Versions of forwarding and of the exchange differ again, checked when compiled

The bump of the forwarding protocol had made them the same, so that the listener took exchanges for forwarding: a_node_that_starts_while_the_store_is_out_learns_from_a_peer failed (seen), and passes.

--- a/crates/millwind-wire/src/forward.rs
+++ b/crates/millwind-wire/src/forward.rs
@@ -9,11 +9,15 @@
 
 use binrw::{BinRead, BinWrite, binrw};
 
+use crate::exchange::EXCHANGE_VERSION;
 use crate::text;
 
 /// Version of this protocol; the first byte of every message. It differs from
 /// that of the exchange, so that both may arrive at one listener.
-pub const FORWARD_VERSION: u8 = 6;
+pub const FORWARD_VERSION: u8 = 8;
+
+// A message that both protocols claim would be taken for the wrong one.
+const _: () = assert!(FORWARD_VERSION != EXCHANGE_VERSION);
 
 /// A place in a group's log.
 #[binrw]
