--- a/crates/millwind-core/src/lender_lease.rs
+++ b/crates/millwind-core/src/lender_lease.rs
@@ -14,6 +14,11 @@
 pub const WORD_MS: u64 = 1_000;
 /// A lender asks again when so much of its time is left, in milliseconds.
 const RENEW_MS: u64 = 600;
+/// An owner that was refused asks again when the words that were given meanwhile are
+/// over, and so much later for each owner before it, in milliseconds: a few round trips
+/// between regions. Owners that ask at the same moment, each with the other's word, would
+/// else renew these for good.
+const RANK_PAUSE_MS: u64 = 100;
 
 /// To whom an owner has given its word for an instance.
 #[derive(Debug, Clone, Default)]
@@ -41,10 +46,17 @@
     now.millis_since(owner_since) >= WORD_MS
 }
 
+/// Whether `words` are those of most of the owners.
+pub fn is_most(words: usize, owners: usize) -> bool {
+    words * 2 > owners
+}
+
 /// What a lender holds.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LenderLease {
     until: Option<Instant>,
+    /// The owners were asked in vain, and are not asked before this time.
+    ask_after: Option<Instant>,
 }
 
 /// What a lender may do now.
@@ -68,15 +80,31 @@
         }
     }
 
+    /// Whether the owners may be asked.
+    pub fn may_ask(&self, now: Instant) -> bool {
+        self.ask_after.is_none_or(|after| after <= now)
+    }
+
     /// Takes in the answers of the owners to a question sent at `asked`: `words` of
-    /// `owners` gave their word, the lender among them. True if it lends from now on and
+    /// `owners` gave their word, the lender among them, which has `rank` owners before
+    /// it. True if it lends from now on and
     /// did not before: what it had saved up for lending is void, since another may have
     /// lent meanwhile.
-    pub fn answered(&mut self, words: usize, owners: usize, asked: Instant, now: Instant) -> bool {
+    pub fn answered(
+        &mut self,
+        words: usize,
+        owners: usize,
+        rank: usize,
+        asked: Instant,
+        now: Instant,
+    ) -> bool {
         let was_held = self.state(now) != LeaseState::NotHeld;
-        if words * 2 <= owners {
+        if !is_most(words, owners) {
+            let pause_ms = WORD_MS + rank as u64 * RANK_PAUSE_MS;
+            self.ask_after = (!was_held).then(|| now.plus_millis(pause_ms));
             return false;
         }
+        self.ask_after = None;
         let until = asked.plus_millis(WORD_MS);
         self.until = Some(self.until.map_or(until, |held| held.max(until)));
         !was_held && self.state(now) != LeaseState::NotHeld
--- a/crates/millwind-core/tests/cold_places.rs
+++ b/crates/millwind-core/tests/cold_places.rs
@@ -205,11 +205,11 @@
             return true;
         }
         let asked = Instant::from_millis(*now_ms);
-        let owners = self.owners(lender, *now_ms);
-        if !self.gives_word(lender, lender, *now_ms) {
+        if !self.nodes[lender].lease.may_ask(asked) {
             return state == LeaseState::Renewing;
         }
-        let mut words = 1;
+        let owners = self.owners(lender, *now_ms);
+        let mut words = 0;
         for owner in owners.into_iter().filter(|owner| *owner != lender) {
             let is_reached = self.are_connected(lender, owner, *now_ms) && !self.is_down(owner, *now_ms);
             if is_reached && self.gives_word(owner, lender, *now_ms + ONE_WAY_MS) {
@@ -217,11 +217,13 @@
             }
         }
         let answered_ms = *now_ms + 2 * ONE_WAY_MS;
+        words += usize::from(self.gives_word(lender, lender, answered_ms));
         if state == LeaseState::NotHeld {
             *now_ms = answered_ms;
         }
         let now = Instant::from_millis(answered_ms);
-        if self.nodes[lender].lease.answered(words, OWNERS, asked, now) {
+        let rank = owners.iter().position(|owner| *owner == lender).unwrap_or(OWNERS);
+        if self.nodes[lender].lease.answered(words, OWNERS, rank, asked, now) {
             self.nodes[lender].budget = None;
         }
         self.nodes[lender].lease.state(now) != LeaseState::NotHeld
@@ -457,6 +459,24 @@
     assert!(later >= 60, "{later} in the last 6 s");
 }
 
+/// Two owners each with the other's word: they ask again one after the other, when these
+/// words are over.
+#[test]
+fn owners_that_refuse_each_other_don_t_do_so_for_good() {
+    let start = Instant::from_millis(5_000);
+    let mut leases = [LenderLease::default(), LenderLease::default()];
+    let mut words = [Word::default(), Word::default()];
+    assert!(words[0].give("second", start) && words[1].give("first", start));
+    for (rank, lease) in leases.iter_mut().enumerate() {
+        assert!(!lease.answered(1, OWNERS, rank, start, start));
+        assert!(!lease.may_ask(start.plus_millis(500)));
+    }
+    let later = start.plus_millis(1_050);
+    assert!(leases[0].may_ask(later) && !leases[1].may_ask(later));
+    assert!(words[1].give("first", later) && words[0].give("first", later));
+    assert!(leases[0].answered(2, OWNERS, 0, later, later));
+}
+
 fn troubles() -> impl Strategy<Value = Trouble> {
     let at = 2_000_u64..8_000;
     prop_oneof![
--- a/crates/millwind-engine/src/cold_places.rs
+++ b/crates/millwind-engine/src/cold_places.rs
@@ -10,11 +10,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use millwind_core::Instant;
 use millwind_core::ids::InstanceName;
-use millwind_core::lender_lease::{LeaseState, LenderLease, WORD_MS, Word, may_give};
+use millwind_core::lender_lease::{LeaseState, LenderLease, WORD_MS, Word, is_most, may_give};
 use millwind_core::lending::{Admission, Allowance, Beginning, Budget, Loan};
 use millwind_core::warm_up::{BORROWING, WarmUpTerms, supply};
 use millwind_wire::forward::ForwardedSubject;
@@ -159,6 +160,30 @@
     owners_since: Option<Instant>,
     /// Held while the owners are asked.
     asking: Arc<tokio::sync::Mutex<()>>,
+    /// It is asking the owners for their word.
+    is_candidate: bool,
+}
+
+/// This node asks the owners of an instance for their word, until this is dropped.
+struct Candidacy<'a> {
+    places: &'a ColdPlaces,
+    instance: &'a InstanceName,
+}
+
+impl<'a> Candidacy<'a> {
+    fn begin(places: &'a ColdPlaces, instance: &'a InstanceName) -> Self {
+        let mut lenders = locked(&places.lenders);
+        lenders.entry(instance.clone()).or_default().is_candidate = true;
+        Candidacy { places, instance }
+    }
+}
+
+impl Drop for Candidacy<'_> {
+    fn drop(&mut self) {
+        if let Some(lender) = locked(&self.places.lenders).get_mut(self.instance) {
+            lender.is_candidate = false;
+        }
+    }
 }
 
 /// Those who wait for a place, by instance and rank.
@@ -357,34 +382,53 @@
         lender.map_or(LeaseState::NotHeld, |lender| lender.lease.state(clock::now()))
     }
 
-    /// Asks the owners of an instance for their word, this node first.
+    fn may_ask_for_word(&self, instance: &InstanceName) -> bool {
+        let lenders = locked(&self.cold_places.lenders);
+        let lender = lenders.get(instance);
+        lender.is_none_or(|lender| lender.lease.may_ask(clock::now()))
+    }
+
+    /// Asks the owners of an instance for their word, unless that was in vain a moment ago.
     async fn ask_for_word(&self, record: &InstanceRecord) {
         let asking = {
             let mut lenders = locked(&self.cold_places.lenders);
             lenders.entry(record.name.clone()).or_default().asking.clone()
         };
         let _asking = asking.lock().await;
-        if self.lease_state(&record.name) == LeaseState::Held {
+        let is_needed = self.lease_state(&record.name) != LeaseState::Held;
+        if !is_needed || !self.may_ask_for_word(&record.name) {
             return;
         }
+        let _candidacy = Candidacy::begin(&self.cold_places, &record.name);
         let asked = clock::now();
-        let lender = &self.settings.name;
-        if !self.give_word(&record.name, lender) {
-            return;
-        }
+        let lender = self.settings.peer_address;
         let owners = self.place_owners(record);
         let others = owners.iter().filter(|owner| !owner.is_self);
         let questions = others.map(|owner| {
             let subject = ForwardedSubject::Word {
                 instance: record.name.0.clone(),
-                lender: lender.clone(),
+                lender: lender.to_string(),
             };
             self.ask_owner(owner.address, subject, 0)
         });
-        let words = 1 + join_all(questions).await.into_iter().flatten().count();
+        // Those that are silent are not waited for once there are enough with its own.
+        let mut answers: FuturesUnordered<_> = questions.collect();
+        let mut of_others = 0;
+        while !is_most(of_others + 1, owners.len()) {
+            let Some(answer) = answers.next().await else {
+                break;
+            };
+            of_others += usize::from(answer.is_some());
+        }
+        // Its own word comes last: it may have gone to another meanwhile.
+        let words = of_others + usize::from(self.give_word(&record.name, lender));
         let mut lenders = locked(&self.cold_places.lenders);
         let entry = lenders.entry(record.name.clone()).or_default();
-        if entry.lease.answered(words, owners.len(), asked, clock::now()) {
+        let rank = owners.iter().position(|owner| owner.is_self).unwrap_or_default();
+        let is_new = entry
+            .lease
+            .answered(words, owners.len(), rank, asked, clock::now());
+        if is_new {
             // Another may have lent meanwhile.
             entry.budget = None;
             info!(
@@ -397,14 +441,20 @@
 
     /// Whether this node gives its word that it lets nobody but `lender` lend places at
     /// an instance for a while.
-    pub(crate) fn give_word(&self, instance: &InstanceName, lender: &str) -> bool {
+    ///
+    /// While it asks for that itself it leaves it to those that come before it among the
+    /// owners alone: owners that ask each other at the same time would else refuse each
+    /// other for good.
+    pub(crate) fn give_word(&self, instance: &InstanceName, lender: SocketAddr) -> bool {
         let Some(known) = self.directory.instance(instance) else {
             return false;
         };
         let owners = self.place_owners(&known.record);
-        if !owners.iter().any(|owner| owner.is_self) {
+        let Some(own_rank) = owners.iter().position(|owner| owner.is_self) else {
             return false;
-        }
+        };
+        let rank = owners.iter().position(|owner| owner.address == lender);
+        let comes_after = rank.is_none_or(|rank| rank > own_rank);
         let now = clock::now();
         let mut lenders = locked(&self.cold_places.lenders);
         let entry = lenders.entry(instance.clone()).or_default();
@@ -412,7 +462,8 @@
         // The nodes have not changed since before this node first looked.
         let is_settled = self.registry.unchanged_ms() >= WORD_MS;
         let may_give = entry.owners_since.is_some_and(|since| may_give(since, now));
-        (is_settled || may_give) && entry.word.give(lender, now)
+        let is_rival = entry.is_candidate && comes_after;
+        (is_settled || may_give) && !is_rival && entry.word.give(&lender.to_string(), now)
     }
 
     /// Looks which instances are cold, and who owns those.
--- a/crates/millwind-engine/src/forward/server.rs
+++ b/crates/millwind-engine/src/forward/server.rs
@@ -230,6 +230,7 @@
         }
         ForwardedSubject::Word { instance, lender } => {
             let instance = InstanceName::from(instance.as_str());
+            let lender = lender.parse().ok()?;
             let is_given = engine.give_word(&instance, lender);
             is_given.then_some(Loan {
                 operations: 0,
--- a/crates/millwind-wire/src/forward.rs
+++ b/crates/millwind-wire/src/forward.rs
@@ -210,7 +210,7 @@
         #[br(parse_with = text::read_text)]
         #[bw(write_with = text::write_text)]
         instance: String,
-        /// The node that wants to lend.
+        /// Address of the node that wants to lend.
         #[br(parse_with = text::read_text)]
         #[bw(write_with = text::write_text)]
         lender: String,
