--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -4,6 +4,7 @@
 mod contact;
 mod lives;
 mod permits;
+mod warmth;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,6 +17,7 @@
 use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
+use millwind_core::warm_up::{Sight, Warmth};
 use tokio::sync::{Notify, watch};
 
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
@@ -23,6 +25,8 @@
 use crate::clock;
 use crate::peers::Testimony;
 
+use warmth::sight_of;
+
 pub use contact::Contact;
 use lives::{FormerLog, SteppedDown, begin_life};
 
@@ -46,6 +50,10 @@
     pub contact: Contact,
     /// What peers said of it, and when.
     pub testimony: Option<(Instant, Testimony)>,
+    /// What was seen of this life that tells whether it is warm.
+    sight: Sight,
+    /// Whether it is warm.
+    pub warmth: Warmth,
     /// Since when this life of the instance is known; none for the first one.
     pub life_began: Option<Instant>,
 }
@@ -237,6 +245,9 @@
             );
             self.leaders_changed.notify_waiters();
         }
+        for zone in &change.taken_back {
+            self.zone_unused_until_now(zone);
+        }
         change
     }
 
@@ -278,6 +289,7 @@
         }
         let same_life = previous.filter(|_| began.is_none());
         let leaving_before = same_life.and_then(|known| known.leaving_since);
+        let sight = sight_of(previous, began.is_some(), &record, now);
         let name = record.name.clone();
         let group = record.group.clone();
         let newly_claims = record.claims_lead && !claimed_before;
@@ -303,6 +315,8 @@
             is_gone: false,
             is_disowned: false,
             is_leaving: false,
+            sight,
+            warmth: Warmth::Warm,
         };
         state.insert(known);
         if began.is_none() {
@@ -429,14 +443,19 @@
     /// An instance with what is known of it.
     pub fn instance(&self, instance: &InstanceName) -> Option<Known> {
         let state = self.state();
-        state.instances.get(instance).map(|known| self.as_of_now(known))
+        state
+            .instances
+            .get(instance)
+            .map(|known| self.as_of_now(&state, known))
     }
 
-    fn as_of_now(&self, known: &Known) -> Known {
+    fn as_of_now(&self, state: &State, known: &Known) -> Known {
+        let now = clock::now();
         let is_announced = known.record.is_leaving || known.is_disowned;
-        let is_over = |since: Instant| clock::now().millis_since(since) >= self.gone_grace_ms;
+        let is_over = |since: Instant| now.millis_since(since) >= self.gone_grace_ms;
         Known {
             is_leaving: is_announced || (known.is_gone && known.leaving_since.is_some_and(is_over)),
+            warmth: known.sight.warmth(state.warm_up_terms(known), now),
             ..known.clone()
         }
     }
@@ -447,7 +466,7 @@
         let members = state.members.get(group).into_iter().flatten();
         members
             .filter_map(|name| state.instances.get(name))
-            .map(|known| self.as_of_now(known))
+            .map(|known| self.as_of_now(&state, known))
             .collect()
     }
 
@@ -474,7 +493,7 @@
         state
             .instances
             .values()
-            .map(|known| self.as_of_now(known))
+            .map(|known| self.as_of_now(&state, known))
             .collect()
     }
 
