Evacuated zones: requests are heard with the configuration, reads, leaders and transactions leave

Cause: nobody read the operators' requests, so that statements went on to the instances of a zone that was to be emptied.

Requests and configuration are listed and watched as one prefix: no call to the store is added (a test counts them). A full listing dates removals, an event of the watch changes one zone, the comparisons between nodes carry the whole list with the age of each request. A node is not ready before it knows them. A listing can't tell how long ago a request was made: it counts as old as what was known before, so that a node that just started gives a leader in such a zone no time at all.

Replicas get nothing new from then on. A leader is handed over as one that announced its end, never to an instance in such a zone while it serves; statements that need it wait for the next one, and are refused at once where all instances stand in such zones. After half of the bound nothing is sent there at all, checked before each exchange, since a statement may have waited long for its turn; transactions open there are ended, resting sessions too.

Ruled out: a watch of its own (a call more a node in each wait); an age of its own.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -29,6 +29,8 @@
     pub is_refusing: bool,
     /// It has announced that it will end, or has left the list of instances.
     pub is_leaving: bool,
+    /// Its zone is being evacuated, and a healthy replica stands in another one.
+    pub must_leave_zone: bool,
     /// Time since its last heartbeat in the store, where the store is heard.
     pub heartbeat_age_ms: Option<u64>,
     /// Peers whose fresh report says that they reach it.
@@ -61,6 +63,8 @@
 pub enum ReplaceReason {
     /// It announced its end.
     Leaving,
+    /// Its zone is being evacuated.
+    Evacuated,
     /// Its process is gone.
     Refusing,
     /// Several nodes fail to reach it.
@@ -84,13 +88,14 @@
 
     /// Whether the leader still serves, so that its commits need not be lost.
     pub const fn is_of_live_leader(self) -> bool {
-        self.is_by_statements() || matches!(self, ReplaceReason::Leaving)
+        self.is_by_statements() || matches!(self, ReplaceReason::Leaving | ReplaceReason::Evacuated)
     }
 
     /// The name in logs.
     pub const fn name(self) -> &'static str {
         match self {
             ReplaceReason::Leaving => "leaving",
+            ReplaceReason::Evacuated => "evacuated",
             ReplaceReason::Refusing => "refusing",
             ReplaceReason::Agreed => "agreed",
             ReplaceReason::HeartbeatSilent => "heartbeat_silent",
@@ -113,6 +118,9 @@
         return LeaderVerdict::Replace(ReplaceReason::Leaving);
     }
     let Some(failing_since) = evidence.failing_since else {
+        if evidence.must_leave_zone {
+            return LeaderVerdict::Replace(ReplaceReason::Evacuated);
+        }
         return judge_statements(now, evidence, times);
     };
     let silent_ms = now.millis_since(failing_since);
--- a/crates/millwind-core/tests/failover.rs
+++ b/crates/millwind-core/tests/failover.rs
@@ -158,3 +158,27 @@
     let verdict = judge_leader(now, &evidence, &TIMES);
     assert_eq!(verdict, LeaderVerdict::Replace(ReplaceReason::Outlier));
 }
+
+#[test]
+fn a_leader_that_must_leave_its_zone_hands_over_while_it_serves() {
+    let now = Instant::from_millis(100_000);
+    let mut evidence = LeaderEvidence {
+        replicas_reached: 2,
+        healthy_replicas: 2,
+        must_leave_zone: true,
+        ..LeaderEvidence::default()
+    };
+    let verdict = judge_leader(now, &evidence, &TIMES);
+    assert_eq!(verdict, LeaderVerdict::Replace(ReplaceReason::Evacuated));
+    assert!(ReplaceReason::Evacuated.is_of_live_leader());
+    // A leader that is lost is replaced as one, so that nobody waits for its commits.
+    evidence.failing_since = Some(Instant::from_millis(98_000));
+    evidence.peers_failing = 2;
+    let verdict = judge_leader(now, &evidence, &TIMES);
+    assert_eq!(verdict, LeaderVerdict::Replace(ReplaceReason::Agreed));
+    evidence = LeaderEvidence {
+        must_leave_zone: true,
+        ..LeaderEvidence::default()
+    };
+    assert_eq!(judge_leader(now, &evidence, &TIMES), LeaderVerdict::Healthy);
+}
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -236,6 +236,16 @@
         drop(unneeded);
     }
 
+    /// Closes all connections that rest but `kept`.
+    pub fn close_resting(&self, kept: usize) {
+        let unneeded = {
+            let mut state = self.state();
+            let surplus = state.idle.len().saturating_sub(kept);
+            state.idle.drain(..surplus).collect::<Vec<_>>()
+        };
+        drop(unneeded);
+    }
+
     /// Open connections.
     pub fn open_connections(&self) -> usize {
         self.state().open
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -70,7 +70,8 @@
         pool
     }
 
-    fn all(&self) -> Vec<Arc<Pool>> {
+    /// All pools.
+    pub fn all(&self) -> Vec<Arc<Pool>> {
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         pools.values().map(|shared| shared.pool.clone()).collect()
     }
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -67,7 +67,7 @@
 }
 
 /// An age as it travels; the greatest value for never.
-fn write_age(age_ms: Option<u64>) -> u32 {
+pub fn write_age(age_ms: Option<u64>) -> u32 {
     age_ms.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX)
 }
 
@@ -141,8 +141,11 @@
         config_version: u64,
         instances_revision: u64,
         own_revision: u64,
+        evacuations_revision: u64,
         engine: &Engine,
     ) -> ExchangeReply {
+        // Before anything is read: what changes meanwhile is not covered by it.
+        let store_age_ms = write_age(engine.relays.store_age_ms());
         let mut state = self.state();
         let newer_config = state.config.as_mut().filter(|kept| kept.version > config_version);
         let config = newer_config.and_then(KeptConfig::travelling);
@@ -154,12 +157,13 @@
             .collect();
         ExchangeReply::Catalog {
             config: config.into_iter().collect(),
+            evacuations: engine.evacuations_after(evacuations_revision),
             instances,
             instances_revision: state.instances_revision,
             own: engine.own_keys.documents_after(own_revision),
             own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
-            store_age_ms: write_age(engine.relays.store_age_ms()),
+            store_age_ms,
             own_age_ms: write_age(engine.directory.terms_age_ms()),
         }
     }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -77,7 +77,8 @@
     fn warm_up(&self, record: &InstanceRecord) {
         let is_configured = self.directory.group_limits(&record.group).is_some();
         let share = self.share_of(record);
-        let is_of_use = !self.tells_tenants_apart() && share >= AMPLE_SHARE;
+        let is_evacuated = self.directory.evacuated_since(&record.zone).is_some();
+        let is_of_use = !is_evacuated && !self.tells_tenants_apart() && share >= AMPLE_SHARE;
         if is_configured && !record.is_leaving && is_of_use && self.registry.is_listed() {
             self.pools.warm_up(self.pool(record), WARM_CONNECTIONS);
         }
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -23,7 +23,9 @@
     }
 }
 
-/// Follows the configuration.
+/// Follows what operators write: the configuration and the requests to evacuate zones,
+/// with one watch, so that the requests cost no calls of their own and are as fresh as
+/// the configuration.
 pub struct ConfigFollower {
     engine: Arc<Engine>,
     codec: Arc<dyn CatalogCodec>,
@@ -53,10 +55,13 @@
     }
 
     fn listed(&self, listing: Listing) {
+        // First the requests: with a configuration the node may serve.
+        self.engine.take_evacuation_listing(&*self.codec, &listing);
         self.apply(listing.entries);
     }
 
     fn changed(&self, entries: Vec<Entry>) {
+        self.engine.take_evacuation_events(&*self.codec, &entries);
         self.apply(entries);
     }
 
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -2,6 +2,7 @@
 //! group, what the leaders reported, and how each instance answers.
 
 mod contact;
+mod evacuation;
 mod permits;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -9,8 +10,8 @@
 
 use log::info;
 use millwind_core::Instant;
-use millwind_core::evacuation::{EvacuationChange, Evacuations};
-use millwind_core::ids::{GroupName, InstanceName, ZoneName};
+use millwind_core::evacuation::Evacuations;
+use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::lead_permit::ClosedTerms;
 use millwind_core::leader_observation::{LeaderObservation, LeaderObservations};
 use millwind_core::position::{Position, Term};
@@ -131,6 +132,8 @@
     completed: Notify,
     /// Version of the configuration in force, zero before the first.
     config_version: watch::Sender<u64>,
+    /// Counts the changes of evacuated zones.
+    evacuation_changes: watch::Sender<u64>,
 }
 
 impl Directory {
@@ -150,6 +153,7 @@
             observed: Notify::new(),
             completed: Notify::new(),
             config_version: watch::Sender::new(0),
+            evacuation_changes: watch::Sender::new(0),
         }
     }
 
@@ -195,7 +199,7 @@
     /// Whether enough is known to serve callers.
     pub fn is_complete(&self) -> bool {
         let state = self.state();
-        state.config.is_some() && state.has_listing
+        state.config.is_some() && state.has_listing && state.evacuations.is_known()
     }
 
     /// Waits until more is known of the configuration or the instances, or
@@ -207,29 +211,6 @@
         }
     }
 
-    /// Takes in all requests to evacuate a zone that the store held at `revision`.
-    pub fn apply_evacuations(&self, zones: &[ZoneName], revision: u64) -> EvacuationChange {
-        let change = self.state().evacuations.apply(zones, revision, clock::now());
-        if !change.is_empty() {
-            info!(
-                "event=evacuations_changed begun={:?} taken_back={:?} revision={revision}",
-                change.begun, change.taken_back
-            );
-            self.leaders_changed.notify_waiters();
-        }
-        change
-    }
-
-    /// Since when this node knows that a zone is being evacuated; none where it is not.
-    pub fn evacuated_since(&self, zone: &ZoneName) -> Option<Instant> {
-        self.state().evacuations.since(zone)
-    }
-
-    /// The zones that are being evacuated.
-    pub fn evacuations(&self) -> Evacuations {
-        self.state().evacuations.clone()
-    }
-
     /// Limits of a group; none if it is not configured.
     pub fn group_limits(&self, group: &GroupName) -> Option<GroupLimits> {
         let config = self.config()?;
--- a/crates/millwind-engine/src/eligibility.rs
+++ b/crates/millwind-engine/src/eligibility.rs
@@ -2,8 +2,10 @@
 
 use millwind_core::data_residency::AllowedRegions;
 use millwind_core::eligibility::{Ineligible, InstanceFacts, judge_instance};
+use millwind_core::ids::GroupName;
 
 use crate::directory::Known;
+use crate::execution::AttemptError;
 use crate::node::Engine;
 
 /// What a statement uses an instance as.
@@ -35,6 +37,17 @@
         judge_instance(regions, &facts)
     }
 
+    /// Whether a statement whose try failed so can run nowhere, so that trying on is in
+    /// vain. Where only the zone of the instance that was tried is being evacuated,
+    /// another instance may serve, or lead soon.
+    pub fn is_in_vain(&self, error: &AttemptError, group: &GroupName, regions: &AllowedRegions) -> bool {
+        match error.ineligible() {
+            None => false,
+            Some(Ineligible::ZoneEvacuated) => !self.has_instance_elsewhere(group, regions),
+            Some(_) => true,
+        }
+    }
+
     /// Whether the evacuation of an instance's zone forbids this use of it.
     fn is_evacuated_for(&self, known: &Known, usage: InstanceUse) -> bool {
         let Some(since) = self.directory.evacuated_since(&known.record.zone) else {
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -6,6 +6,7 @@
 
 use millwind_core::Instant;
 use millwind_core::concurrency_limit::TurnEnd;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::ids::InstanceName;
 use millwind_core::position::Position;
 use millwind_core::session_state::{PreparedStatement, SessionState};
@@ -44,9 +45,13 @@
         matches!(self, AttemptError::Link(LinkError::NoConnection))
     }
 
-    /// Whether no instance may be used by the statement, so that trying on is in vain.
-    pub fn is_ineligible(&self) -> bool {
-        matches!(self, AttemptError::Link(LinkError::Ineligible(_)))
+    /// Why the statement may not use the instance, or the way to it, where that is what
+    /// the attempt failed by.
+    pub const fn ineligible(&self) -> Option<Ineligible> {
+        match self {
+            AttemptError::Link(LinkError::Ineligible(reason)) => Some(*reason),
+            _ => None,
+        }
     }
 
     /// What the caller is told when nothing was kept.
@@ -229,6 +234,7 @@
         since,
         command: Command::Begin { read_only },
     };
+    engine.check_evacuation(record)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let reply = match connection.exchange(&envelope, deadline).await {
         Ok(reply) => reply,
@@ -264,6 +270,7 @@
         Some(turn) => turn,
         None => take_turn(&pool, connection, deadline).await?,
     };
+    engine.check_evacuation(record)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
     turn.end(turn_end(&exchanged));
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -10,12 +10,15 @@
 
 use log::info;
 use millwind_core::Instant;
+use millwind_core::data_residency::AllowedRegions;
 use millwind_core::failover::{FailoverTimes, LeaderEvidence, LeaderVerdict, judge_leader};
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_store::Store;
 
 use crate::clock;
+use crate::directory::Known;
 use crate::duty::Duties;
+use crate::eligibility::InstanceUse;
 use crate::group_marks::GroupMarks;
 use crate::node::Engine;
 use crate::peers;
@@ -273,6 +276,7 @@
         evidence.failing_since = known.contact.failing_since;
         evidence.is_refusing = known.contact.is_refusing;
         evidence.is_leaving = known.is_leaving;
+        evidence.must_leave_zone = self.must_leave_zone(&known);
         if self.engine.runs_statements_on(&known.record) {
             let statements = &known.contact.statements;
             let silent_since = known.contact.unresponsive_since();
@@ -288,6 +292,29 @@
         evidence
     }
 
+    /// Whether a leader must hand over since its zone is being evacuated: another
+    /// instance of its group may be used elsewhere.
+    fn must_leave_zone(&self, leader: &Known) -> bool {
+        let directory = &self.engine.directory;
+        if directory.evacuated_since(&leader.record.zone).is_none() {
+            return false;
+        }
+        let is_successor = |known: &Known| {
+            known.record.name != leader.record.name
+                && !known.contact.is_sick()
+                && !known.is_gone
+                && known.contact.failing_since.is_none()
+                && self
+                    .engine
+                    .judge_instance(known, InstanceUse::Replica, &AllowedRegions::Any)
+                    .is_ok()
+        };
+        directory
+            .instances_of(&leader.record.group)
+            .iter()
+            .any(is_successor)
+    }
+
     fn leaderless_since(&self, group: &GroupName, now: Instant) -> Instant {
         let mut leaderless = self.leaderless.lock().unwrap_or_else(PoisonError::into_inner);
         *leaderless.entry(group.clone()).or_insert(now)
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -170,7 +170,10 @@
         }
         directory.instance(&leader.instance).is_some_and(|known| {
             let contact = &known.contact;
-            contact.failing_since.is_none() && !contact.is_sick() && !known.is_leaving
+            contact.failing_since.is_none()
+                && !contact.is_sick()
+                && !known.is_leaving
+                && !self.must_leave_zone(&known)
         })
     }
 
@@ -394,8 +397,19 @@
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
             .collect();
+        if lost.reason == ReplaceReason::Evacuated {
+            info!(
+                "event=leader_leaves_zone group={group} instance={} answered={} must_hold={}",
+                lost.name(),
+                answered.len(),
+                must_hold.unwrap_or_default()
+            );
+        }
         let total = known.iter().filter(|known| !lost.is(&known.record.name)).count();
-        let Some(chosen) = choose_successor(&successors, total, sync_replicas, must_hold) else {
+        let chosen = choose_successor(&successors, total, sync_replicas, must_hold)
+            // A leader that serves is not replaced by one that must go as well.
+            .filter(|chosen| lost.reason != ReplaceReason::Evacuated || !chosen.is_evacuated);
+        let Some(chosen) = chosen else {
             info!(
                 "event=no_successor group={group} lost={} answered={} replicas={total} must_hold={}",
                 lost.name(),
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod duty;
 pub mod eligibility;
+pub mod evacuation;
 pub mod execution;
 pub mod failover;
 pub mod floor;
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -81,6 +82,14 @@
     pub quota_refusals: Counter,
     /// Loans that were asked for on behalf of tenants' callers.
     pub quota_loans: Counter,
+    /// Zones that are being evacuated, as this node knows.
+    pub evacuated_zones: Gauge,
+    /// Instances of such zones that this node still holds connections to in use.
+    pub evacuated_instances_in_use: Gauge,
+    /// Groups whose believed leader stands in such a zone.
+    pub evacuated_leaders: Gauge,
+    /// Transactions ended since their instance's zone is being evacuated.
+    pub evacuated_transactions: Counter,
 }
 
 impl Default for Metrics {
@@ -108,6 +117,10 @@
             forwarded_in: Counter::default(),
             quota_refusals: Counter::default(),
             quota_loans: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_instances_in_use: Gauge::default(),
+            evacuated_leaders: Gauge::default(),
+            evacuated_transactions: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Statements answered", metrics.answers.clone());
@@ -131,6 +144,26 @@
             "Loans of tenants' operations that this node asked for",
             metrics.quota_loans.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones that are being evacuated",
+            metrics.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_instances_in_use",
+            "Instances of evacuated zones to which connections of this node are in use",
+            metrics.evacuated_instances_in_use.clone(),
+        );
+        registry.register(
+            "evacuated_leaders",
+            "Groups whose leader stands in an evacuated zone",
+            metrics.evacuated_leaders.clone(),
+        );
+        registry.register(
+            "evacuated_transactions",
+            "Transactions ended since the zone of their instance is evacuated",
+            metrics.evacuated_transactions.clone(),
+        );
         registry.register(
             "hedged_reads",
             "Reads tried on two instances",
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -75,9 +75,6 @@
 /// After it the nodes are listed within this time, so that most know by then that
 /// relays read the rest: a few times an answer's usual time between regions.
 const FIRST_START_LISTING: Duration = Duration::from_millis(300);
-/// Part of the evacuation bound in which a leader of the zone is still used, in
-/// percent: the rest is for the news on its way and for statements under way.
-const EVACUATED_LEADER_PERCENT: u64 = 50;
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 
@@ -226,14 +223,6 @@
         }
     }
 
-    /// Whether the leader of a zone whose evacuation was heard of at `since` must get
-    /// nothing new any more.
-    pub fn is_evacuation_due(&self, since: Instant) -> bool {
-        let bound = self.settings.evacuation_bound_ms;
-        let patience = bound * EVACUATED_LEADER_PERCENT / 100;
-        clock::now().millis_since(since) >= patience
-    }
-
     /// Whether a leader still takes new work: one that will end does for a
     /// while, until another takes over.
     pub fn takes_new_work(&self, known: &Known) -> bool {
@@ -542,7 +531,7 @@
             following.await;
         });
     };
-    follow(catalog.config_key(), Arc::new(config), catalog_settle);
+    follow(catalog.operators_prefix(), Arc::new(config), catalog_settle);
     follow(catalog.instances_prefix(), Arc::new(instances), catalog_settle);
     follow(catalog.own_prefix(), engine.own_keys.clone(), nodes_settle);
     let record = NodeRecord {
@@ -574,6 +563,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         engine.pools.trim(|record| engine.spare_connections(record));
+        engine.leave_evacuated_zones();
         for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
         }
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -134,6 +134,7 @@
             config_version: self.engine.config_version(),
             instances_revision: self.engine.catalog_cache.instances_revision(),
             own_revision: self.engine.own_keys.known_revision(),
+            evacuations_revision: self.engine.directory.evacuations().revision(),
             as_relay: u8::from(source.is_relay),
         };
         let sent = clock::now();
@@ -144,6 +145,7 @@
         };
         let ExchangeReply::Catalog {
             config,
+            evacuations,
             instances,
             instances_revision,
             own,
@@ -167,6 +169,10 @@
                 instances.len()
             );
         }
+        // First the requests: with a configuration the node may serve.
+        for listing in &evacuations {
+            self.engine.take_evacuations_of_peer(listing, sent);
+        }
         for document in config {
             self.take_config(address, &document);
         }
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -65,14 +65,19 @@
             config_version,
             instances_revision,
             own_revision,
+            evacuations_revision,
             as_relay,
         } => {
             if *as_relay == 1 {
                 engine.relays.asked_as_relay();
             }
-            engine
-                .catalog_cache
-                .newer_than(*config_version, *instances_revision, *own_revision, engine)
+            engine.catalog_cache.newer_than(
+                *config_version,
+                *instances_revision,
+                *own_revision,
+                *evacuations_revision,
+                engine,
+            )
         }
         ExchangeRequest::Reach { instance } => {
             let instance = InstanceName::from(instance.as_str());
--- a/crates/millwind-engine/src/ports.rs
+++ b/crates/millwind-engine/src/ports.rs
@@ -106,6 +106,9 @@
 /// Where the operators' configuration and the instances' own records lie in
 /// the store, and how they are read.
 pub trait CatalogCodec: Send + Sync + 'static {
+    /// Prefix of all that operators write: the configuration and the requests to
+    /// evacuate zones, which are watched together.
+    fn operators_prefix(&self) -> &str;
     /// Key of the operators' configuration.
     fn config_key(&self) -> &str;
     /// Prefix of the instances' records.
--- a/crates/millwind-engine/src/session/attempt.rs
+++ b/crates/millwind-engine/src/session/attempt.rs
@@ -52,9 +52,14 @@
     }
 
     fn instance(&self) -> &InstanceName {
+        &self.record().name
+    }
+
+    /// The instance that it leads to.
+    pub(super) fn record(&self) -> &InstanceRecord {
         match self {
-            SessionConnection::Own(connection) => &connection.pool().record().name,
-            SessionConnection::Leased(lease) => &lease.record().name,
+            SessionConnection::Own(connection) => connection.pool().record(),
+            SessionConnection::Leased(lease) => lease.record(),
         }
     }
 }
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -17,7 +17,7 @@
 use millwind_core::credential::KeyDigest;
 use millwind_core::data_residency::AllowedRegions;
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::ids::{DatabaseName, GroupName};
+use millwind_core::ids::{DatabaseName, GroupName, ZoneName};
 use millwind_core::position::Position;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -68,6 +68,8 @@
     Closed,
     Malformed,
     TransactionIdle,
+    /// Nothing may be sent any more to the instance of the open transaction.
+    Evacuated,
     /// Another configuration is in force.
     Configured,
     Stop,
@@ -179,6 +181,7 @@
                         return;
                     }
                 }
+                Event::Evacuated => self.check_evacuation(),
                 Event::TransactionIdle => self.abandon_transaction("transaction rested too long"),
                 Event::Configured => {
                     self.check_transaction();
@@ -196,18 +199,21 @@
         let idle_limit = self.transaction_idle_limit();
         let mut phase = self.engine.phase.subscribe();
         let is_in_transaction = self.transaction.is_some();
+        let zone = self.transaction_zone();
+        let engine = self.engine.clone();
         if *phase.borrow_and_update() == Phase::Running {
             tokio::select! {
                 event = self.next_message() => return event,
                 () = sleep_or_forever(idle_limit) => return Event::TransactionIdle,
                 Ok(()) = versions.changed() => return Event::Configured,
+                () = closed_by_evacuation(&engine, zone.as_ref()) => return Event::Evacuated,
                 _ = phase.changed() => {}
             }
         }
-        let engine = self.engine.clone();
         tokio::select! {
             biased;
             event = self.next_message() => event,
+            () = closed_by_evacuation(&engine, zone.as_ref()) => Event::Evacuated,
             () = sleep_or_forever(idle_limit) => Event::TransactionIdle,
             () = engine.may_close_session(is_in_transaction, RESTING) => {
                 if is_in_transaction {
@@ -219,6 +225,12 @@
         }
     }
 
+    /// The zone of the instance that the open transaction runs on.
+    fn transaction_zone(&self) -> Option<ZoneName> {
+        let record = self.transaction.as_ref()?.record()?;
+        Some(record.zone.clone())
+    }
+
     fn transaction_idle_limit(&self) -> Option<Duration> {
         let open = self.transaction.as_ref()?;
         if open.is_failed() {
@@ -325,6 +337,7 @@
             return Err(malformed().into());
         };
         self.check_caller()?;
+        self.check_evacuation();
         let is_failed = self.transaction.as_ref().is_some_and(OpenTransaction::is_failed);
         if is_failed {
             return self.in_failed_transaction(&statement);
@@ -430,6 +443,15 @@
     }
 }
 
+/// Waits until nothing may be sent any more to the instances of `zone`; forever without
+/// one.
+async fn closed_by_evacuation(engine: &Engine, zone: Option<&ZoneName>) {
+    match zone {
+        Some(zone) => engine.closed_by_evacuation(zone).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep_or_forever(limit: Option<Duration>) {
     match limit {
         Some(limit) => tokio::time::sleep(limit).await,
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -64,7 +64,7 @@
             let attempt = operation.within(patience(&engine, &record));
             match self.leader_read_on(&record, &attempt).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation, 0, &mut overloads).await?,
+                Err(error) => after_failed_read(&engine, error, &operation, 0, &mut overloads).await?,
             }
         }
     }
@@ -107,7 +107,7 @@
             let floor = self.floor_for(&operation).await?;
             match hedged_read(&engine, &self.state, &operation, floor).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation, rounds, &mut overloads).await?,
+                Err(error) => after_failed_read(&engine, error, &operation, rounds, &mut overloads).await?,
             }
             rounds += 1;
         }
@@ -144,6 +144,7 @@
 /// Returns where a read may be tried again, after a pause that grows with
 /// `rounds`, and fails where not.
 async fn after_failed_read(
+    engine: &Engine,
     error: AttemptError,
     operation: &Operation,
     rounds: u32,
@@ -151,7 +152,8 @@
 ) -> Result<(), Failure> {
     let has_run = matches!(&error, AttemptError::BackEnd(error)
         if !error.kind.is_not_run());
-    let is_in_vain = error.is_ineligible() || overloads.is_enough(&error);
+    let is_in_vain = engine.is_in_vain(&error, operation.group(), &operation.regions);
+    let is_in_vain = is_in_vain || overloads.is_enough(&error);
     if has_run || clock::now() >= operation.deadline || is_in_vain {
         return Err(read_failure(error));
     }
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use log::debug;
+use log::{debug, info};
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 
@@ -14,7 +14,7 @@
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal, Success};
 use crate::backend::ConnectionUser;
-use crate::catalog::{Consistency, Database};
+use crate::catalog::{Consistency, Database, InstanceRecord};
 use crate::clock;
 use crate::execution::AttemptError;
 use crate::floor::ReadFloor;
@@ -38,6 +38,11 @@
         self.is_failed
     }
 
+    /// The instance that it is open on.
+    pub(super) fn record(&self) -> Option<&InstanceRecord> {
+        self.connection.as_ref().map(SessionConnection::record)
+    }
+
     /// Whether it runs on a leader, so that each answer proves the lead.
     fn is_on_leader(&self) -> bool {
         !self.read_only || self.terms.database.consistency == Consistency::Primary
@@ -95,6 +100,24 @@
         }
     }
 
+    /// Ends an open transaction on an instance to which nothing may be sent any more.
+    pub(super) fn check_evacuation(&mut self) {
+        let Some(record) = self.transaction.as_ref().and_then(OpenTransaction::record) else {
+            return;
+        };
+        if !self.engine.is_closed_by_evacuation(record) {
+            return;
+        }
+        if self.engine.request_log.admit() {
+            info!(
+                "event=transaction_ended_by_evacuation session={} database={} instance={} zone={}",
+                self.number, self.database, record.name, record.zone
+            );
+        }
+        self.engine.metrics.evacuated_transactions.inc();
+        self.abandon_transaction("its instance's zone is being evacuated");
+    }
+
     /// Answers a statement inside a transaction that has failed.
     pub(super) fn in_failed_transaction(&mut self, statement: &Statement) -> Answer {
         match statement {
@@ -163,7 +186,8 @@
             };
             open.connection = None;
             let has_run = matches!(&error, AttemptError::BackEnd(error) if !error.kind.is_not_run());
-            let is_in_vain = error.is_ineligible() || overloads.is_enough(&error);
+            let is_in_vain = engine.is_in_vain(&error, operation.group(), &operation.regions);
+            let is_in_vain = is_in_vain || overloads.is_enough(&error);
             if has_run || clock::now() >= operation.deadline || is_in_vain {
                 return Err(failure_in_transaction(error));
             }
@@ -214,7 +238,11 @@
         };
         run_while_busy(&engine, connection, operation, &state, is_on_leader)
             .await
-            .map_err(failure_in_transaction)
+            .map_err(|error| match error.ineligible() {
+                // The statement has not run, and what ran before is not kept.
+                Some(_) => lost_with_instance(&error),
+                None => failure_in_transaction(error),
+            })
     }
 
     /// Commits the open transaction.
@@ -229,6 +257,8 @@
         let result = self.commit_on(&mut open, &operation).await;
         let reply = match result {
             Ok(reply) => reply,
+            // The commit was not sent.
+            Err(error) if error.ineligible().is_some() => return Err(lost_with_instance(&error)),
             Err(AttemptError::Link(error)) if open.has_written => {
                 return Err(Refusal::new(ErrorKind::OutcomeUnknown, error).into());
             }
@@ -327,6 +357,11 @@
     matches!(error, AttemptError::BackEnd(error) if error.kind == BackEndErrorKind::Busy)
 }
 
+/// A transaction whose instance may not be used any more.
+fn lost_with_instance(error: &AttemptError) -> Failure {
+    Refusal::new(ErrorKind::TransactionLost, error.name()).into()
+}
+
 /// Before its commit was sent, a transaction that lost its connection is
 /// rolled back by the instance.
 fn failure_in_transaction(error: AttemptError) -> Failure {
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -72,7 +72,8 @@
 }
 
 /// The leader of the operation's group, once one is known that answers. Where the known
-/// one may not be used the operation is refused at once.
+/// one may not be used the operation is refused at once, unless another instance takes
+/// over from it.
 pub(super) async fn usable_leader(
     engine: &Arc<Engine>,
     operation: &Operation,
@@ -82,11 +83,19 @@
         let leader = engine.directory.leader(group);
         let known = leader.and_then(|leader| engine.directory.instance(&leader.instance));
         let watches = engine.watches(group);
+        let mut is_handed_over = false;
         let reason = match known {
             Some(known) if is_usable(engine, &known, watches) => {
                 match engine.judge_instance(&known, InstanceUse::Leader, &operation.regions) {
                     Ok(()) => return Ok(known.record),
                     Err(Ineligible::Leaving) => format!("leader {} will end", known.record.name),
+                    Err(Ineligible::ZoneEvacuated)
+                        if engine.has_instance_elsewhere(group, &operation.regions) =>
+                    {
+                        is_handed_over = true;
+                        let record = &known.record;
+                        format!("leader {} in evacuated zone {}", record.name, record.zone)
+                    }
                     Err(reason) => return Err(unusable_leader(&known, reason, operation)),
                 }
             }
@@ -96,7 +105,8 @@
         if clock::now() >= deadline {
             return Err(Refusal::new(ErrorKind::NoPrimary, reason));
         }
-        if !watches && peers::ask_leader(engine, group).await {
+        // While the lead is handed over its watchers name the old leader for a moment.
+        if !watches && peers::ask_leader(engine, group).await && !is_handed_over {
             continue;
         }
         let pause = if watches { RETRY_PAUSE } else { LEADER_PAUSE };
--- a/crates/millwind-engine/tests/slow_answers.rs
+++ b/crates/millwind-engine/tests/slow_answers.rs
@@ -27,6 +27,7 @@
         config_version: 0,
         instances_revision: 0,
         own_revision: 0,
+        evacuations_revision: 0,
         as_relay: 1,
     }
 }
@@ -40,6 +41,7 @@
     };
     ExchangeReply::Catalog {
         config: vec![],
+        evacuations: vec![],
         instances: vec![document],
         instances_revision: 0,
         own: vec![],
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 6;
+pub const EXCHANGE_VERSION: u8 = 7;
 
 /// One document of the store.
 #[binrw]
@@ -45,6 +45,33 @@
     pub document: Compressed,
 }
 
+/// A request to evacuate a zone.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuatedZone {
+    /// The zone.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub zone: String,
+    /// Time since when the request may have been made, in milliseconds; the greatest
+    /// value for longer than that.
+    pub age_ms: u32,
+}
+
+/// All requests to evacuate a zone that the store held at a revision.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuationListing {
+    /// The revision.
+    pub revision: u64,
+    /// The requests.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    pub zones: Vec<EvacuatedZone>,
+}
+
 /// A question of one node to another.
 #[binrw]
 #[brw(big)]
@@ -60,6 +87,9 @@
         /// Store revision up to which it knows the system's own keys, zero for
         /// none.
         own_revision: u64,
+        /// Store revision up to which it knows the requests to evacuate zones, zero
+        /// for none.
+        evacuations_revision: u64,
         /// One if the answering node is asked as a relay, which reads the
         /// store on behalf of others.
         as_relay: u8,
@@ -132,6 +162,11 @@
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
         config: Vec<ConfigDocument>,
+        /// The requests to evacuate zones, if newer ones are known: at most one
+        /// listing.
+        #[br(parse_with = text::read_list)]
+        #[bw(write_with = text::write_list)]
+        evacuations: Vec<EvacuationListing>,
         /// Instances that changed since.
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
