--- a/crates/millwind-engine/src/evacuation.rs
+++ b/crates/millwind-engine/src/evacuation.rs
@@ -8,7 +8,7 @@
 use millwind_core::Instant;
 use millwind_core::data_residency::AllowedRegions;
 use millwind_core::eligibility::Ineligible;
-use millwind_core::evacuation::{DatedEvacuation, EvacuationChange, EvacuationEvent};
+use millwind_core::evacuation::{DatedEvacuation, EvacuationChange, EvacuationEvent, Evacuations};
 use millwind_core::ids::{GroupName, ZoneName};
 use millwind_store::{Entry, Listing};
 use millwind_wire::exchange::{EvacuatedZone, EvacuationListing};
@@ -24,8 +24,9 @@
 use crate::ports::CatalogCodec;
 
 /// Part of the evacuation bound in which a leader of the zone is still used, in
-/// percent: the rest is for the news on its way and for statements under way.
-const EVACUATED_LEADER_PERCENT: u64 = 50;
+/// percent: 2 s of 5 s, twice what a promotion takes where it takes a second. The rest is
+/// for nodes that hear late and for statements under way.
+const EVACUATED_LEADER_PERCENT: u64 = 40;
 /// Connections that rest to an instance of such a zone where this node checks the
 /// leader's health: a check needs one.
 const CHECKING_CONNECTIONS: usize = 1;
@@ -104,29 +105,34 @@
     /// still in use there.
     pub fn leave_evacuated_zones(&self) {
         let evacuations = self.directory.evacuations();
+        let zones = evacuations.zones().count() as i64;
+        let (in_use, leaders) = match zones {
+            0 => (0, 0),
+            _ => (self.leave_pools(&evacuations), self.evacuated_leaders()),
+        };
+        self.metrics.evacuated_zones.set(zones);
+        self.metrics.evacuated_instances_in_use.set(in_use);
+        self.metrics.evacuated_leaders.set(leaders);
+    }
+
+    /// Closes what rests in the pools of evacuated zones; how many pools are in use.
+    fn leave_pools(&self, evacuations: &Evacuations) -> i64 {
         let mut in_use = 0;
-        if evacuations.zones().next().is_some() {
-            for pool in self.pools.all() {
-                let record = pool.record();
-                if !evacuations.includes(&record.zone) {
-                    continue;
-                }
-                let kept = match self.watches(&record.group) {
-                    true => CHECKING_CONNECTIONS,
-                    false => 0,
-                };
-                if !self.is_believed_leader(record) || self.is_closed_by_evacuation(record) {
-                    pool.close_resting(kept);
-                }
-                in_use += i64::from(pool.connections_in_use() > 0);
+        for pool in self.pools.all() {
+            let record = pool.record();
+            if !evacuations.includes(&record.zone) {
+                continue;
             }
+            let kept = match self.watches(&record.group) {
+                true => CHECKING_CONNECTIONS,
+                false => 0,
+            };
+            if !self.is_believed_leader(record) || self.is_closed_by_evacuation(record) {
+                pool.close_resting(kept);
+            }
+            in_use += i64::from(pool.connections_in_use() > 0);
         }
-        let leaders = self.evacuated_leaders();
-        self.metrics
-            .evacuated_zones
-            .set(evacuations.zones().count() as i64);
-        self.metrics.evacuated_instances_in_use.set(in_use);
-        self.metrics.evacuated_leaders.set(leaders);
+        in_use
     }
 
     /// Groups whose believed leader stands in an evacuated zone.
@@ -165,11 +171,19 @@
         since.is_some_and(|since| self.is_evacuation_due(since))
     }
 
-    /// Refuses a statement that is about to be sent to an instance which is closed by
-    /// the evacuation of its zone: it may have waited long for its turn, or be part of a
-    /// transaction that was open before.
-    pub fn check_evacuation(&self, record: &InstanceRecord) -> Result<(), AttemptError> {
-        match self.is_closed_by_evacuation(record) {
+    /// Refuses what is about to be sent to an instance whose zone is being evacuated: it
+    /// may have waited long for its turn since the instance was chosen, or be part of a
+    /// transaction that was open before. What begins on a replica (`begins_on_replica`)
+    /// goes elsewhere at once; the rest has a leader's time.
+    pub fn check_evacuation(
+        &self,
+        record: &InstanceRecord,
+        begins_on_replica: bool,
+    ) -> Result<(), AttemptError> {
+        let Some(since) = self.directory.evacuated_since(&record.zone) else {
+            return Ok(());
+        };
+        match begins_on_replica || self.is_evacuation_due(since) {
             true => Err(AttemptError::Link(LinkError::Ineligible(
                 Ineligible::ZoneEvacuated,
             ))),
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::directory::Directory;
 use crate::node::Engine;
-use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply};
+use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply, TransactionState};
 
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -234,7 +234,7 @@
         since,
         command: Command::Begin { read_only },
     };
-    engine.check_evacuation(record)?;
+    engine.check_evacuation(record, read_only)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let reply = match connection.exchange(&envelope, deadline).await {
         Ok(reply) => reply,
@@ -270,7 +270,8 @@
         Some(turn) => turn,
         None => take_turn(&pool, connection, deadline).await?,
     };
-    engine.check_evacuation(record)?;
+    let is_single_read = !proves_leader && connection.transaction() == TransactionState::Idle;
+    engine.check_evacuation(record, is_single_read)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
     turn.end(turn_end(&exchanged));
