Evacuated zones: a test through owners; leaders counted by those that watch their groups

Six nodes before instances that three of them own: open transactions end, reads and writes leave the zone and nothing runs there once every node's time is over. Its first run failed since it waited until each node believed in the new leader, which one that does not watch the group learns only when it needs it: so such nodes no longer count leaders in the gauge.

--- a/crates/millwind-engine/src/evacuation.rs
+++ b/crates/millwind-engine/src/evacuation.rs
@@ -135,12 +135,14 @@
         in_use
     }
 
-    /// Groups whose believed leader stands in an evacuated zone.
+    /// Groups whose leader stands in an evacuated zone, of those that this node watches:
+    /// of the others it may believe what is long over.
     fn evacuated_leaders(&self) -> i64 {
         let Some(config) = self.directory.config() else {
             return 0;
         };
-        let leaders = config.groups.keys().filter_map(|group| {
+        let watched = config.groups.keys().filter(|group| self.watches(group));
+        let leaders = watched.filter_map(|group| {
             let leader = self.directory.leader(group)?;
             self.directory.instance(&leader.instance)
         });
