--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -6,6 +6,7 @@
 
 use millwind_core::Instant;
 use millwind_core::concurrency_limit::TurnEnd;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::ids::InstanceName;
 use millwind_core::position::Position;
 use millwind_core::session_state::{PreparedStatement, SessionState};
@@ -48,9 +49,13 @@
         )
     }
 
-    /// Whether no instance may be used by the statement, so that trying on is in vain.
-    pub fn is_ineligible(&self) -> bool {
-        matches!(self, AttemptError::Link(LinkError::Ineligible(_)))
+    /// Why the statement may not use the instance, or the way to it, where that is what
+    /// the attempt failed by.
+    pub const fn ineligible(&self) -> Option<Ineligible> {
+        match self {
+            AttemptError::Link(LinkError::Ineligible(reason)) => Some(*reason),
+            _ => None,
+        }
     }
 
     /// What the caller is told when nothing was kept.
@@ -233,6 +238,7 @@
         since,
         command: Command::Begin { read_only },
     };
+    engine.check_evacuation(record, read_only)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let reply = match connection.exchange(&envelope, deadline).await {
         Ok(reply) => reply,
@@ -271,6 +277,9 @@
         _ => PlaceNeed::ByAim,
     };
     let turn = turn_and_place(engine, connection, need, deadline).await?;
+    // The evacuation of its zone may have begun while the statement waited.
+    let is_single_read = !proves_leader && connection.transaction() == TransactionState::Idle;
+    engine.check_evacuation(record, is_single_read)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
     turn.end(turn_end(&exchanged));
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -114,6 +114,14 @@
     pub cold_arrivals: InstanceCounts,
     /// Statements that found no place at one.
     pub cold_refusals: InstanceCounts,
+    /// Zones that are being evacuated, as this node knows.
+    pub evacuated_zones: Gauge,
+    /// Instances of such zones that this node still holds connections to in use.
+    pub evacuated_instances_in_use: Gauge,
+    /// Groups whose believed leader stands in such a zone.
+    pub evacuated_leaders: Gauge,
+    /// Transactions ended since their instance's zone is being evacuated.
+    pub evacuated_transactions: Counter,
 }
 
 impl Default for Metrics {
@@ -146,6 +154,10 @@
             cold_instances: Gauge::default(),
             cold_arrivals: InstanceCounts::default(),
             cold_refusals: InstanceCounts::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_instances_in_use: Gauge::default(),
+            evacuated_leaders: Gauge::default(),
+            evacuated_transactions: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Statements answered", metrics.answers.clone());
@@ -184,6 +196,26 @@
             "Statements that found no place at an instance while it was cold",
             metrics.cold_refusals.0.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones that are being evacuated",
+            metrics.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_instances_in_use",
+            "Instances of evacuated zones to which connections of this node are in use",
+            metrics.evacuated_instances_in_use.clone(),
+        );
+        registry.register(
+            "evacuated_leaders",
+            "Groups whose leader stands in an evacuated zone",
+            metrics.evacuated_leaders.clone(),
+        );
+        registry.register(
+            "evacuated_transactions",
+            "Transactions ended since the zone of their instance is evacuated",
+            metrics.evacuated_transactions.clone(),
+        );
         registry.register(
             "hedged_reads",
             "Reads tried on two instances",
