Restricted statements find owners and stand-ins among the nodes that they may pass

Cause: the ranking chose three owners by zone and five stand-ins anywhere; the filter on regions then left a restricted statement none of them where the allowed nodes were few, and it waited a second before it used a connection of its own. Ruled out: a wider common ranking (its length would grow with the nodes). Change: millwind_core::owner_ranking ranks by zone, region, elsewhere; the owners are the same for everybody, stand-ins come from the allowed nodes. Rankings are cached by instance and regions. Where no allowed node is registered, and the list has settled, the caller's own node uses its connection at once.

--- a/crates/millwind-core/src/data_residency.rs
+++ b/crates/millwind-core/src/data_residency.rs
@@ -37,7 +37,7 @@
 }
 
 /// The regions in which a statement may run.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub enum AllowedRegions {
     /// Every region.
     #[default]
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod outlier;
+pub mod owner_ranking;
 pub mod owner_table;
 pub mod placement;
 pub mod position;
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -9,15 +9,15 @@
 use millwind_core::Instant;
 use millwind_core::affinity;
 use millwind_core::data_residency::{AllowedRegions, Topology};
-use millwind_core::eligibility::judge_carrier;
 use millwind_core::ids::{InstanceName, TenantName};
+use millwind_core::owner_ranking::{OwnerCandidate, OwnersSought};
 use rand::RngExt;
 
 use super::link::OwnerLink;
 use super::links::Links;
 use crate::catalog::InstanceRecord;
 use crate::clock;
-use crate::registry::{Owner, Registry};
+use crate::registry::{OwnedPlace, Owner, OwnersOf, Registry};
 
 /// Nodes that own connections to an instance.
 pub const OWNERS: usize = 3;
@@ -67,7 +67,7 @@
 
 impl Carriers<'_> {
     fn allow(&self, node: &Owner) -> bool {
-        judge_carrier(self.regions, self.topology.region_of(&node.zone)).is_ok()
+        OwnerCandidate::is_carrier(self.regions, self.topology, &node.zone)
     }
 }
 
@@ -86,12 +86,21 @@
 
 type Ranked = Arc<Vec<Owner>>;
 
+/// What an instance's ranking follows from: a statement that may not pass all nodes has
+/// one of its own. Customers differ in few sets of regions.
+type RankingKey = (InstanceName, AllowedRegions);
+
 /// Owners of all instances.
 #[derive(Debug, Default)]
 pub struct Owners {
     links: Arc<Links>,
-    /// By instance, with the version of the registry that they follow from.
+    /// Regions of the zones.
+    topology: Topology,
+    /// The ranking for statements that may pass all nodes, by instance, with the
+    /// version of the registry that it follows from.
     ranked: Mutex<HashMap<InstanceName, (u64, Ranked)>>,
+    /// The ranking by what a statement may pass, in the same way.
+    allowed: Mutex<HashMap<RankingKey, (u64, Arc<OwnersOf>)>>,
     avoided: Mutex<HashMap<(SocketAddr, InstanceName), Instant>>,
     /// Since when no owner of an instance is reached, and when that was last
     /// found.
@@ -99,6 +108,14 @@
 }
 
 impl Owners {
+    /// Owners where the zones lie in these regions.
+    pub fn new(topology: Topology) -> Self {
+        Owners {
+            topology,
+            ..Owners::default()
+        }
+    }
+
     /// Owners of `record` and then those that stand in for them.
     pub fn ranked(&self, registry: &Registry, record: &InstanceRecord) -> Ranked {
         let version = registry.version();
@@ -108,12 +125,49 @@
         {
             return owners.clone();
         }
-        let count = OWNERS + STAND_INS;
-        let owners = Arc::new(registry.owners(record.name.as_str(), record.zone.as_str(), OWNERS, count));
+        let OwnersOf {
+            mut owners,
+            stand_ins,
+        } = self.find(registry, record, &AllowedRegions::Any);
+        owners.extend(stand_ins);
+        let owners = Arc::new(owners);
         ranked.insert(record.name.clone(), (version, owners.clone()));
         owners
     }
 
+    /// Owners of `record`, and those that stand in for them, which the text of a
+    /// statement may travel to; this node among them wherever it stands, since the
+    /// statement is here already.
+    fn allowed(&self, way: &Way<'_>) -> Arc<OwnersOf> {
+        let version = way.registry.version();
+        let key = (way.record.name.clone(), way.carriers.regions.clone());
+        let mut allowed = self.allowed.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((held, owners)) = allowed.get(&key)
+            && *held == version
+        {
+            return owners.clone();
+        }
+        let owners = Arc::new(self.find(way.registry, way.record, way.carriers.regions));
+        // What other versions of the registry or of the terms left behind.
+        allowed.retain(|_, (held, _)| *held == version);
+        allowed.insert(key, (version, owners.clone()));
+        owners
+    }
+
+    fn find(&self, registry: &Registry, record: &InstanceRecord, regions: &AllowedRegions) -> OwnersOf {
+        let place = OwnedPlace {
+            instance: &record.name,
+            zone: &record.zone,
+            topology: &self.topology,
+            regions,
+        };
+        let sought = OwnersSought {
+            owners: OWNERS,
+            stand_ins: STAND_INS,
+        };
+        registry.owners(&place, sought)
+    }
+
     /// What this node is to `record`: nothing before it knows the other nodes,
     /// since it would take itself for the owner of every instance.
     pub fn standing(&self, registry: &Registry, record: &InstanceRecord) -> Standing {
@@ -169,14 +223,16 @@
     /// connections of its own.
     pub async fn route(&self, way: &Way<'_>) -> Route {
         let record = way.record;
-        let ranked = self.ranked(way.registry, record);
-        let (owners, stand_ins) = ranked.split_at(ranked.len().min(OWNERS));
-        if way.prefers_own && owners.iter().any(|owner| owner.is_self) {
+        let allowed = self.allowed(way);
+        if way.prefers_own && allowed.owners.iter().any(|owner| owner.is_self) {
+            return Route::Own;
+        }
+        if is_without_carriers(way, &allowed) {
             return Route::Own;
         }
         let mut was_avoided = false;
-        let owners = self.usable(owners, way, &mut was_avoided);
-        let stand_ins = self.usable(stand_ins, way, &mut was_avoided);
+        let owners = self.usable(&allowed.owners, way, &mut was_avoided);
+        let stand_ins = self.usable(&allowed.stand_ins, way, &mut was_avoided);
         let found = match self.links.best_proven(&owners).await {
             Some(link) => Some(link),
             None => self.await_any(&owners, &stand_ins).await,
@@ -196,8 +252,8 @@
     /// open. Only where that one is not reached another owner opens one of its own.
     pub async fn route_of_tenant(&self, way: &Way<'_>, tenant: &TenantName) -> Route {
         let record = way.record;
-        let ranked = self.ranked(way.registry, record);
-        let owners = &ranked[..ranked.len().min(OWNERS)];
+        let allowed = self.allowed(way);
+        let owners = &allowed.owners;
         let names: Vec<_> = owners.iter().map(|owner| owner.address.to_string()).collect();
         for index in affinity::order(tenant.as_str(), &names) {
             let owner = &owners[index];
@@ -261,3 +317,14 @@
         usable
     }
 }
+
+/// Whether no node that a restricted statement may pass is registered at all. Waiting
+/// for one would be in vain: this node uses a connection of its own at once. That makes
+/// no herd, since each node holds one such connection at most, and only once the list
+/// of nodes has been the same for a while: after a common start the nodes of the
+/// allowed regions may just not be listed yet.
+fn is_without_carriers(way: &Way<'_>, allowed: &OwnersOf) -> bool {
+    let mut nodes = allowed.owners.iter().chain(&allowed.stand_ins);
+    let is_restricted = !way.carriers.regions.is_any();
+    is_restricted && nodes.all(|node| node.is_self) && way.registry.unchanged_ms() >= ALONE_MS
+}
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -513,7 +513,7 @@
         departure: watch::Sender::new(None),
         unreached: Unreached::default(),
         stepping_down: Arc::default(),
-        owners: Owners::default(),
+        owners: Owners::new(settings.topology.clone()),
         quotas: Quotas::default(),
         peer_reach: PeerReach::default(),
         forwarded_leases: AtomicUsize::new(0),
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -6,8 +6,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millwind_core::Instant;
-use millwind_core::ids::ZoneName;
+use millwind_core::data_residency::{AllowedRegions, Topology};
+use millwind_core::ids::{InstanceName, ZoneName};
 use millwind_core::lead_permit::PERMIT_MS;
+use millwind_core::owner_ranking::{Nearness, OwnerCandidate, OwnersSought, rank_owners};
 use millwind_store::{Entry, Listing};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
@@ -54,6 +56,28 @@
     pub is_self: bool,
 }
 
+/// What an instance's owners are sought by.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnedPlace<'a> {
+    /// The instance.
+    pub instance: &'a InstanceName,
+    /// Its zone.
+    pub zone: &'a ZoneName,
+    /// Regions of the zones.
+    pub topology: &'a Topology,
+    /// Regions that the statement's customer allows.
+    pub regions: &'a AllowedRegions,
+}
+
+/// Nodes through which an instance is reached, first ones first.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct OwnersOf {
+    /// Those that own connections.
+    pub owners: Vec<Owner>,
+    /// Those that stand in for them.
+    pub stand_ins: Vec<Owner>,
+}
+
 /// All nodes that have registered.
 #[derive(Debug)]
 pub struct Registry {
@@ -180,28 +204,41 @@
         self.version.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// The first `count` nodes for `key` by rendezvous hashing; up to `near` of
-    /// them from `zone` come first.
-    pub fn owners(&self, key: &str, zone: &str, near: usize, count: usize) -> Vec<Owner> {
+    /// The nodes that own connections to an instance, and those that stand in for
+    /// them, by rendezvous hashing among those that stand nearest.
+    pub fn owners(&self, place: &OwnedPlace<'_>, sought: OwnersSought) -> OwnersOf {
         let nodes = self.nodes();
-        let (inside, outside): (Vec<_>, Vec<_>) =
-            weigh(&nodes, key).partition(|(_, _, node)| node.record.zone == zone);
-        let inside = heaviest(inside, near + count);
-        let outside = heaviest(outside, count);
-        let (first, rest) = inside.split_at(inside.len().min(near));
-        let owner = |(_, name, node): &Weighted<'_>| Owner {
+        let weighed: Vec<_> = weigh(&nodes, place.instance.as_str()).collect();
+        let owners: Vec<_> = weighed.iter().map(|weighed| self.owner(weighed)).collect();
+        let candidate = |(owner, (weight, ..)): (&Owner, &Weighted<'_>)| OwnerCandidate {
+            weight: *weight,
+            nearness: Nearness::between(place.topology, place.zone, &owner.zone),
+            is_allowed: owner.is_self
+                || OwnerCandidate::is_carrier(place.regions, place.topology, &owner.zone),
+        };
+        let candidates: Vec<_> = owners.iter().zip(&weighed).map(candidate).collect();
+        let ranked = rank_owners(&candidates, sought);
+        let pick = |indices: Vec<usize>| indices.into_iter().map(|index| owners[index].clone()).collect();
+        OwnersOf {
+            owners: pick(ranked.owners),
+            stand_ins: pick(ranked.stand_ins),
+        }
+    }
+
+    fn owner(&self, (_, name, node): &Weighted<'_>) -> Owner {
+        Owner {
             address: node.record.peer_address,
             zone: ZoneName::from(node.record.zone.as_str()),
             is_self: **name == self.node,
-        };
-        let chosen = first.iter().chain(&outside).chain(rest);
-        chosen.take(count).map(owner).collect()
+        }
     }
 
     /// The first `count` nodes for `key` by rendezvous hashing, wherever they
     /// run.
     pub fn first_for(&self, key: &str, count: usize) -> Vec<Owner> {
-        self.owners(key, "", 0, count)
+        let nodes = self.nodes();
+        let chosen = heaviest(weigh(&nodes, key).collect(), count);
+        chosen.iter().map(|weighed| self.owner(weighed)).collect()
     }
 
     /// The other nodes that this one compares its catalog with: up to `near` of
