The lead of a group moves to a region where it serves clearly more

Cause: a leader outside of the regions that customers allow refused their writes and strict reads for good. A failover too prefers the replica that serves most where none loses commits. Switch: EngineSettings::relocates_leads. Terms that name no zone's region, or that don't overlap, are logged with the configuration. Ruled out: the refusals alone as the signal (they don't tell what the lead serves now); asking all nodes before each move (910 questions a group). Exchange protocol version 7.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -73,6 +73,8 @@
     Unresponsive,
     /// Its statements fail often.
     Outlier,
+    /// It stands in a region that customers' terms exclude.
+    Relocating,
 }
 
 impl ReplaceReason {
@@ -84,7 +86,7 @@
 
     /// Whether the leader still serves, so that its commits need not be lost.
     pub const fn is_of_live_leader(self) -> bool {
-        self.is_by_statements() || matches!(self, ReplaceReason::Leaving)
+        self.is_by_statements() || matches!(self, ReplaceReason::Leaving | ReplaceReason::Relocating)
     }
 
     /// The name in logs.
@@ -97,6 +99,7 @@
             ReplaceReason::Alone => "alone",
             ReplaceReason::Unresponsive => "unresponsive",
             ReplaceReason::Outlier => "outlier",
+            ReplaceReason::Relocating => "relocating",
         }
     }
 }
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod incarnation;
 pub mod invariant;
 pub mod lead_permit;
+pub mod lead_relocation;
 pub mod leader_observation;
 pub mod membership;
 pub mod outcome;
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -65,6 +65,7 @@
         if self.directory.apply_config(config, origin) {
             let age_ms = clock::now().millis_since(origin.known_since);
             self.metrics.config_age.observe(age_ms as f64 / 1_000.0);
+            self.tell_of_regions();
             self.pools.set_shares(|record| self.share_of(record));
             for known in self.directory.instances() {
                 self.warm_up(&known.record);
--- a/crates/millwind-engine/src/connection_shares.rs
+++ b/crates/millwind-engine/src/connection_shares.rs
@@ -20,7 +20,7 @@
 /// those that the instance accepts.
 const STAND_IN_PERCENT: usize = 10;
 /// Nodes that watch a group whether they use it or not.
-const WATCHERS: usize = 3;
+pub(crate) const WATCHERS: usize = 3;
 /// A group counts as used for this time, in milliseconds.
 const USED_MS: u64 = 1_500;
 
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -1,6 +1,7 @@
 //! Watches the leaders of the groups in use, and replaces those that are lost.
 
 mod health;
+mod relocation;
 mod replacement;
 mod revocation;
 
@@ -20,6 +21,7 @@
 use crate::node::Engine;
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
+use relocation::LeadHistories;
 use replacement::LostLeader;
 
 /// Between two looks at the groups.
@@ -62,6 +64,8 @@
     searching: Arc<GroupMarks>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
     replaced_sick: Mutex<HashMap<GroupName, Instant>>,
+    lead_histories: LeadHistories,
+    reporting: Arc<GroupMarks>,
 }
 
 impl<S: Store + 'static> Monitor<S> {
@@ -86,6 +90,8 @@
             searching: Arc::default(),
             leaderless: Mutex::new(HashMap::new()),
             replaced_sick: Mutex::new(HashMap::new()),
+            lead_histories: LeadHistories::default(),
+            reporting: Arc::default(),
         })
     }
 
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -10,12 +10,14 @@
 use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::lead_permit::term_to_close;
+use millwind_core::lead_relocation::LeaderDemand;
 use millwind_core::position::{Position, Term};
 use millwind_store::Store;
 
 use super::revocation::ClosedTerm;
 use super::{Monitor, health};
 use crate::clock;
+use crate::directory::Known;
 use crate::duty::{Claim, DutyError};
 use crate::ports::{PromotionAnswer, PromotionOrder};
 use crate::statement::{Command, InstanceStatus};
@@ -34,6 +36,10 @@
 /// A choice older than this is made again, in milliseconds.
 const CHOICE_MS: u64 = 250;
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Where the lead is moved though its leader serves well, replicas get this time to
+/// receive what it has reported before they are asked: a few times their usual lag. On a
+/// busy group none would else ever hold the newest.
+const CATCH_UP: Duration = Duration::from_millis(100);
 
 /// A chosen replica.
 struct Choice {
@@ -168,6 +174,11 @@
         if !lost.is(&leader.instance) {
             return true;
         }
+        if lost.reason == ReplaceReason::Relocating {
+            // One that fails meanwhile is replaced for that, by its own evidence.
+            let known = directory.instance(&leader.instance);
+            return known.is_none_or(|known| known.contact.failing_since.is_some());
+        }
         directory.instance(&leader.instance).is_some_and(|known| {
             let contact = &known.contact;
             contact.failing_since.is_none() && !contact.is_sick() && !known.is_leaving
@@ -355,6 +366,23 @@
 
     /// The replica that takes over, by what each has received.
     async fn choose(&self, lost: &LostLeader, excluded: &HashSet<InstanceName>) -> Option<Choice> {
+        let sync_replicas = self.engine.directory.group_limits(&lost.group)?.sync_replicas;
+        let pause = self.pause_command(&lost.group, sync_replicas);
+        if lost.reason == ReplaceReason::Relocating && sync_replicas > 0 {
+            // The leader serves well: replicas stop receiving only once one of them is
+            // known to be fit, since its commits wait for them.
+            self.choose_by(lost, excluded, Command::Status).await?;
+        }
+        self.choose_by(lost, excluded, pause).await
+    }
+
+    /// The same by the answers to `question`.
+    async fn choose_by(
+        &self,
+        lost: &LostLeader,
+        excluded: &HashSet<InstanceName>,
+        question: Command<'static>,
+    ) -> Option<Choice> {
         let engine = &self.engine;
         let group = &lost.group;
         let must_hold = self.must_hold(lost);
@@ -370,10 +398,14 @@
         if sync_replicas == 0 && replicas.iter().any(|known| !known.contact.is_sick()) {
             replicas.retain(|known| !known.contact.is_sick());
         }
-        let pause = self.pause_command(group, sync_replicas);
+        let demand = engine.leader_demands.total_of(group);
+        let worth_in = |known: &Known| demand.served_in(engine.region_of(known));
+        if lost.reason == ReplaceReason::Relocating {
+            tokio::time::sleep(CATCH_UP).await;
+        }
         let questions = replicas
             .iter()
-            .map(|known| ask_status(engine, &known.record, pause));
+            .map(|known| ask_status(engine, &known.record, question));
         let statuses = join_all(questions).await;
         let answered: Vec<_> = replicas
             .iter()
@@ -388,14 +420,16 @@
                 received: status.received,
                 is_leaving: known.is_leaving,
                 is_evacuated: engine.directory.evacuated_since(&known.record.zone).is_some(),
-                allowed_worth: 0,
+                allowed_worth: worth_in(known),
                 is_cold: false,
                 is_named: named_before.as_ref() == Some(&known.record.name),
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
             .collect();
         let total = known.iter().filter(|known| !lost.is(&known.record.name)).count();
-        let Some(chosen) = choose_successor(&successors, total, sync_replicas, must_hold) else {
+        let chosen = choose_successor(&successors, total, sync_replicas, must_hold);
+        let chosen = chosen.filter(|chosen| self.is_worth_the_move(lost, chosen, &demand));
+        let Some(chosen) = chosen else {
             info!(
                 "event=no_successor group={group} lost={} answered={} replicas={total} must_hold={}",
                 lost.name(),
@@ -422,6 +456,18 @@
         })
     }
 
+    /// Whether a leader that serves well is replaced by `chosen`: where its region is
+    /// the cause, only by one whose region serves more, and that will stay.
+    fn is_worth_the_move(&self, lost: &LostLeader, chosen: &Successor, demand: &LeaderDemand) -> bool {
+        if lost.reason != ReplaceReason::Relocating {
+            return true;
+        }
+        let leader = lost.instance.as_ref();
+        let leader = leader.and_then(|leader| self.engine.directory.instance(leader));
+        let worth_before = leader.map_or(0, |leader| demand.served_in(self.engine.region_of(&leader)));
+        chosen.allowed_worth > worth_before && !chosen.is_leaving && !chosen.is_evacuated
+    }
+
     /// What a successor must have received: all that a leader has reported which
     /// still serves. One that leaves is given up with what it holds once half of
     /// its time is over.
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -58,6 +58,8 @@
     pub transactions_abandoned: Counter,
     /// Promotions ordered.
     pub promotions: Counter,
+    /// Hand-overs begun since customers' terms exclude the leader's region.
+    pub lead_relocations: Counter,
     /// Leaders that were told to step down and did.
     pub step_downs: Counter,
     /// Promotions that waited until permits had run out.
@@ -96,6 +98,7 @@
             hedged: Counter::default(),
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
+            lead_relocations: Counter::default(),
             step_downs: Counter::default(),
             permits_waited_out: Counter::default(),
             answers_without_permit: Counter::default(),
@@ -142,6 +145,11 @@
             metrics.transactions_abandoned.clone(),
         );
         registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
+        registry.register(
+            "lead_relocations",
+            "Hand-overs begun since customers' terms exclude the leader's region",
+            metrics.lead_relocations.clone(),
+        );
         registry.register(
             "step_downs",
             "Leaders that stepped down when told to",
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -23,6 +23,7 @@
 use crate::failover::Monitor;
 use crate::forward::Owners;
 use crate::group_marks::GroupMarks;
+use crate::leader_demand::LeaderDemands;
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::own_keys::OwnKeys;
@@ -128,6 +129,8 @@
     pub stepping_down: Arc<GroupMarks>,
     /// The nodes that own connections to instances.
     pub owners: Owners,
+    /// What needs the leaders of groups.
+    pub leader_demands: LeaderDemands,
     /// Quotas of tenants.
     pub quotas: Quotas,
     /// Which of the other nodes this one reaches.
@@ -514,6 +517,7 @@
         unreached: Unreached::default(),
         stepping_down: Arc::default(),
         owners: Owners::new(settings.topology.clone()),
+        leader_demands: LeaderDemands::default(),
         quotas: Quotas::default(),
         peer_reach: PeerReach::default(),
         forwarded_leases: AtomicUsize::new(0),
@@ -565,6 +569,7 @@
         ports.promoter.clone(),
         ports.catalog_codec.clone(),
     );
+    tokio::spawn(monitor.clone().follow_leads());
     tokio::spawn(monitor.run());
 }
 
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -89,6 +89,10 @@
         ExchangeRequest::CloseTerm(closing) => ExchangeReply::TermClosed {
             has_stepped_down: u8::from(term_closing::hand_back(engine, closing).await),
         },
+        ExchangeRequest::LeaderDemand(report) => {
+            engine.leader_demands.take(report);
+            ExchangeReply::Noted
+        }
     }
 }
 
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -375,6 +375,11 @@
             .collect()
     }
 
+    /// Where a node is reached; none for one that is not known.
+    pub fn address_of(&self, node: &str) -> Option<SocketAddr> {
+        self.nodes().get(node).map(|node| node.record.peer_address)
+    }
+
     /// A node with its record's revision, by its address; none for one that is
     /// known to have gone.
     pub fn present_at(&self, address: SocketAddr) -> Option<(String, NodeRecord, u64)> {
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -18,6 +18,7 @@
 use millwind_core::data_residency::AllowedRegions;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::{DatabaseName, GroupName};
+use millwind_core::lead_relocation::worth_of;
 use millwind_core::position::Position;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -117,6 +118,13 @@
         self.prepared.as_ref().map(|(statement, _)| statement)
     }
 
+    /// Tells that the operation needs its group's leader.
+    fn needs_leader(&self, engine: &Engine) {
+        let worth = worth_of(self.database.priority);
+        engine.leader_demands.note(self.group(), &self.regions, worth);
+        engine.directory.used(self.group(), None);
+    }
+
     fn group(&self) -> &GroupName {
         &self.database.settings.group
     }
@@ -275,6 +283,10 @@
     /// came late, and for a sample of the others.
     fn log_request(&self, id: &str, name: &str, answer: &Answer, micros: u64) {
         let terms = self.terms_in_force().ok();
+        let regions = terms
+            .as_ref()
+            .map(|terms| terms.regions.clone())
+            .unwrap_or_default();
         let tenant = terms
             .as_ref()
             .map_or("unknown", |terms| terms.user.as_str())
@@ -294,7 +306,7 @@
         };
         let belief = database.map_or_else(String::new, |database| self.belief(&database.settings.group));
         info!(
-            "event=request id={id} session={} database={} tenant={tenant} statement={name} outcome={outcome} micros={micros} sample={sample} config_version={} {belief} {} detail={detail:?}",
+            "event=request id={id} session={} database={} tenant={tenant} statement={name} outcome={outcome} micros={micros} sample={sample} config_version={} allowed_regions={regions} {belief} {} detail={detail:?}",
             self.number,
             self.database,
             self.engine.config_version(),
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -57,7 +57,7 @@
     /// own, which a former leader refuses.
     async fn leader_read(&mut self, operation: Operation) -> Answer {
         let engine = self.engine.clone();
-        engine.directory.used(operation.group(), None);
+        operation.needs_leader(&engine);
         let mut overloads = Overloads::default();
         loop {
             let record = usable_leader(&engine, &operation).await?;
--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -151,9 +151,10 @@
         let staleness = open.terms.database.settings.staleness_ms;
         let is_on_leader = open.is_on_leader();
         let engine = self.engine.clone();
-        engine
-            .directory
-            .used(operation.group(), (!is_on_leader).then_some(staleness));
+        match is_on_leader {
+            true => operation.needs_leader(&engine),
+            false => engine.directory.used(operation.group(), Some(staleness)),
+        }
         let mut overloads = Overloads::default();
         loop {
             let error = match self.try_first(open, operation).await {
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -5,6 +5,7 @@
 
 use millwind_core::eligibility::Ineligible;
 use millwind_core::error_kind::ErrorKind;
+use millwind_core::ids::RegionName;
 
 use super::attempt::{self, Overloads};
 use super::{Operation, Session};
@@ -30,8 +31,7 @@
     /// Runs a write outside of a transaction.
     pub(super) async fn single_write(&mut self, operation: Operation) -> Answer {
         let engine = self.engine.clone();
-        let group = operation.group().clone();
-        engine.directory.used(&group, None);
+        operation.needs_leader(&engine);
         let mut overloads = Overloads::default();
         loop {
             let record = usable_leader(&engine, &operation).await?;
@@ -87,7 +87,7 @@
                 match engine.judge_instance(&known, InstanceUse::Leader, &operation.regions) {
                     Ok(()) => return Ok(known.record),
                     Err(Ineligible::Leaving) => format!("leader {} will end", known.record.name),
-                    Err(reason) => return Err(unusable_leader(&known, reason, operation)),
+                    Err(reason) => return Err(unusable_leader(engine, &known, reason, operation)),
                 }
             }
             Some(known) => format!("leader {} does not answer", known.record.name),
@@ -117,11 +117,12 @@
     is_reached && may_lead
 }
 
-fn unusable_leader(known: &Known, reason: Ineligible, operation: &Operation) -> Refusal {
+fn unusable_leader(engine: &Engine, known: &Known, reason: Ineligible, operation: &Operation) -> Refusal {
     let detail = format!(
-        "leader {} in zone {}: {}, allowed regions: {}",
+        "leader {} in zone {}, region {}: {}, allowed regions: {}",
         known.record.name,
         known.record.zone,
+        engine.region_of(known).map_or("none", RegionName::as_str),
         reason.name(),
         operation.regions
     );
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -47,6 +47,9 @@
     pub config_bound_ms: u64,
     /// Regions of the deployment's zones, this node's own among them.
     pub topology: Topology,
+    /// The lead of a group is handed over to another region where customers' terms
+    /// exclude the one that it stands in; else statements that need it are refused.
+    pub relocates_leads: bool,
     /// Nothing new reaches an instance of a zone so long after the operators were
     /// told that its evacuation is accepted, in milliseconds.
     pub evacuation_bound_ms: u64,
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 6;
+pub const EXCHANGE_VERSION: u8 = 7;
 
 /// One document of the store.
 #[binrw]
@@ -83,6 +83,54 @@
     /// A group's term is closed: hand the permit for it back.
     #[brw(magic = 4u8)]
     CloseTerm(TermClosing),
+    /// What the asking node's callers need of a group's leader; nothing is asked.
+    #[brw(magic = 5u8)]
+    LeaderDemand(DemandReport),
+}
+
+/// What a node's callers needed of a group's leader lately.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DemandReport {
+    /// The group.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub group: String,
+    /// The node.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub node: String,
+    /// The demand by the regions that it allows.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    pub parts: Vec<DemandPart>,
+}
+
+/// Statements that allow the same regions.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DemandPart {
+    /// One if every region is allowed.
+    pub is_any: u8,
+    /// Else the regions.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    pub regions: Vec<RegionText>,
+    /// What they are worth.
+    pub worth: u64,
+}
+
+/// Name of a region.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegionText {
+    /// The name.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub name: String,
 }
 
 /// A closed term, as the store holds it.
@@ -171,6 +219,9 @@
         /// longer.
         has_stepped_down: u8,
     },
+    /// A report was taken in.
+    #[brw(magic = 5u8)]
+    Noted,
 }
 
 /// Writes a message with its version.
