Allowed regions in templates and tenants of the PostgreSQL product

Both bind; a change that names a region without an instance of the group, or leaves none in common, is refused with the known regions named. Reads order such instances last with the reason region_not_allowed; writes and transactions whose primary stands outside are refused at once; text is not sent to an owner outside. Tests: tenant_regions, routing. The gateway's dispatch has no test with processes.

--- a/crates/millwind-core/src/config_state.rs
+++ b/crates/millwind-core/src/config_state.rs
@@ -98,7 +98,7 @@
         /// The document.
         key: String,
         /// What is wrong.
-        source: TenantError,
+        source: Box<TenantError>,
     },
     /// The document names another that does not exist.
     #[error("{key}: {field} names {name:?}, which does not exist")]
@@ -299,8 +299,10 @@
             ..document.clone()
         };
         changed.replace(&raised);
-        let (_, before) = self.resolve(&ResolvedConfig::default());
-        let (resolved, after) = changed.resolve(&ResolvedConfig::default());
+        let (held, mut before) = self.resolve(&ResolvedConfig::default());
+        let (resolved, mut after) = changed.resolve(&ResolvedConfig::default());
+        before.extend(held.region_errors());
+        after.extend(resolved.region_errors());
         if after.len() > before.len()
             && let Some(error) = after
                 .into_iter()
@@ -345,7 +347,10 @@
 
 fn range_error(document: &WireDocument) -> impl FnOnce(TenantError) -> DocumentError + use<> {
     let key = document.key.clone();
-    move |source| DocumentError::Range { key, source }
+    move |source| DocumentError::Range {
+        key,
+        source: Box::new(source),
+    }
 }
 
 fn parse_group(document: &WireDocument) -> Result<GroupSpec, DocumentError> {
@@ -397,6 +402,19 @@
 }
 
 impl ResolvedConfig {
+    /// Tenants whose allowed regions leave nothing, or name one that their group has no
+    /// instance in. Such a change is refused; where it is in force all the same, the
+    /// tenant's statements are, and its former terms don't come back.
+    fn region_errors(&self) -> Vec<DocumentError> {
+        let error_of = |settings: &Arc<TenantSettings>| {
+            let group = self.groups.get(&settings.group)?;
+            let source = Box::new(settings.check_regions(group).err()?);
+            let key = DocumentKind::Tenant.key(settings.name.as_str());
+            Some(DocumentError::Range { key, source })
+        };
+        self.tenants.values().filter_map(error_of).collect()
+    }
+
     /// Whether an instance is marked as leaving, by operators or the platform.
     pub fn is_leaving(&self, group: &GroupName, instance: &InstanceName) -> bool {
         let by_operator = self
--- a/crates/millwind-core/src/routing.rs
+++ b/crates/millwind-core/src/routing.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::Instant;
+use crate::data_residency::AllowedRegions;
 use crate::ids::{InstanceName, RegionName, ZoneName};
 use crate::position::{Coverage, Position, TermStart, coverage};
 
@@ -67,6 +68,8 @@
     PrimaryFallback,
     /// The tenant's policy sends no reads there.
     NotAllowed,
+    /// The tenant's terms exclude its region.
+    RegionNotAllowed,
     /// Leaving: gets no new work.
     Leaving,
     /// Failed lately and is left alone for a while.
@@ -76,7 +79,10 @@
 impl Reason {
     /// Whether a candidate with this reason may be chosen.
     pub const fn eligible(self) -> bool {
-        !matches!(self, Reason::Leaving | Reason::Discarded | Reason::NotAllowed)
+        !matches!(
+            self,
+            Reason::Leaving | Reason::Discarded | Reason::NotAllowed | Reason::RegionNotAllowed
+        )
     }
 
     const fn rank(self) -> u8 {
@@ -87,7 +93,7 @@
             Reason::PrimaryFallback => 3,
             Reason::TooFarBehind => 4,
             Reason::Banned => 5,
-            Reason::Leaving | Reason::Discarded | Reason::NotAllowed => 6,
+            Reason::Leaving | Reason::Discarded | Reason::NotAllowed | Reason::RegionNotAllowed => 6,
         }
     }
 }
@@ -102,6 +108,7 @@
             Reason::Discarded => "discarded",
             Reason::PrimaryFallback => "primary_fallback",
             Reason::NotAllowed => "not_allowed",
+            Reason::RegionNotAllowed => "region_not_allowed",
             Reason::Leaving => "leaving",
             Reason::Banned => "banned",
         };
@@ -129,6 +136,8 @@
     pub wait_ms: u64,
     /// Which instances may serve it.
     pub policy: ReadPolicy,
+    /// Regions that the tenant's terms allow.
+    pub regions: AllowedRegions,
 }
 
 /// Orders the group's instances for a read, best first; candidates that may
@@ -158,6 +167,9 @@
 }
 
 fn weigh(now: Instant, hint: &InstanceHint, request: &ReadRequest) -> Reason {
+    if !request.regions.allows(Some(&hint.region)) {
+        return Reason::RegionNotAllowed;
+    }
     if hint.leaving {
         return Reason::Leaving;
     }
--- a/crates/millwind-core/src/tenant.rs
+++ b/crates/millwind-core/src/tenant.rs
@@ -1,12 +1,13 @@
 //! Database groups, templates and tenants: what operators write, and the
 //! checked settings that follow from it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::confirmation::ConfirmationRule;
+use crate::data_residency::AllowedRegions;
 use crate::ids::{GroupName, InstanceName, RegionName, TenantName, ZoneName};
 use crate::routing::ReadPolicy;
 
@@ -130,6 +131,9 @@
     /// Which instances serve reads.
     #[serde(default)]
     pub read_policy: ReadPolicy,
+    /// Regions in which statements of its tenants may run; empty for all.
+    #[serde(default, alias = "allowed-regions")]
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// A tenant made from a template.
@@ -148,6 +152,10 @@
     /// Values for the template's parameters.
     #[serde(default)]
     pub parameters: BTreeMap<Parameter, u64>,
+    /// Regions in which its statements may run; empty for all that its template
+    /// allows.
+    #[serde(default, alias = "allowed-regions")]
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// Why a template or tenant was refused.
@@ -197,6 +205,24 @@
         /// The class.
         class: String,
     },
+    /// Terms name a region in which the group has no instance.
+    #[error("tenant {tenant}: no instance of group {group} runs in region {region}, but in {known}")]
+    UnknownRegion {
+        /// The tenant.
+        tenant: TenantName,
+        /// Its group.
+        group: GroupName,
+        /// The region.
+        region: RegionName,
+        /// Regions of the group's instances.
+        known: AllowedRegions,
+    },
+    /// A tenant and its template allow no region in common.
+    #[error("tenant {tenant}: allowed_regions of tenant and template have no region in common")]
+    NoCommonRegion {
+        /// The tenant.
+        tenant: TenantName,
+    },
     /// A group without instances, or with an unusable one.
     #[error("group {group}: {field} must be {allowed}")]
     Group {
@@ -236,6 +262,8 @@
     pub classes: Vec<RequestClass>,
     /// Which instances serve reads.
     pub read_policy: ReadPolicy,
+    /// Regions in which its statements may run, by its own terms and its template's.
+    pub allowed_regions: AllowedRegions,
 }
 
 const DEFAULT_STALENESS_MS: u64 = 5_000;
@@ -290,6 +318,8 @@
             default_window_ms: value(Parameter::DefaultWindowMs, DEFAULT_WINDOW_MS).max(1),
             classes: self.classes.clone(),
             read_policy: self.read_policy,
+            allowed_regions: AllowedRegions::from_list(self.allowed_regions.iter().cloned())
+                .both(&AllowedRegions::from_list(tenant.allowed_regions.iter().cloned())),
         })
     }
 
@@ -352,6 +382,28 @@
 pub const MINIMUM_CONNECTIONS: u32 = 8;
 
 impl TenantSettings {
+    /// Checks the allowed regions against those of the group's instances. A name that is
+    /// misspelt would else be found only when the tenant's statements are refused.
+    pub fn check_regions(&self, group: &GroupSpec) -> Result<(), TenantError> {
+        let AllowedRegions::Only(regions) = &self.allowed_regions else {
+            return Ok(());
+        };
+        if regions.is_empty() {
+            let tenant = self.name.clone();
+            return Err(TenantError::NoCommonRegion { tenant });
+        }
+        let known: BTreeSet<_> = group.instances.iter().map(|entry| entry.region.clone()).collect();
+        match regions.iter().find(|region| !known.contains(*region)) {
+            None => Ok(()),
+            Some(region) => Err(TenantError::UnknownRegion {
+                tenant: self.name.clone(),
+                group: self.group.clone(),
+                region: region.clone(),
+                known: AllowedRegions::Only(known),
+            }),
+        }
+    }
+
     /// The class of a request: the one it names, else the first whose tables
     /// it mentions.
     pub fn class(&self, named: Option<&str>, read: bool, tables: &[String]) -> Option<&RequestClass> {
--- a/crates/millwind-core/tests/routing.rs
+++ b/crates/millwind-core/tests/routing.rs
@@ -2,6 +2,7 @@
 
 use millwind_core::Instant;
 use millwind_core::admission::{Admission, AdmissionLimits, AdmissionQueue, Ticket};
+use millwind_core::data_residency::AllowedRegions;
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::group_view::{GroupView, InstanceStatus, Role};
 use millwind_core::ids::{InstanceName, NodeName, RegionName, TenantName, ZoneName};
@@ -39,6 +40,7 @@
         token,
         wait_ms: 300,
         policy: ReadPolicy::Replica,
+        regions: AllowedRegions::Any,
     }
 }
 
@@ -46,6 +48,31 @@
     order.iter().map(|choice| choice.instance.as_str()).collect()
 }
 
+#[test]
+fn an_instance_outside_of_the_tenants_regions_is_shown_and_not_chosen() {
+    let mut abroad = hint("near-abroad", "near", false, Some(Position::new(1, 10)));
+    abroad.region = "abroad".into();
+    let mut primary = hint("primary-abroad", "near", true, Some(Position::new(1, 10)));
+    primary.region = "abroad".into();
+    let hints = [
+        abroad,
+        primary,
+        hint("far-behind", "far", false, Some(Position::new(1, 5))),
+    ];
+    let asked = ReadRequest {
+        regions: AllowedRegions::from_list(["r".into()]),
+        ..request(Some(Position::new(1, 10)))
+    };
+    let order = order_for_read(NOW, &locality(), &hints, &asked);
+    assert_eq!(order[0].instance.as_str(), "far-behind");
+    assert!(
+        order[1..]
+            .iter()
+            .all(|choice| choice.reason == Reason::RegionNotAllowed)
+    );
+    assert!(order[1..].iter().all(|choice| !choice.reason.eligible()));
+}
+
 #[test]
 fn a_covering_replica_comes_before_a_nearer_one_that_lags() {
     let hints = [
--- /dev/null
+++ b/crates/millwind-core/tests/tenant_regions.rs
@@ -0,0 +1,124 @@
+//! Allowed regions of templates and tenants as operators configure them.
+
+use millwind_core::config_state::{ConfigState, ResolvedConfig};
+use millwind_core::data_residency::AllowedRegions;
+use millwind_core::ids::{RegionName, TenantName};
+use millwind_wire::control::WireDocument;
+
+const GROUP: &str = r#"
+name = "ledger"
+user = "proxy"
+database = "ledger"
+
+[[instances]]
+name = "i-a"
+address = "127.0.0.1:5432"
+zone = "north-1"
+region = "north"
+slots = 4
+connections = 20
+
+[[instances]]
+name = "i-b"
+address = "127.0.0.1:5433"
+zone = "south-1"
+region = "south"
+slots = 4
+connections = 20
+"#;
+
+fn document(key: &str, revision: u64, body: &str) -> WireDocument {
+    WireDocument {
+        key: key.to_owned(),
+        revision,
+        deleted: 0,
+        change_id: String::new(),
+        body: body.to_owned(),
+    }
+}
+
+fn template(line: &str) -> WireDocument {
+    document("template/standard", 2, &format!("name = \"standard\"\n{line}\n"))
+}
+
+fn tenant(line: &str) -> WireDocument {
+    let body = format!("name = \"shop\"\ntemplate = \"standard\"\ngroup = \"ledger\"\n{line}\n");
+    document("tenant/shop", 3, &body)
+}
+
+fn state_of(template_line: &str, tenant_line: &str) -> ConfigState {
+    let mut state = ConfigState::default();
+    let documents = [
+        document("group/ledger", 1, GROUP),
+        template(template_line),
+        tenant(tenant_line),
+    ];
+    state.apply_snapshot(3, &documents);
+    state
+}
+
+fn regions_of(state: &ConfigState) -> AllowedRegions {
+    let (resolved, errors) = state.resolve(&ResolvedConfig::default());
+    assert!(errors.is_empty(), "{errors:?}");
+    resolved.tenants[&TenantName::from("shop")]
+        .allowed_regions
+        .clone()
+}
+
+fn refusal(state: &ConfigState, change: &WireDocument) -> String {
+    state.check_change(change).unwrap_err().to_string()
+}
+
+#[test]
+fn terms_of_template_and_tenant_bind_together() {
+    let north = AllowedRegions::from_list([RegionName::from("north")]);
+    assert!(regions_of(&state_of("", "")).is_any());
+    assert_eq!(regions_of(&state_of("allowed_regions = [\"north\"]", "")), north);
+    assert_eq!(regions_of(&state_of("", "allowed-regions = [\"north\"]")), north);
+    let both = state_of(
+        "allowed_regions = [\"north\", \"south\"]",
+        "allowed_regions = [\"north\"]",
+    );
+    assert_eq!(regions_of(&both), north);
+}
+
+#[test]
+fn an_unknown_region_is_refused_with_the_known_ones_named() {
+    let state = state_of("", "");
+    let refused = refusal(&state, &tenant("allowed_regions = [\"nroth\"]"));
+    for part in ["tenant/shop", "nroth", "ledger", "north,south"] {
+        assert!(refused.contains(part), "{refused}");
+    }
+    let refused = refusal(&state, &template("allowed_regions = [\"nroth\"]"));
+    assert!(refused.contains("nroth"), "{refused}");
+    assert!(
+        state
+            .check_change(&tenant("allowed_regions = [\"south\"]"))
+            .is_ok()
+    );
+}
+
+#[test]
+fn terms_without_overlap_are_refused() {
+    let state = state_of("allowed_regions = [\"north\"]", "");
+    let refused = refusal(&state, &tenant("allowed_regions = [\"south\"]"));
+    assert!(refused.contains("no region in common"), "{refused}");
+}
+
+#[test]
+fn a_group_keeps_an_instance_in_each_region_that_tenants_name() {
+    let state = state_of("", "allowed_regions = [\"south\"]");
+    let moved = GROUP.replace("region = \"south\"", "region = \"east\"");
+    let refused = refusal(&state, &document("group/ledger", 4, &moved));
+    assert!(refused.contains("south"), "{refused}");
+}
+
+/// Terms that are in force in spite of the check let nothing run, and hold up no other
+/// change.
+#[test]
+fn terms_without_overlap_that_are_in_force_allow_nothing() {
+    let state = state_of("allowed_regions = [\"north\"]", "allowed_regions = [\"south\"]");
+    assert_eq!(regions_of(&state).to_string(), "none");
+    let larger = GROUP.replace("slots = 4", "slots = 8");
+    assert!(state.check_change(&document("group/ledger", 4, &larger)).is_ok());
+}
--- a/crates/millwind-ctl/src/tables.rs
+++ b/crates/millwind-ctl/src/tables.rs
@@ -162,6 +162,7 @@
             "hold_ms",
             "weight",
             "read_policy",
+            "allowed_regions",
         ],
         rows: rows
             .iter()
@@ -174,6 +175,7 @@
                     row.hold_ms.to_string(),
                     row.weight.to_string(),
                     format!("{:?}", row.read_policy),
+                    row.allowed_regions.clone(),
                 ]
             })
             .collect(),
--- a/crates/millwind-lab/src/cluster.rs
+++ b/crates/millwind-lab/src/cluster.rs
@@ -509,6 +509,7 @@
             group: self.deployment.group(index).as_str().into(),
             password: String::new(),
             parameters,
+            allowed_regions: Vec::new(),
         }
     }
 
--- a/crates/millwind-node/src/admin.rs
+++ b/crates/millwind-node/src/admin.rs
@@ -288,6 +288,8 @@
     pub weight: u32,
     /// Which instances serve reads.
     pub read_policy: ReadPolicy,
+    /// Regions in which its statements may run, `any` for all.
+    pub allowed_regions: String,
 }
 
 async fn tenants<S: Store>(State(state): Shared<S>) -> Json<Vec<TenantRow>> {
@@ -300,6 +302,7 @@
         hold_ms: settings.hold_ms,
         weight: settings.weight,
         read_policy: settings.read_policy,
+        allowed_regions: settings.allowed_regions.to_string(),
     });
     Json(rows.collect())
 }
--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -7,7 +7,7 @@
 
 use log::warn;
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::ids::InstanceName;
+use millwind_core::ids::{InstanceName, NodeName};
 use millwind_core::outcome::{NextStep, Progress, after_failure};
 use millwind_core::position::Position;
 use millwind_core::routing::{Choice, ReadRequest, Reason, order_for_read};
@@ -18,7 +18,7 @@
 };
 
 use super::request::Terms;
-use super::{Gateway, Owner, TenantRuntime, directory};
+use super::{Gateway, Owner, TenantRuntime, directory, residency};
 use crate::clock;
 use crate::owner::LOCAL_LINK;
 use crate::peer::{CallError, Patience};
@@ -136,11 +136,39 @@
             })
     }
 
+    /// Refuses to pass a statement's text to a node outside of the allowed regions; what
+    /// carries no text may go anywhere.
+    fn check_carrier(&self, node: &NodeName, request: &ExecuteRequest) -> Result<(), Failed> {
+        if request.batch.is_empty() || residency::may_carry(self.gateway, self.tenant, node) {
+            return Ok(());
+        }
+        let regions = &self.tenant.allowed_regions;
+        Err(Failed {
+            kind: ErrorKind::RegionNotAllowed,
+            progress: Progress::NotSent,
+            is_unreached: false,
+            detail: format!("owner {node} stands outside of allowed regions {regions}"),
+        })
+    }
+
+    /// Refuses what needs a primary that stands outside of the allowed regions.
+    fn check_primary(&self, instance: &InstanceName) -> Result<(), Refusal> {
+        if residency::is_allowed(self.tenant, &self.spec, instance) {
+            return Ok(());
+        }
+        let detail = format!(
+            "primary {instance}, allowed regions: {}",
+            self.tenant.allowed_regions
+        );
+        Err(Refusal::new(ErrorKind::RegionNotAllowed, detail))
+    }
+
     /// Gives a request to the present owner of its instance.
     async fn send(&self, instance: &InstanceName, request: ExecuteRequest) -> Result<Outcome, Failed> {
         match self.owner_of(instance)? {
             Owner::This => self.send_to(instance, None, request).await,
             Owner::Peer { node, address } => {
+                self.check_carrier(&node, &request)?;
                 let sent = self.send_to(instance, Some(address), request).await;
                 if sent.as_ref().is_err_and(|failed| failed.is_unreached) {
                     self.gateway.avoidance.avoid(&node);
@@ -212,12 +240,19 @@
                     "a later term discarded it",
                 ));
             }
+            if is_excluded_everywhere(&order) {
+                let detail = format!("allowed regions: {}", self.tenant.allowed_regions);
+                return Err(Refusal::new(ErrorKind::RegionNotAllowed, detail));
+            }
             let failed = match self.read_in_order(&order, token, &mut attempts).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(failed) => failed,
             };
             let over_budget = attempts > 0 && !self.withdraw();
-            let settled = failed.kind == ErrorKind::SessionDiscarded;
+            let settled = matches!(
+                failed.kind,
+                ErrorKind::SessionDiscarded | ErrorKind::RegionNotAllowed
+            );
             if over_budget || settled || clock::now() >= self.terms.deadline {
                 return Err(Refusal::new(failed.kind, failed.detail));
             }
@@ -280,6 +315,7 @@
             token,
             wait_ms: self.replica_wait_ms(),
             policy: self.tenant.read_policy,
+            regions: self.tenant.allowed_regions.clone(),
         };
         let order = order_for_read(clock::now(), &self.gateway.locality, &hints, &request);
         if self.gateway.decisions.is_watched() {
@@ -352,6 +388,9 @@
             let Some(primary) = directory::await_primary(self.gateway, &self.spec, hold_until).await else {
                 return Err(Refusal::new(ErrorKind::NoPrimary, "none was found in the window"));
             };
+            if intent != Intent::Floor {
+                self.check_primary(&primary.instance)?;
+            }
             let mut request = self.request(&primary.instance, intent);
             request.token = wire(token);
             if intent == Intent::Write {
@@ -386,6 +425,7 @@
                 | ErrorKind::AnswerTooLarge
                 | ErrorKind::RequestFenced
                 | ErrorKind::SessionDiscarded
+                | ErrorKind::RegionNotAllowed
         );
         if settled {
             return NextStep::Tell(failed.kind);
@@ -497,6 +537,12 @@
     }
 }
 
+/// Whether the tenant's terms exclude all candidates that there are.
+fn is_excluded_everywhere(order: &[Choice]) -> bool {
+    let mut reasons = order.iter().map(|choice| choice.reason);
+    !order.is_empty() && reasons.all(|reason| reason == Reason::RegionNotAllowed)
+}
+
 /// Whether a candidate has discarded the session's position and none is left
 /// that may still have it.
 fn is_discarded_everywhere(order: &[Choice]) -> bool {
--- a/crates/millwind-node/src/gateway/explain.rs
+++ b/crates/millwind-node/src/gateway/explain.rs
@@ -2,11 +2,12 @@
 
 use millwind_core::classify::{StatementKind, classify};
 use millwind_core::ids::TenantName;
-use millwind_core::routing::{ReadRequest, order_for_read};
+use millwind_core::routing::{ReadRequest, Reason, order_for_read};
 use serde::{Deserialize, Serialize};
 
 use super::Gateway;
 use super::request::{self, Action};
+use super::residency::is_allowed;
 use crate::clock;
 use crate::decisions::CandidateReason;
 
@@ -67,8 +68,11 @@
             let primary = self.directory.primary(spec);
             return primary
                 .map(|known| CandidateReason {
+                    reason: match is_allowed(settings, spec, &known.instance) {
+                        true => format!("primary of term {}", known.term),
+                        false => Reason::RegionNotAllowed.to_string(),
+                    },
                     instance: known.instance.0,
-                    reason: format!("primary of term {}", known.term),
                 })
                 .into_iter()
                 .collect();
@@ -77,6 +81,7 @@
             token: None,
             wait_ms: settings.replica_wait_ms,
             policy: settings.read_policy,
+            regions: settings.allowed_regions.clone(),
         };
         order_for_read(
             clock::now(),
--- a/crates/millwind-node/src/gateway/mod.rs
+++ b/crates/millwind-node/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod listener;
 mod local_answer;
 mod request;
+mod residency;
 mod session;
 mod startup;
 
