A node that does not watch a group asks who leads when its callers are refused

Cause: such a node heard of a moved lead from nobody as long as all its callers' statements were refused for the leader's region: it went on to refuse them.

--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -5,7 +5,7 @@
 
 use millwind_core::eligibility::Ineligible;
 use millwind_core::error_kind::ErrorKind;
-use millwind_core::ids::RegionName;
+use millwind_core::ids::{GroupName, RegionName};
 
 use super::attempt::{self, Overloads};
 use super::{Operation, Session};
@@ -26,6 +26,10 @@
 /// Between two tries while owners don't reach an instance, or watchers know no
 /// leader.
 const LEADER_PAUSE: Duration = Duration::from_millis(60);
+/// A leader that was heard within this time is not asked after again by those who may
+/// not use it, in milliseconds: callers that are refused are told to come back after so
+/// long.
+const BELIEF_MS: u64 = 1_000;
 
 impl Session {
     /// Runs a write outside of a transaction.
@@ -87,7 +91,12 @@
                 match engine.judge_instance(&known, InstanceUse::Leader, &operation.regions) {
                     Ok(()) => return Ok(known.record),
                     Err(Ineligible::Leaving) => format!("leader {} will end", known.record.name),
-                    Err(reason) => return Err(unusable_leader(engine, &known, reason, operation)),
+                    Err(reason) => {
+                        if !watches {
+                            renew_belief(engine, group);
+                        }
+                        return Err(unusable_leader(engine, &known, reason, operation));
+                    }
                 }
             }
             Some(known) => format!("leader {} does not answer", known.record.name),
@@ -105,6 +114,19 @@
     }
 }
 
+/// Asks in the background who leads, where that was not heard lately. A node that does
+/// not watch the group, and whose callers are all refused, hears from nobody else that
+/// the lead has moved.
+fn renew_belief(engine: &Arc<Engine>, group: &GroupName) {
+    let newest = engine.directory.newest_observation(group);
+    let is_recent = newest.is_some_and(|newest| clock::now().millis_since(newest.asked) < BELIEF_MS);
+    if is_recent {
+        return;
+    }
+    let (engine, group) = (engine.clone(), group.clone());
+    tokio::spawn(async move { peers::observe_leader(&engine, &group).await });
+}
+
 /// Whether a leader may be used. A node that does not watch the group has no
 /// contact with it, and one that does not run statements there needs no permit:
 /// the owner that runs the statement judges.
