--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -77,6 +77,8 @@
     Unresponsive,
     /// Its statements fail often.
     Outlier,
+    /// It stands in a region that customers' terms exclude.
+    Relocating,
 }
 
 impl ReplaceReason {
@@ -88,7 +90,16 @@
 
     /// Whether the leader still serves, so that its commits need not be lost.
     pub const fn is_of_live_leader(self) -> bool {
-        self.is_by_statements() || matches!(self, ReplaceReason::Leaving | ReplaceReason::Evacuated)
+        self.is_by_statements()
+            || matches!(
+                self,
+                ReplaceReason::Leaving | ReplaceReason::Evacuated | ReplaceReason::Relocating
+            )
+    }
+
+    /// Whether nothing is wrong with the leader but where it stands.
+    pub const fn is_move(self) -> bool {
+        matches!(self, ReplaceReason::Evacuated | ReplaceReason::Relocating)
     }
 
     /// The name in logs.
@@ -102,6 +113,7 @@
             ReplaceReason::Alone => "alone",
             ReplaceReason::Unresponsive => "unresponsive",
             ReplaceReason::Outlier => "outlier",
+            ReplaceReason::Relocating => "relocating",
         }
     }
 }
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -2,6 +2,7 @@
 
 mod health;
 mod pauses;
+mod relocation;
 mod replacement;
 mod revocation;
 
@@ -24,6 +25,7 @@
 use crate::node::Engine;
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
+use relocation::LeadHistories;
 use replacement::LostLeader;
 
 /// Between two looks at the groups.
@@ -66,6 +68,8 @@
     searching: Arc<GroupMarks>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
     replaced_sick: Mutex<HashMap<GroupName, Instant>>,
+    lead_histories: LeadHistories,
+    reporting: Arc<GroupMarks>,
 }
 
 impl<S: Store + 'static> Monitor<S> {
@@ -90,6 +94,8 @@
             searching: Arc::default(),
             leaderless: Mutex::new(HashMap::new()),
             replaced_sick: Mutex::new(HashMap::new()),
+            lead_histories: LeadHistories::default(),
+            reporting: Arc::default(),
         })
     }
 
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -24,6 +24,7 @@
 use crate::failover::Monitor;
 use crate::forward::Owners;
 use crate::group_marks::GroupMarks;
+use crate::leader_demand::LeaderDemands;
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::own_keys::OwnKeys;
@@ -129,6 +130,8 @@
     pub stepping_down: Arc<GroupMarks>,
     /// The nodes that own connections to instances.
     pub owners: Owners,
+    /// What needs the leaders of groups.
+    pub leader_demands: LeaderDemands,
     /// Quotas of tenants.
     pub quotas: Quotas,
     /// Places to arrive at cold instances.
@@ -509,7 +512,8 @@
         departure: watch::Sender::new(None),
         unreached: Unreached::default(),
         stepping_down: Arc::default(),
-        owners: Owners::default(),
+        owners: Owners::new(settings.topology.clone()),
+        leader_demands: LeaderDemands::default(),
         quotas: Quotas::default(),
         cold_places: ColdPlaces::default(),
         peer_reach: PeerReach::default(),
@@ -562,6 +566,7 @@
         ports.promoter.clone(),
         ports.catalog_codec.clone(),
     );
+    tokio::spawn(monitor.clone().follow_leads());
     tokio::spawn(monitor.run());
 }
 
