--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -70,20 +70,20 @@
         pool
     }
 
-    /// The instance of `record` began anew: its pool starts without connections and with
-    /// nothing learnt of its load. Whoever still holds the former record gets the new
-    /// pool as well.
+    /// The instance of `record` began anew: its pool, if there is one, starts without
+    /// connections and with nothing learnt of its load. Whoever still holds the former
+    /// record gets the new pool as well.
     pub fn begin_life(&self, record: &InstanceRecord, version: u64, share: usize) {
-        let shared = Shared {
-            pool: Pool::new(record.clone(), self.codec.clone(), share),
-            version,
+        let former = {
+            let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+            let Some(shared) = pools.get_mut(&record.name) else {
+                return;
+            };
+            shared.version = version;
+            let pool = Pool::new(record.clone(), self.codec.clone(), share);
+            std::mem::replace(&mut shared.pool, pool)
         };
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let former = pools.insert(record.name.clone(), shared);
-        drop(pools);
-        if let Some(former) = former {
-            former.pool.retire();
-        }
+        former.retire();
     }
 
     fn all(&self) -> Vec<Arc<Pool>> {
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -4,12 +4,10 @@
 
 use log::warn;
 use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
 
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
 use crate::connection_shares::AMPLE_SHARE;
-use crate::directory::Directory;
 use crate::node::Engine;
 use crate::passed_over::shortened;
 use crate::ports::{CatalogCodec, CatalogError};
@@ -17,6 +15,10 @@
 /// Connections opened ahead of need to a new instance.
 const WARM_CONNECTIONS: usize = 1;
 
+/// What peers are told in place of a record that cannot be read: no document of any
+/// form is empty.
+const UNREADABLE: &[u8] = &[];
+
 /// Who told this node of a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigSource {
@@ -134,12 +136,13 @@
             Some(Ok(record)) => record,
             Some(Err(error)) => {
                 self.pass_over(key, revision, &error);
-                self.drop_record(codec, key, revision, Directory::disown);
+                // Peers need not read it to know that it cannot be read.
+                self.drop_record(codec, key, Some(UNREADABLE), revision);
                 return false;
             }
             None => {
                 self.passed_over.forget(key);
-                self.drop_record(codec, key, revision, Directory::remove_record);
+                self.drop_record(codec, key, None, revision);
                 return false;
             }
         };
@@ -162,20 +165,22 @@
         }
     }
 
-    /// The record under `key` names no instance since `revision`; `drop` takes that in.
-    fn drop_record(
-        &self,
-        codec: &dyn CatalogCodec,
-        key: &str,
-        revision: u64,
-        drop: fn(&Directory, &InstanceName) -> bool,
-    ) {
+    /// The record under `key` names no instance since `revision`: it was removed, or
+    /// something lies there that cannot be read, for which peers are told `document`.
+    fn drop_record(&self, codec: &dyn CatalogCodec, key: &str, document: Option<&[u8]>, revision: u64) {
         // Only names are remembered: no record can ever be read under another key.
         let Some(name) = codec.instance_name(key) else {
             return;
         };
-        if self.catalog_cache.see_instance(key, revision) && drop(&self.directory, &name) {
-            self.catalog_cache.keep_instance(key, None, revision);
+        if !self.catalog_cache.see_instance(key, revision) {
+            return;
+        }
+        let is_news = match document {
+            Some(_) => self.directory.disown(&name),
+            None => self.directory.remove_record(&name),
+        };
+        if is_news {
+            self.catalog_cache.keep_instance(key, document, revision);
         }
     }
 
