--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -4,6 +4,7 @@
 mod contact;
 mod lives;
 mod permits;
+mod usage;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -262,10 +263,8 @@
         let now = clock::now();
         let mut state = self.state();
         let previous = state.instances.get(&record.name).cloned();
-        let began = previous
-            .as_ref()
-            .and_then(|known| began_anew(&known.record.life_signs(), &record.life_signs()));
         let previous = previous.as_ref();
+        let began = previous.and_then(|known| began_anew(&known.record.life_signs(), &record.life_signs()));
         let claimed_before = previous.is_some_and(|known| known.record.claims_lead && !known.is_gone);
         let is_new = previous.is_none_or(|known| known.is_gone);
         let has_changed =
@@ -567,80 +566,6 @@
     pub fn newest_observation(&self, group: &GroupName) -> Option<LeaderObservation> {
         self.state().groups.get(group)?.observations.newest()
     }
-
-    /// The least position that proves a read of staleness `staleness_ms` safe,
-    /// which arrived at `arrived` in a session that has written `written`.
-    pub fn floor(
-        &self,
-        group: &GroupName,
-        arrived: Instant,
-        staleness_ms: u64,
-        written: Option<Written>,
-    ) -> Option<Position> {
-        let not_before = clock::minus_millis(arrived, staleness_ms);
-        let state = self.state();
-        let observations = &state.groups.get(group)?.observations;
-        let floor = observations.floor(not_before)?;
-        let own = written.map(|written| observations.covering(written.position, written.acknowledged));
-        Some(own.map_or(floor, |own| own.max(floor)))
-    }
-
-    /// As [`Directory::floor`], waiting for an observation until `deadline`.
-    pub async fn await_floor(
-        &self,
-        group: &GroupName,
-        arrived: Instant,
-        staleness_ms: u64,
-        written: Option<Written>,
-        deadline: Instant,
-    ) -> Option<Position> {
-        loop {
-            let observed = self.observed.notified();
-            if let Some(floor) = self.floor(group, arrived, staleness_ms, written) {
-                return Some(floor);
-            }
-            tokio::time::timeout_at(clock::deadline(deadline), observed)
-                .await
-                .ok()?;
-        }
-    }
-
-    /// Notes that a group is in use, by databases of this staleness.
-    pub fn used(&self, group: &GroupName, staleness_ms: Option<u64>) {
-        let mut state = self.state();
-        if !state.groups.contains_key(group) {
-            state.groups.insert(group.clone(), Group::default());
-        }
-        if let Some(entry) = state.groups.get_mut(group) {
-            entry.last_use = Some(clock::now());
-            if let Some(staleness) = staleness_ms {
-                let least = entry.staleness_ms.map_or(staleness, |held| held.min(staleness));
-                entry.staleness_ms = Some(least);
-            }
-        }
-    }
-
-    /// Notes that a group is in use over this node's own connections.
-    pub fn used_directly(&self, group: &GroupName) {
-        let mut state = self.state();
-        if let Some(entry) = state.groups.get_mut(group) {
-            entry.last_direct_use = Some(clock::now());
-        }
-    }
-
-    /// When a group was last used over this node's own connections.
-    pub fn last_direct_use(&self, group: &GroupName) -> Option<Instant> {
-        self.state().groups.get(group)?.last_direct_use
-    }
-
-    /// When a group was last used, and the least staleness asked of it.
-    pub fn usage(&self, group: &GroupName) -> (Option<Instant>, Option<u64>) {
-        let state = self.state();
-        state
-            .groups
-            .get(group)
-            .map_or((None, None), |entry| (entry.last_use, entry.staleness_ms))
-    }
 }
 
 /// The term in which an instance leads that answers as a leader with its log at
--- /dev/null
+++ b/crates/millwind-engine/src/directory/usage.rs
@@ -0,0 +1,84 @@
+//! How groups are used, and which positions reads in them need.
+
+use millwind_core::Instant;
+use millwind_core::ids::GroupName;
+use millwind_core::position::Position;
+
+use super::{Directory, Group, Written};
+use crate::clock;
+
+impl Directory {
+    /// The least position that proves a read of staleness `staleness_ms` safe,
+    /// which arrived at `arrived` in a session that has written `written`.
+    pub fn floor(
+        &self,
+        group: &GroupName,
+        arrived: Instant,
+        staleness_ms: u64,
+        written: Option<Written>,
+    ) -> Option<Position> {
+        let not_before = clock::minus_millis(arrived, staleness_ms);
+        let state = self.state();
+        let observations = &state.groups.get(group)?.observations;
+        let floor = observations.floor(not_before)?;
+        let own = written.map(|written| observations.covering(written.position, written.acknowledged));
+        Some(own.map_or(floor, |own| own.max(floor)))
+    }
+
+    /// As [`Directory::floor`], waiting for an observation until `deadline`.
+    pub async fn await_floor(
+        &self,
+        group: &GroupName,
+        arrived: Instant,
+        staleness_ms: u64,
+        written: Option<Written>,
+        deadline: Instant,
+    ) -> Option<Position> {
+        loop {
+            let observed = self.observed.notified();
+            if let Some(floor) = self.floor(group, arrived, staleness_ms, written) {
+                return Some(floor);
+            }
+            tokio::time::timeout_at(clock::deadline(deadline), observed)
+                .await
+                .ok()?;
+        }
+    }
+
+    /// Notes that a group is in use, by databases of this staleness.
+    pub fn used(&self, group: &GroupName, staleness_ms: Option<u64>) {
+        let mut state = self.state();
+        if !state.groups.contains_key(group) {
+            state.groups.insert(group.clone(), Group::default());
+        }
+        if let Some(entry) = state.groups.get_mut(group) {
+            entry.last_use = Some(clock::now());
+            if let Some(staleness) = staleness_ms {
+                let least = entry.staleness_ms.map_or(staleness, |held| held.min(staleness));
+                entry.staleness_ms = Some(least);
+            }
+        }
+    }
+
+    /// Notes that a group is in use over this node's own connections.
+    pub fn used_directly(&self, group: &GroupName) {
+        let mut state = self.state();
+        if let Some(entry) = state.groups.get_mut(group) {
+            entry.last_direct_use = Some(clock::now());
+        }
+    }
+
+    /// When a group was last used over this node's own connections.
+    pub fn last_direct_use(&self, group: &GroupName) -> Option<Instant> {
+        self.state().groups.get(group)?.last_direct_use
+    }
+
+    /// When a group was last used, and the least staleness asked of it.
+    pub fn usage(&self, group: &GroupName) -> (Option<Instant>, Option<u64>) {
+        let state = self.state();
+        state
+            .groups
+            .get(group)
+            .map_or((None, None), |entry| (entry.last_use, entry.staleness_ms))
+    }
+}
