--- a/crates/millwind-model/src/main.rs
+++ b/crates/millwind-model/src/main.rs
@@ -81,14 +81,11 @@
         broken,
     );
     let units = if large { 3 } else { 2 };
-    let leadership = Leadership {
-        broken,
-        units,
-        restarts: 1,
-    };
-    let leadership = report(&leadership, broken);
+    let [staying, beginning_anew] = Leadership::bounded(broken, units);
+    let staying = report(&staying, broken);
+    let beginning_anew = report(&beginning_anew, broken);
     let pausing = report(&Pausing { broken }, broken);
-    let found = [writes, configuration, links, leadership, pausing]
+    let found = [writes, configuration, links, staying, beginning_anew, pausing]
         .iter()
         .any(|outcome| outcome.counterexample.is_some());
     if let Some(rule) = broken {
