Evacuated zones: a lead that can't be handed over is tried from time to time after the bound

Cause: while no replica holds what the leader reported, every watcher of the group asked all replicas and wrote lines again and again (each 150 ms by the constants, not measured), while the zone stayed evacuated. After the bound a round begins every 5 s; within it as before.

--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -11,7 +11,7 @@
 use log::info;
 use millwind_core::Instant;
 use millwind_core::data_residency::AllowedRegions;
-use millwind_core::failover::{FailoverTimes, LeaderEvidence, LeaderVerdict, judge_leader};
+use millwind_core::failover::{FailoverTimes, LeaderEvidence, LeaderVerdict, ReplaceReason, judge_leader};
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_store::Store;
 
@@ -33,6 +33,9 @@
 /// Between two replacements of one group's leader for how its statements end,
 /// in milliseconds.
 const SICK_PAUSE_MS: u64 = 8_000;
+/// Between two tries to hand over a leader whose time in an evacuated zone is over, in
+/// milliseconds: no replica has what it must hold, so that trying on asks and logs in vain.
+const LEAVE_PAUSE_MS: u64 = 5_000;
 /// Silence after which a leader is suspected, in milliseconds.
 const SUSPECT_MS: u64 = 400;
 /// Silence after which a lone witness acts, in milliseconds.
@@ -65,6 +68,9 @@
     searching: Arc<GroupMarks>,
     leaderless: Mutex<HashMap<GroupName, Instant>>,
     replaced_sick: Mutex<HashMap<GroupName, Instant>>,
+    /// When a leader that stays beyond its time in an evacuated zone was last tried to
+    /// be handed over.
+    tried_leaving: Mutex<HashMap<GroupName, Instant>>,
 }
 
 impl<S: Store + 'static> Monitor<S> {
@@ -89,6 +95,7 @@
             searching: Arc::default(),
             leaderless: Mutex::new(HashMap::new()),
             replaced_sick: Mutex::new(HashMap::new()),
+            tried_leaving: Mutex::new(HashMap::new()),
         })
     }
 
@@ -156,6 +163,9 @@
         if reason.is_by_statements() && !self.may_replace_sick(group) {
             return;
         }
+        if reason == ReplaceReason::Evacuated && !self.may_try_leaving(group, leader.as_ref()) {
+            return;
+        }
         if self.duties.is_ordered_by_other(group) {
             return;
         }
@@ -177,15 +187,18 @@
     /// Whether no leader of the group was replaced lately for how its
     /// statements end: the cause may lie elsewhere if the next one fares alike.
     fn may_replace_sick(&self, group: &GroupName) -> bool {
-        let now = clock::now();
-        let mut replaced = self.replaced_sick.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_recent = replaced
-            .get(group)
-            .is_some_and(|last| now.millis_since(*last) < SICK_PAUSE_MS);
-        if !is_recent {
-            replaced.insert(group.clone(), now);
-        }
-        !is_recent
+        has_rested(&self.replaced_sick, group, SICK_PAUSE_MS)
+    }
+
+    /// Whether a leader in an evacuated zone may be tried to be handed over now: at any
+    /// time within the bound, and from time to time after it.
+    fn may_try_leaving(&self, group: &GroupName, leader: Option<&InstanceName>) -> bool {
+        let directory = &self.engine.directory;
+        let known = leader.and_then(|leader| directory.instance(leader));
+        let since = known.and_then(|known| directory.evacuated_since(&known.record.zone));
+        let bound = self.engine.settings.evacuation_bound_ms;
+        let is_within = since.is_some_and(|since| clock::now().millis_since(since) < bound);
+        is_within || has_rested(&self.tried_leaving, group, LEAVE_PAUSE_MS)
     }
 
     /// Searches for a leader in the background: instances that are silent must
@@ -327,3 +340,16 @@
             .remove(group);
     }
 }
+
+/// Whether `group` was last noted longer than `pause_ms` ago; notes it then.
+fn has_rested(noted: &Mutex<HashMap<GroupName, Instant>>, group: &GroupName, pause_ms: u64) -> bool {
+    let now = clock::now();
+    let mut noted = noted.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_recent = noted
+        .get(group)
+        .is_some_and(|last| now.millis_since(*last) < pause_ms);
+    if !is_recent {
+        noted.insert(group.clone(), now);
+    }
+    !is_recent
+}
