An instance whose process seemed to end is taken as cold

Cause: an instance that restarted in place got full load until its new record was read: nodes that lack the store's news went on as before. Change: refused connections, or the loss of all that rested, make it count as cold for its warm-up time; two later heartbeats of the same life settle that. One is not enough, since it may have been written before. A single connection that breaks while others live tells nothing. Without terms nothing changes. Left out: a node without any connection to the instance sees nothing of this.

--- a/crates/millwind-core/src/warm_up.rs
+++ b/crates/millwind-core/src/warm_up.rs
@@ -61,8 +61,25 @@
     told_ms: u64,
     /// It is taken to have begun then, whatever it tells.
     begun: Option<Instant>,
+    /// Its process seemed to end.
+    doubt: Option<Doubt>,
 }
 
+/// The process of an instance seemed to end, and no record of a new one was read yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Doubt {
+    /// Its last sign.
+    since: Instant,
+    /// The newest heartbeat that is known of the instance.
+    heartbeat: Option<u64>,
+    /// Later heartbeats of the same life that were read since.
+    later: u8,
+}
+
+/// So many later heartbeats show that a process did not end: the first may have been
+/// written before the sign of its end, and been on its way.
+const SETTLING_HEARTBEATS: u8 = 2;
+
 impl Sight {
     /// An instance that this node sees for the first time at `now`, whose record tells
     /// that it stays slow for `told_ms`. One that tells nothing may have run for long.
@@ -71,6 +88,7 @@
             told_until: now.plus_millis(told_ms),
             told_ms,
             begun: None,
+            doubt: None,
         }
     }
 
@@ -105,12 +123,54 @@
         }
     }
 
+    /// The process of the instance seems to have ended at `now`: connections to it were
+    /// refused or lost. One that began anew in its place takes connections before its
+    /// record is read, so the instance counts as cold for as long as a new one would,
+    /// unless later records show that the former process lives on.
+    pub fn doubted(self, heartbeat: Option<u64>, now: Instant) -> Self {
+        let doubt = Doubt {
+            since: now,
+            heartbeat,
+            later: 0,
+        };
+        Sight {
+            doubt: Some(doubt),
+            ..self
+        }
+    }
+
+    /// Whether its process seemed to end, and that is not settled.
+    pub fn is_doubted(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// A record of the same life was read, with this heartbeat.
+    pub fn heard(self, heartbeat: Option<u64>) -> Self {
+        let Some(doubt) = self.doubt else {
+            return self;
+        };
+        if heartbeat <= doubt.heartbeat {
+            return self;
+        }
+        let later = doubt.later + 1;
+        let renewed = Doubt {
+            heartbeat,
+            later,
+            ..doubt
+        };
+        Sight {
+            doubt: (later < SETTLING_HEARTBEATS).then_some(renewed),
+            ..self
+        }
+    }
+
     /// Whether an instance of a group with these terms is warm. Without terms all are.
     pub fn warmth(&self, terms: Option<WarmUpTerms>, now: Instant) -> Warmth {
         let Some(terms) = terms else {
             return Warmth::Warm;
         };
-        let begun_until = self.begun.map(|begun| begun.plus_millis(terms.duration_ms));
+        let taken_to_begin = self.begun.max(self.doubt.map(|doubt| doubt.since));
+        let begun_until = taken_to_begin.map(|begun| begun.plus_millis(terms.duration_ms));
         let until = begun_until.map_or(self.told_until, |begun| begun.max(self.told_until));
         match now < until {
             true => Warmth::ColdUntil(until),
--- a/crates/millwind-core/tests/warm_up.rs
+++ b/crates/millwind-core/tests/warm_up.rs
@@ -87,3 +87,26 @@
     };
     assert_eq!(most_arrivals(slow, tolerance), 9);
 }
+
+/// The load pattern: an instance restarts in place, and takes connections for seconds
+/// before its new record is read.
+#[test]
+fn one_whose_process_seemed_to_end_is_taken_as_cold() {
+    let sight = Sight::first(0, at(10)).doubted(Some(7), at(40));
+    assert!(is_cold(&sight, 47));
+    assert!(!is_cold(&sight, 48));
+    assert!(
+        is_cold(&sight.doubted(Some(7), at(45)), 52),
+        "the last sign counts"
+    );
+}
+
+#[test]
+fn two_later_heartbeats_show_that_the_process_lives_on() {
+    let doubted = Sight::first(0, at(10)).doubted(Some(7), at(40));
+    let read_again = doubted.read_again(0, at(41)).heard(Some(7)).heard(Some(7));
+    assert!(is_cold(&read_again, 41), "a record of before tells nothing");
+    let on_its_way = read_again.heard(Some(8)).heard(Some(8));
+    assert!(is_cold(&on_its_way, 41), "it may have been written before");
+    assert!(!is_cold(&on_its_way.heard(Some(9)), 42));
+}
--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -113,6 +113,8 @@
     /// How many were needed at the same time lately.
     demand: PeakDemand,
     no_open_before: Instant,
+    /// The last connections that rested were found to be lost.
+    has_lost_all: bool,
     is_retired: bool,
 }
 
@@ -376,6 +378,7 @@
                     break Some(connection);
                 }
                 dead.push(connection);
+                state.has_lost_all |= !state.idle.iter().any(Connection::is_alive);
             }
         };
         // Dropped outside of the lock: that returns their permits.
@@ -383,6 +386,17 @@
         Ok(chosen)
     }
 
+    /// Whether no connection rests any more since the far end has closed all that did,
+    /// as a process does that ends. Tells it once.
+    pub fn has_lost_all(&self) -> bool {
+        std::mem::take(&mut self.state().has_lost_all)
+    }
+
+    /// Whether a connection rests that the far end keeps open.
+    pub fn has_live_connection(&self) -> bool {
+        self.state().idle.iter().any(Connection::is_alive)
+    }
+
     fn take_permit(self: &Arc<Self>, purpose: Purpose) -> Option<Permit> {
         let mut state = self.state();
         let allowed = match purpose {
--- a/crates/millwind-engine/src/directory/warmth.rs
+++ b/crates/millwind-engine/src/directory/warmth.rs
@@ -1,5 +1,6 @@
 //! Which instances are cold.
 
+use log::info;
 use millwind_core::Instant;
 use millwind_core::ids::{InstanceName, ZoneName};
 use millwind_core::warm_up::{Sight, WarmUpTerms};
@@ -22,7 +23,7 @@
     };
     match has_begun_anew {
         true => Sight::new_life(told_ms, now),
-        false => previous.sight.read_again(told_ms, now),
+        false => previous.sight.read_again(told_ms, now).heard(record.heartbeat),
     }
 }
 
@@ -34,6 +35,26 @@
 }
 
 impl Directory {
+    /// The process of `instance` seems to have ended by what a question asked at `asked`
+    /// showed: all connections to it are lost, or none can be opened. Whoever answers
+    /// next may have begun just now.
+    pub fn doubt_process(&self, instance: &InstanceName, asked: Instant) {
+        let mut state = self.state();
+        if !state.is_of_present_life(instance, asked) {
+            return;
+        }
+        let Some(known) = state.instances.get_mut(instance) else {
+            return;
+        };
+        if !known.sight.is_doubted() {
+            info!(
+                "event=instance_process_doubted instance={instance} heard_ms_ago={}",
+                clock::now().millis_since(known.heard)
+            );
+        }
+        known.sight = known.sight.doubted(known.record.heartbeat, clock::now());
+    }
+
     /// The terms under which statements may be sent to an instance; none where it is
     /// warm. One whose record was not read yet is not known here, and gets nothing.
     pub fn cold_terms(&self, instance: &InstanceName) -> Option<WarmUpTerms> {
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -177,7 +177,9 @@
         }
         ConnectionUser::Tenant(_) => connect_in_turn(&pool, purpose, wanted).await,
     };
+    note_lost_connections(engine, &pool, asked);
     connected.map_err(|error| {
+        note_process_end(engine, &pool, asked, &error);
         note_connect_error(engine, record, asked, &error);
         match error {
             LinkError::StartupRefused(error) => AttemptError::BackEnd(error),
@@ -213,6 +215,21 @@
     pool.acquire(purpose, user, session, needed, deadline).await
 }
 
+/// Takes in that all connections of a pool that rested were closed by the instance.
+pub fn note_lost_connections(engine: &Engine, pool: &Pool, asked: Instant) {
+    if pool.has_lost_all() {
+        engine.directory.doubt_process(&pool.record().name, asked);
+    }
+}
+
+/// Takes in what the failure of a question asked at `asked` tells of the instance's
+/// process: one connection may break alone, but not while others live.
+pub fn note_process_end(engine: &Engine, pool: &Pool, asked: Instant, error: &LinkError) {
+    if error.is_refusing() && !pool.has_live_connection() {
+        engine.directory.doubt_process(&pool.record().name, asked);
+    }
+}
+
 fn note_connect_error(engine: &Arc<Engine>, record: &InstanceRecord, asked: Instant, error: &LinkError) {
     if error.is_evidence() || error.is_wrong_instance() {
         let directory = &engine.directory;
@@ -244,6 +261,7 @@
         Ok(reply) => reply,
         Err(error) => {
             inquiry.failed(&error);
+            note_process_end(engine, &pool, inquiry.asked, &error);
             return Err(AttemptError::Link(error));
         }
     };
@@ -288,6 +306,7 @@
         Ok(reply) => reply,
         Err(error) => {
             inquiry.failed(&error);
+            note_process_end(engine, &pool, inquiry.asked, &error);
             if error != LinkError::Silent {
                 engine.directory.statement_ended(&record.name, false);
             }
