A commit that finds no place at a cold instance is told as lost

Cause: its outcome was told as unknown, though it was never sent. Change: like one that may not use its instance, its transaction is lost. Test: seen failing with kind=outcome_unknown.

--- a/crates/millwind-engine/src/session/transaction.rs
+++ b/crates/millwind-engine/src/session/transaction.rs
@@ -13,7 +13,7 @@
 use super::writes::{pause_after, usable_leader};
 use super::{Operation, Session};
 use crate::answer::{Answer, Failure, Refusal, Success};
-use crate::backend::ConnectionUser;
+use crate::backend::{ConnectionUser, LinkError};
 use crate::catalog::{Consistency, Database, InstanceRecord};
 use crate::clock;
 use crate::execution::AttemptError;
@@ -258,8 +258,10 @@
         let result = self.commit_on(&mut open, &operation).await;
         let reply = match result {
             Ok(reply) => reply,
-            // The commit was not sent.
-            Err(error) if error.ineligible().is_some() => return Err(lost_with_instance(&error)),
+            // The commit was not sent, and never will be: nothing is kept.
+            Err(error) if error.ineligible().is_some() || is_without_place(&error) => {
+                return Err(lost_with_instance(&error));
+            }
             Err(AttemptError::Link(error)) if open.has_written => {
                 return Err(Refusal::new(ErrorKind::OutcomeUnknown, error).into());
             }
@@ -280,7 +282,7 @@
         let state = self.state.clone();
         let proves_leader = open.has_written;
         let Some(connection) = &mut open.connection else {
-            return Err(AttemptError::Link(crate::backend::LinkError::Retired));
+            return Err(AttemptError::Link(LinkError::Retired));
         };
         run_while_busy(&engine, connection, operation, &state, proves_leader).await
     }
@@ -358,6 +360,11 @@
     matches!(error, AttemptError::BackEnd(error) if error.kind == BackEndErrorKind::Busy)
 }
 
+/// The instance is cold, and had no place for the statement.
+fn is_without_place(error: &AttemptError) -> bool {
+    matches!(error, AttemptError::Link(LinkError::WarmingUp { .. }))
+}
+
 /// A transaction whose instance may not be used any more.
 fn lost_with_instance(error: &AttemptError) -> Failure {
     Refusal::new(ErrorKind::TransactionLost, error.name()).into()
