A zone taken back and its instances' coldness change under one lock

Cause: between the two a statement could see the zone in use and its instances as warm. No test replays the moment between; those of evacuated zones hold.

--- a/crates/millwind-engine/src/directory/evacuation.rs
+++ b/crates/millwind-engine/src/directory/evacuation.rs
@@ -28,6 +28,11 @@
         let (change, after) = {
             let mut state = self.state();
             let change = apply(&mut state.evacuations, now);
+            // Under the same lock: nobody may see a zone in use whose instances are
+            // not cold yet.
+            for zone in &change.taken_back {
+                state.zone_unused_until(zone, now);
+            }
             (change, state.evacuations.clone())
         };
         for zone in &change.begun {
@@ -38,7 +43,6 @@
             );
         }
         for zone in &change.taken_back {
-            self.zone_unused_until_now(zone);
             info!(
                 "event=zone_evacuation_taken_back zone={zone} revision={}",
                 after.revision()
--- a/crates/millwind-engine/src/directory/warmth.rs
+++ b/crates/millwind-engine/src/directory/warmth.rs
@@ -28,6 +28,18 @@
 }
 
 impl State {
+    /// The instances of a zone may be used again, which nobody has used for a while:
+    /// they are taken as cold.
+    pub(super) fn zone_unused_until(&mut self, zone: &ZoneName, now: Instant) {
+        let of_zone = self
+            .instances
+            .values_mut()
+            .filter(|known| known.record.zone == *zone);
+        for known in of_zone {
+            known.sight = known.sight.unused_until(now);
+        }
+    }
+
     pub(super) fn warm_up_terms(&self, known: &Known) -> Option<WarmUpTerms> {
         let config = self.config.as_ref()?;
         config.groups.get(&known.record.group)?.warm_up
@@ -65,18 +77,4 @@
         let warmth = known.sight.warmth(Some(terms), now);
         warmth.is_cold(now).then_some(terms)
     }
-
-    /// The instances of a zone may be used again, which nobody has used for a while:
-    /// they are taken as cold.
-    pub fn zone_unused_until_now(&self, zone: &ZoneName) {
-        let now = clock::now();
-        let mut state = self.state();
-        let of_zone = state
-            .instances
-            .values_mut()
-            .filter(|known| known.record.zone == *zone);
-        for known in of_zone {
-            known.sight = known.sight.unused_until(now);
-        }
-    }
 }
