A statement looks for a place at most until its deadline

Cause: the lender's answer was awaited without a limit, and the time until which a caller waits was computed anew in each round. Change: running out of time is a refusal, and nothing is sent. No test of its own; those of cold instances pass.

--- a/crates/millwind-engine/src/cold_places.rs
+++ b/crates/millwind-engine/src/cold_places.rs
@@ -20,6 +20,7 @@
 use millwind_core::warm_up::{BORROWING, WarmUpTerms, supply};
 use millwind_wire::forward::ForwardedSubject;
 use rand::RngExt;
+use tokio::time::timeout_at;
 
 use crate::backend::Urgency;
 use crate::catalog::InstanceRecord;
@@ -226,11 +227,14 @@
 
 impl Engine {
     /// Takes a place for a statement that is about to be sent to `record`. It waits only
-    /// for the answer of the lender. A warm instance needs none.
+    /// for the answer of the lender, and not beyond `deadline`: a place that comes later
+    /// would be used by a statement that its caller has given up. A warm instance needs
+    /// none.
     pub async fn take_place(
         self: &Arc<Self>,
         record: &InstanceRecord,
         wait: &PlaceWait<'_>,
+        deadline: Instant,
     ) -> Result<(), PlaceRefused> {
         let Some(terms) = self.directory.cold_terms(&record.name) else {
             return Ok(());
@@ -256,7 +260,11 @@
                 Admission::AskFirst => {}
             }
             let _waiting = borrower.wait();
-            answered.await;
+            if timeout_at(clock::deadline(deadline), answered).await.is_err() {
+                return Err(PlaceRefused {
+                    retry_after_ms: WORD_MS as u32,
+                });
+            }
         }
     }
 
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -338,19 +338,19 @@
 ) -> Result<Turn, AttemptError> {
     let pool = connection.pool().clone();
     let mut wait = PlaceWait::new(engine, pool.record(), need, connection.urgency());
+    let until = match need {
+        PlaceNeed::ByDeadline => deadline,
+        _ => connection.aim().min(deadline),
+    };
     loop {
         let turn = match connection.take_turn() {
             Some(turn) => turn,
             None => take_turn(&pool, connection, deadline).await?,
         };
-        let Err(refused) = engine.take_place(pool.record(), &wait).await else {
+        let Err(refused) = engine.take_place(pool.record(), &wait, deadline).await else {
             return Ok(turn);
         };
         drop(turn);
-        let until = match need {
-            PlaceNeed::ByDeadline => deadline,
-            _ => connection.aim().min(deadline),
-        };
         if !wait.pause(until).await {
             engine.note_place_refused(pool.record(), refused);
             let retry_after_ms = refused.retry_after_ms;
