Cold instances: the word goes to owners alone; a cold leader's waiting statements are no silence

A lender that was no owner in the giver's view could hold the word of most owners beside another one; owners that were known for long counted as such also after they changed. Found by reading. A leader whose statements wait for places counted as hanging after 1.2 s. No test shows either on the old code: three tries over several nodes did not.

--- a/crates/millwind-engine/src/cold_places.rs
+++ b/crates/millwind-engine/src/cold_places.rs
@@ -411,6 +411,9 @@
         let asked = clock::now();
         let lender = self.settings.peer_address;
         let owners = self.place_owners(record);
+        if !owners.iter().any(|owner| owner.is_self) {
+            return;
+        }
         let others = owners.iter().filter(|owner| !owner.is_self);
         let questions = others.map(|owner| {
             let subject = ForwardedSubject::Word {
@@ -461,17 +464,24 @@
         let Some(own_rank) = owners.iter().position(|owner| owner.is_self) else {
             return false;
         };
-        let rank = owners.iter().position(|owner| owner.address == lender);
-        let comes_after = rank.is_none_or(|rank| rank > own_rank);
+        // One that is no owner here may ask among others: two of them would each hold the
+        // word of most.
+        let Some(rank) = owners.iter().position(|owner| owner.address == lender) else {
+            return false;
+        };
+        let comes_after = rank > own_rank;
         let now = clock::now();
         let mut lenders = locked(&self.cold_places.lenders);
         let entry = lenders.entry(instance.clone()).or_default();
-        entry.note_owners(&owners, now);
-        // The nodes have not changed since before this node first looked.
-        let is_settled = self.registry.unchanged_ms() >= WORD_MS;
+        // Nodes that have not changed since before this node first looked at the instance.
+        let since = match self.registry.unchanged_ms() >= WORD_MS {
+            true => clock::minus_millis(now, WORD_MS),
+            false => now,
+        };
+        entry.note_owners(&owners, since, now);
         let may_give = entry.owners_since.is_some_and(|since| may_give(since, now));
         let is_rival = entry.is_candidate && comes_after;
-        (is_settled || may_give) && !is_rival && entry.word.give(&lender.to_string(), now)
+        may_give && !is_rival && entry.word.give(&lender.to_string(), now)
     }
 
     /// Looks which instances are cold, and who owns those.
@@ -489,7 +499,7 @@
             let owners = self.place_owners(&known.record);
             let mut lenders = locked(&self.cold_places.lenders);
             let lender = lenders.entry(known.record.name.clone()).or_default();
-            lender.note_owners(&owners, now);
+            lender.note_owners(&owners, now, now);
             cold.push(known.record.name.clone());
         }
         let known: HashSet<_> = instances.iter().map(|known| &known.record.name).collect();
@@ -510,12 +520,15 @@
 }
 
 impl Lender {
-    /// Takes in who owns connections to the instance.
-    fn note_owners(&mut self, owners: &[Owner], now: Instant) {
+    /// Takes in who owns connections to the instance: since `first_since` at the first
+    /// look, since now after a change.
+    fn note_owners(&mut self, owners: &[Owner], first_since: Instant, now: Instant) {
         let addresses: Vec<_> = owners.iter().map(|owner| owner.address).collect();
-        if self.owners != addresses || self.owners_since.is_none() {
-            self.owners = addresses;
+        if self.owners_since.is_none() {
+            self.owners_since = Some(first_since);
+        } else if self.owners != addresses {
             self.owners_since = Some(now);
         }
+        self.owners = addresses;
     }
 }
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -300,7 +300,9 @@
         if self.engine.runs_statements_on(&known.record) {
             let statements = &known.contact.statements;
             let silent_since = known.contact.unresponsive_since();
-            evidence.unresponsive_since = silent_since.filter(|_| statements.is_repeatedly_silent());
+            // Statements that wait for their places at a cold instance hang as well.
+            let is_silence = statements.is_repeatedly_silent() && !known.warmth.is_cold(now);
+            evidence.unresponsive_since = silent_since.filter(|_| is_silence);
             evidence.is_outlier = statements.is_outlier(now);
         }
         if let Some(testimony) = directory.testimony(&known.record.name, REPORT_MS) {
