A move of the lead rests on what its leader tells now, and ends when it fails

Cause: a move (evacuated zone, other region) compared replicas with the newest observation whatever its age, so that a node which hears of the leader by others alone could take a replica for complete that lacks acknowledged commits. A leader that died during the hand-over of an evacuated zone was still held to what a move asks of a successor, for all tries of the move. Replicas of a busy group got no time to catch up there, and were paused though none was fit. A life was noted after the answers, so that a replica that began anew meanwhile passed for the one that had paused; without synchronous replicas nothing looked at its life at all.

Both kinds of moves end once the leader fails or is no longer known (unless the move itself told it to step down), wait for replicas to catch up, and pause them only when one is fit. The life is the one known before the questions, and the chosen one's is compared before the order.

Ruled out: searching all instances before each comparison; one dead replica delays the search by the time of a connection, and makes every observation too old.

No test that fails on the former behaviour: it needs a leader that dies or a process that ends within one comparison.

--- a/crates/millwind-engine/src/failover/health.rs
+++ b/crates/millwind-engine/src/failover/health.rs
@@ -100,7 +100,7 @@
 }
 
 /// Asks one instance whether it leads, by an empty transaction.
-async fn ask(engine: &Arc<Engine>, record: &InstanceRecord) {
+pub(super) async fn ask(engine: &Arc<Engine>, record: &InstanceRecord) {
     let asked = clock::now();
     engine.directory.checking(&record.name);
     let connected_by = asked.plus_millis(CONNECT_MS);
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -1,6 +1,7 @@
 //! Watches the leaders of the groups in use, and replaces those that are lost.
 
 mod health;
+mod moves;
 mod pauses;
 mod relocation;
 mod replacement;
--- a/crates/millwind-engine/src/failover/pauses.rs
+++ b/crates/millwind-engine/src/failover/pauses.rs
@@ -7,7 +7,7 @@
 use millwind_core::ids::InstanceName;
 
 use crate::backend::PooledConnection;
-use crate::directory::Directory;
+use crate::directory::{Directory, Known};
 
 /// One replica that was told to pause.
 struct Pause {
@@ -23,11 +23,12 @@
 pub(super) struct Pauses(Vec<Pause>);
 
 impl Pauses {
-    /// `instance` has paused, as it told on `connection`.
-    pub fn add(&mut self, directory: &Directory, instance: &InstanceName, connection: PooledConnection) {
+    /// The instance that was `known` before it was asked has paused, as it told on
+    /// `connection`. What is known since may be of a later life, which has not paused.
+    pub fn add(&mut self, known: &Known, connection: PooledConnection) {
         self.0.push(Pause {
-            instance: instance.clone(),
-            life_began: directory.life_began(instance),
+            instance: known.record.name.clone(),
+            life_began: known.life_began,
             connection,
         });
     }
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -11,7 +11,6 @@
 use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::lead_permit::term_to_close;
-use millwind_core::lead_relocation::LeaderDemand;
 use millwind_core::position::{Position, Term};
 use millwind_store::Store;
 
@@ -46,6 +45,8 @@
 /// A chosen replica.
 struct Choice {
     instance: InstanceName,
+    /// Since when its life was known before it told how far it is.
+    life_began: Option<Instant>,
     /// More than half of the group's instances answered; else this node may be
     /// the one that is cut off.
     is_by_majority: bool,
@@ -68,11 +69,11 @@
 }
 
 impl LostLeader {
-    fn name(&self) -> &str {
+    pub(super) fn name(&self) -> &str {
         self.instance.as_ref().map_or("none", |name| name.as_str())
     }
 
-    fn is(&self, instance: &InstanceName) -> bool {
+    pub(super) fn is(&self, instance: &InstanceName) -> bool {
         self.instance.as_ref() == Some(instance)
     }
 }
@@ -172,17 +173,16 @@
             return true;
         }
         let directory = &self.engine.directory;
-        let Some(leader) = directory.leader(&lost.group) else {
+        let leader = directory.leader(&lost.group);
+        if lost.reason.is_move() {
+            return self.is_move_over(lost, leader.as_ref());
+        }
+        let Some(leader) = leader else {
             return false;
         };
         if !lost.is(&leader.instance) {
             return true;
         }
-        if lost.reason == ReplaceReason::Relocating {
-            // One that fails meanwhile is replaced for that, by its own evidence.
-            let known = directory.instance(&leader.instance);
-            return known.is_none_or(|known| known.contact.failing_since.is_some());
-        }
         directory.instance(&leader.instance).is_some_and(|known| {
             let contact = &known.contact;
             contact.failing_since.is_none()
@@ -355,6 +355,14 @@
         if !choice.pauses.hold(&self.engine.directory) {
             return Ended::Again;
         }
+        if self.life_of(Some(&choice.instance)) != choice.life_began {
+            // The one that lives now may hold less than was told.
+            info!(
+                "event=choice_began_anew group={group} instance={}",
+                choice.instance
+            );
+            return Ended::Again;
+        }
         let chosen = choice.instance;
         let order = PromotionOrder {
             group: group.clone(),
@@ -392,7 +400,7 @@
     async fn choose(&self, lost: &LostLeader, excluded: &HashSet<InstanceName>) -> Option<Choice> {
         let sync_replicas = self.engine.directory.group_limits(&lost.group)?.sync_replicas;
         let pause = self.pause_command(&lost.group, sync_replicas);
-        if lost.reason == ReplaceReason::Relocating && sync_replicas > 0 {
+        if lost.reason.is_move() && sync_replicas > 0 {
             // The leader serves well: replicas stop receiving only once one of them is
             // known to be fit, since its commits wait for them.
             self.choose_by(lost, excluded, Command::Status).await?;
@@ -409,7 +417,10 @@
     ) -> Option<Choice> {
         let engine = &self.engine;
         let group = &lost.group;
-        let must_hold = self.must_hold(lost);
+        let must_hold = match lost.reason.is_move() {
+            true => Some(self.told_by_leader(lost).await?),
+            false => self.must_hold(lost),
+        };
         let sync_replicas = engine.directory.group_limits(group)?.sync_replicas;
         let known = engine.directory.instances_of(group);
         let mut replicas: Vec<_> = known
@@ -424,7 +435,7 @@
         }
         let demand = engine.leader_demands.total_of(group);
         let worth_in = |known: &Known| demand.served_in(engine.region_of(known));
-        if lost.reason == ReplaceReason::Relocating {
+        if lost.reason.is_move() {
             tokio::time::sleep(CATCH_UP).await;
         }
         let questions = replicas
@@ -438,7 +449,7 @@
                 continue;
             };
             if matches!(question, Command::Pause { .. }) {
-                pauses.add(&engine.directory, &known.record.name, connection);
+                pauses.add(known, connection);
             }
             answered.push((known, status));
         }
@@ -485,8 +496,10 @@
             answered.len()
         );
         let members = known.iter().filter(|known| !known.is_gone).count();
+        let chosen_known = replicas.iter().find(|known| known.record.name == chosen.instance);
         Some(Choice {
             instance: chosen.instance.clone(),
+            life_began: chosen_known.and_then(|known| known.life_began),
             is_by_majority: answered.len() * 2 > members,
             newest_term: newest_term(answered.iter().map(|(_, status)| status)),
             leading: answered
@@ -497,18 +510,6 @@
         })
     }
 
-    /// Whether a leader that serves well is replaced by `chosen`: where its region is
-    /// the cause, only by one whose region serves more, and that will stay.
-    fn is_worth_the_move(&self, lost: &LostLeader, chosen: &Successor, demand: &LeaderDemand) -> bool {
-        if lost.reason != ReplaceReason::Relocating {
-            return true;
-        }
-        let leader = lost.instance.as_ref();
-        let leader = leader.and_then(|leader| self.engine.directory.instance(leader));
-        let worth_before = leader.map_or(0, |leader| demand.served_in(self.engine.region_of(&leader)));
-        chosen.allowed_worth > worth_before && !chosen.is_leaving && !chosen.is_evacuated
-    }
-
     /// What a successor must have received: all that a leader has reported which
     /// still serves. One that leaves is given up with what it holds once half of
     /// its time is over.
