What a former life held is kept for each instance, and binds no group of one

Cause: one slot held the log of a leader's former life. A replica that began anew while no leader was known took it, and the leader without its log then proved its lead with the shorter one. Where a group has no other instance, its leader was refused for ten seconds though nobody can hold what it lacks.

Change: the former logs are kept by instance until a lead is proved or their time is over, and ask nothing where no other instance of the group is known and present.

--- a/crates/millwind-engine/src/directory/lives.rs
+++ b/crates/millwind-engine/src/directory/lives.rs
@@ -2,7 +2,7 @@
 
 use log::info;
 use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
+use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::incarnation::LifeEvidence;
 use millwind_core::position::{Position, Term};
 
@@ -22,10 +22,9 @@
     pub term: Term,
 }
 
-/// What the log of a leader's former life held.
+/// What the log of an instance's former life held, which may have led.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct FormerLog {
-    instance: InstanceName,
     position: Position,
     until: Instant,
 }
@@ -57,11 +56,13 @@
             .is_none_or(|leader| leader.instance == *instance);
         let newest = self.observations.newest().filter(|_| led);
         if let Some(newest) = newest {
-            self.former_log = Some(FormerLog {
-                instance: instance.clone(),
+            let now = clock::now();
+            self.former_logs.retain(|_, former| now < former.until);
+            let former = FormerLog {
                 position: newest.position,
-                until: clock::now().plus_millis(FORMER_LOG_MS),
-            });
+                until: now.plus_millis(FORMER_LOG_MS),
+            };
+            self.former_logs.insert(instance.clone(), former);
         }
         self.end_life(instance);
         // A replica leads again only by a promotion, and then tells a later term.
@@ -73,8 +74,8 @@
     /// Whether `instance`, which answers as the leader of `term`, lacks what it held in
     /// its former life as the leader of the same term.
     pub(super) fn lacks_former_log(&self, instance: &InstanceName, term: Term, position: Position) -> bool {
-        self.former_log.as_ref().is_some_and(|former| {
-            let is_same_lead = former.instance == *instance && term <= former.position.term;
+        self.former_logs.get(instance).is_some_and(|former| {
+            let is_same_lead = term <= former.position.term;
             is_same_lead && position < former.position && clock::now() < former.until
         })
     }
@@ -121,6 +122,12 @@
             .is_none_or(|began| asked > began)
     }
 
+    /// Whether `group` has another instance that may hold what `instance` lacks.
+    pub(super) fn has_other_member(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        let mut others = self.instances.values().filter(|known| !known.is_gone);
+        others.any(|known| known.record.group == *group && known.record.name != *instance)
+    }
+
     /// The process of `instance` may have ended: what it told of its terms may be
     /// forgotten by the one that answers next.
     pub(super) fn doubt_life(&mut self, instance: &InstanceName) {
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -99,8 +99,9 @@
     told_terms: HashMap<InstanceName, Term>,
     /// The leader of the newest term that has told this node that it leads no longer.
     stepped_down: Option<SteppedDown>,
-    /// What the leader held before it began anew.
-    former_log: Option<FormerLog>,
+    /// What instances that may have led held before they began anew, until one has
+    /// proved its lead.
+    former_logs: HashMap<InstanceName, FormerLog>,
     /// The leader whose term was closed last: its word that it leads is not
     /// believed without proof of a later term.
     retired: Option<InstanceName>,
@@ -504,14 +505,16 @@
         if !self.permit_in(&state, group, term).covers_answer() {
             return false;
         }
-        let entry = state.groups.entry(group.clone()).or_default();
-        if entry.lacks_former_log(instance, term, position) {
+        let entry = state.groups.get(group);
+        let lacks_log = entry.is_some_and(|entry| entry.lacks_former_log(instance, term, position));
+        if lacks_log && state.has_other_member(group, instance) {
             info!(
                 "event=leader_lacks_former_log group={group} instance={instance} term={term} position={}:{}",
                 position.term, position.log_position.0
             );
             return false;
         }
+        let entry = state.groups.entry(group.clone()).or_default();
         entry.observations.record(asked, position);
         self.observed.notify_waiters();
         let newest_term = entry.observations.newest().map(|newest| newest.position.term);
@@ -522,7 +525,7 @@
             return true;
         }
         entry.retired = None;
-        entry.former_log = None;
+        entry.former_logs.clear();
         let leader = Leader {
             instance: instance.clone(),
             term: Some(term),
