A moved lead may go back only under other terms, and to replicas that are there

Cause: every new version of the configuration cleared the regions that a lead was moved out of, though none of the group's terms had changed; with frequent versions two databases take the lead from each other. Replicas whose record is gone counted as successors, and cold ones where the leader serves some callers already. A holder that watches the group no longer weighed a leader that it knew by hearsay.

Change: the allowed regions of the group's databases and of all tenants are compared instead of the version. Replicas that are gone are left out, and cold ones where something is served before. Before a move all instances are asked who leads.

--- a/crates/millwind-engine/src/failover/relocation.rs
+++ b/crates/millwind-engine/src/failover/relocation.rs
@@ -20,8 +20,8 @@
 use millwind_store::Store;
 use millwind_wire::exchange::ExchangeRequest;
 
-use super::Monitor;
 use super::replacement::LostLeader;
+use super::{Monitor, health};
 use crate::catalog::ConfigSnapshot;
 use crate::clock;
 use crate::connection_shares::WATCHERS;
@@ -46,17 +46,14 @@
     tried: Option<Instant>,
     /// Regions that the lead was moved out of, and when.
     left: HashMap<RegionName, Instant>,
-    /// The terms under which that was.
+    /// The terms under which that was, and the last configuration that holds them.
+    terms: BTreeSet<AllowedRegions>,
     config_version: u64,
 }
 
 impl LeadHistory {
     /// Takes in who leads now, under which terms.
-    fn follow(&mut self, leader: &InstanceName, config_version: u64, now: Instant) {
-        if self.config_version != config_version {
-            self.left.clear();
-            self.config_version = config_version;
-        }
+    fn follow(&mut self, leader: &InstanceName, now: Instant) {
         self.left
             .retain(|_, since| now.millis_since(*since) < RETURN_PAUSE_MS);
         if self.leader.as_ref().is_some_and(|seen| seen != leader) {
@@ -64,6 +61,20 @@
         }
         self.leader = Some(leader.clone());
     }
+
+    /// Takes in the group's terms: under other ones the lead may go back at once. Other
+    /// changes of the configuration don't move it.
+    fn follow_terms(&mut self, config: &ConfigSnapshot, group: &GroupName) {
+        if self.config_version == config.version {
+            return;
+        }
+        self.config_version = config.version;
+        let terms: BTreeSet<_> = terms_of(config, group).cloned().collect();
+        if self.terms != terms {
+            self.left.clear();
+            self.terms = terms;
+        }
+    }
 }
 
 /// What this node has seen of all groups' leads.
@@ -136,7 +147,8 @@
         };
         let mut histories = self.lead_histories.histories();
         let history = histories.entry(group.clone()).or_default();
-        history.follow(&known.record.name, config.version, clock::now());
+        history.follow_terms(config, group);
+        history.follow(&known.record.name, clock::now());
         drop(histories);
         let region = self.engine.region_of(&known);
         if !excludes(config, group, region) {
@@ -191,7 +203,8 @@
         let engine = &self.engine;
         let demand = engine.leader_demands.total_of(group);
         let region = engine.region_of(leader).cloned();
-        let candidates = self.regions_of_successors(group, leader);
+        let is_served = demand.served_in(region.as_ref()) > 0;
+        let candidates = self.regions_of_successors(group, leader, is_served);
         let judged = self
             .lead_histories
             .judge(group, &demand, region.as_ref(), &candidates);
@@ -220,6 +233,8 @@
             reason: ReplaceReason::Relocating,
         };
         tokio::spawn(async move {
+            // A holder that watches the group no longer knows its leader by hearsay.
+            health::search(&monitor.engine, &lost.group).await;
             monitor.replace(&lost).await;
             let now_leads = monitor.engine.directory.leader(&lost.group);
             if now_leads.is_some_and(|now_leads| Some(&now_leads.instance) != lost.instance.as_ref()) {
@@ -229,14 +244,22 @@
         });
     }
 
-    /// Regions of the replicas that may take over now.
-    fn regions_of_successors(&self, group: &GroupName, leader: &Known) -> BTreeSet<RegionName> {
+    /// Regions of the replicas that may take over now: where the leader serves some
+    /// (`is_served`), a cold one would serve these worse.
+    fn regions_of_successors(
+        &self,
+        group: &GroupName,
+        leader: &Known,
+        is_served: bool,
+    ) -> BTreeSet<RegionName> {
         let engine = &self.engine;
         let known = engine.directory.instances_of(group);
         let others = known
             .iter()
             .filter(|known| known.record.name != leader.record.name);
-        let usable = others.filter(|known| {
+        let present = others.filter(|known| !known.is_gone);
+        let fit = present.filter(|known| !(is_served && known.warmth.is_cold(clock::now())));
+        let usable = fit.filter(|known| {
             let judged = engine.judge_instance(known, InstanceUse::Replica, &AllowedRegions::Any);
             judged.is_ok() && known.contact.failing_since.is_none() && !known.contact.is_sick()
         });
@@ -253,19 +276,24 @@
     }
 }
 
-/// Whether some customer's terms exclude a leader of `group` in `region`. Any tenant may
-/// use any database.
+/// Whether some customer's terms exclude a leader of `group` in `region`.
 fn excludes(config: &ConfigSnapshot, group: &GroupName, region: Option<&RegionName>) -> bool {
+    terms_of(config, group).any(|regions| !regions.allows(region))
+}
+
+/// The terms of all who may use `group`. Any tenant may use any database.
+fn terms_of<'a>(
+    config: &'a ConfigSnapshot,
+    group: &'a GroupName,
+) -> impl Iterator<Item = &'a AllowedRegions> {
     let of_group = config
         .databases
         .values()
-        .filter(|database| database.settings.group == *group);
+        .filter(move |database| database.settings.group == *group);
     let of_databases = of_group.map(|database| &database.allowed_regions);
     let of_tenants = config
         .tenants
         .iter()
         .flat_map(|tenants| tenants.allowed_regions.values());
-    of_databases
-        .chain(of_tenants)
-        .any(|regions| !regions.allows(region))
+    of_databases.chain(of_tenants)
 }
