A stale document ends no newer record, and a refused configuration is always told

Cause: with as many foreign documents as a node remembers, a configuration that cannot be read got no line. An unreadable document was told before its revision was looked at, and a listing older than what a peer had told took the newer record for gone.

Change: the configuration's reason is kept apart. A document older than what is known of its instance does nothing, whatever it holds; a listing leaves out no instance of which something newer was taken in; no kept document is replaced by an older one.

--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -93,9 +93,13 @@
         });
     }
 
-    /// Keeps an instance's document, or that it was removed.
+    /// Keeps an instance's document, or that it was removed, unless a newer one is kept.
     pub fn keep_instance(&self, key: &str, value: Option<&[u8]>, revision: u64) {
         let mut state = self.state();
+        let kept = state.instances.get(key);
+        if kept.is_some_and(|kept| kept.revision > revision) {
+            return;
+        }
         let document = StoredDocument {
             key: key.to_owned(),
             revision,
@@ -122,6 +126,13 @@
         }
     }
 
+    /// Keys of the instances of which something newer than `revision` was taken in.
+    pub fn seen_after(&self, revision: u64) -> Vec<String> {
+        let state = self.state();
+        let newer = state.seen.iter().filter(|(_, seen)| **seen > revision);
+        newer.map(|(key, _)| key.clone()).collect()
+    }
+
     /// All instances are known up to this store revision. Comparing by the
     /// newest document instead would send a record again and again whose
     /// heartbeat another node has seen later.
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -105,7 +105,7 @@
         };
         match codec.read_config(value) {
             Ok(config) => {
-                self.passed_over.forget(codec.config_key());
+                self.passed_over.forget_config();
                 let version = config.version;
                 if version > self.config_version() {
                     self.catalog_cache.keep_config(version, value, known_since);
@@ -114,7 +114,7 @@
             }
             Err(error) => {
                 let reason = shortened(&error.to_string());
-                if self.passed_over.note(codec.config_key(), &reason) {
+                if self.passed_over.note_config(&reason) {
                     warn!("event=config_refused source={source} error={reason:?}");
                 }
             }
@@ -122,7 +122,8 @@
     }
 
     /// Takes in an instance's document of `revision`, or that it was removed,
-    /// unless a newer one is known; true if the document names an instance.
+    /// unless a newer one is known; true if the document names an instance, or is older
+    /// than what is known of one.
     ///
     /// A document that cannot be read names none: an instance that was known under its
     /// key is gone, as if the record had been removed, since nobody can tell what the
@@ -134,6 +135,9 @@
         value: Option<&[u8]>,
         revision: u64,
     ) -> bool {
+        if self.is_older(codec, key, revision) {
+            return true;
+        }
         let record = match value.map(|value| codec.read_instance(key, value)) {
             Some(Ok(record)) => record,
             Some(Err(error)) => {
@@ -148,15 +152,19 @@
                 return false;
             }
         };
-        if self.catalog_cache.see_instance(key, revision) {
-            self.passed_over.forget(key);
-            if self.apply_record(record) {
-                self.catalog_cache.keep_instance(key, value, revision);
-            }
+        self.passed_over.forget(key);
+        if self.apply_record(record) {
+            self.catalog_cache.keep_instance(key, value, revision);
         }
         true
     }
 
+    /// Whether something newer than `revision` is known of the instance under `key`. Only
+    /// names are remembered: no record can ever be read under another key.
+    fn is_older(&self, codec: &dyn CatalogCodec, key: &str, revision: u64) -> bool {
+        codec.instance_name(key).is_some() && !self.catalog_cache.see_instance(key, revision)
+    }
+
     /// Tells of a document that cannot be read.
     fn pass_over(&self, key: &str, revision: u64, error: &CatalogError) {
         let reason = shortened(&error.to_string());
@@ -170,13 +178,9 @@
     /// The record under `key` names no instance since `revision`: it was removed, or
     /// something lies there that cannot be read, for which peers are told `document`.
     fn drop_record(&self, codec: &dyn CatalogCodec, key: &str, document: Option<&[u8]>, revision: u64) {
-        // Only names are remembered: no record can ever be read under another key.
         let Some(name) = codec.instance_name(key) else {
             return;
         };
-        if !self.catalog_cache.see_instance(key, revision) {
-            return;
-        }
         let is_news = match document {
             Some(_) => self.directory.disown(&name),
             None => self.directory.remove_record(&name),
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -112,12 +112,12 @@
     }
 
     fn listed(&self, listing: Listing) {
-        let present: Vec<_> = listing
-            .entries
-            .iter()
-            .filter_map(|entry| self.apply(entry))
-            .collect();
         let revision = listing.revision;
+        let listed = listing.entries.iter().filter_map(|entry| self.apply(entry));
+        let mut present: Vec<_> = listed.collect();
+        // A peer may have told of something that this listing is too old to hold.
+        let newer = self.engine.catalog_cache.seen_after(revision);
+        present.extend(newer.iter().filter_map(|key| self.codec.instance_name(key)));
         for missing in self.engine.directory.listing_applied(&present) {
             let key = format!("{}{missing}", self.codec.instances_prefix());
             // A record of before this listing that a peer still sends is old.
--- a/crates/millwind-engine/src/passed_over.rs
+++ b/crates/millwind-engine/src/passed_over.rs
@@ -10,13 +10,36 @@
 /// wrote.
 const LONGEST_TEXT: usize = 120;
 
-/// The documents that are passed over now, by key, with the reason.
+/// The documents that are passed over now.
 #[derive(Debug, Default)]
-pub struct PassedOver(Mutex<BTreeMap<String, String>>);
+pub struct PassedOver {
+    /// Records by key, with the reason.
+    documents: Mutex<BTreeMap<String, String>>,
+    /// Why the configuration is: apart, so that no number of records hides it.
+    config: Mutex<Option<String>>,
+}
 
 impl PassedOver {
     fn documents(&self) -> MutexGuard<'_, BTreeMap<String, String>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.documents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn config(&self) -> MutexGuard<'_, Option<String>> {
+        self.config.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The configuration cannot be read; true if that is news.
+    pub fn note_config(&self, reason: &str) -> bool {
+        let reason = shortened(reason);
+        let mut config = self.config();
+        let is_news = config.as_ref() != Some(&reason);
+        *config = Some(reason);
+        is_news
+    }
+
+    /// The configuration can be read.
+    pub fn forget_config(&self) {
+        *self.config() = None;
     }
 
     /// The document under `key` cannot be read; true if that is news: its writer writes
@@ -52,7 +75,7 @@
 
     /// How many documents are passed over now, of those that are remembered.
     pub fn count(&self) -> usize {
-        self.documents().len()
+        self.documents().len() + usize::from(self.config().is_some())
     }
 }
 
