Statements without terms on regions cost no allocation for their owners

Cause: every forwarded statement cloned its instance's name to look its owners up, and every statement that needs the leader took a mutex of the whole node to count the demand, also in deployments in which nobody restricts regions.

Change: statements that may pass all nodes use the plain ranking, which is kept with its owners and stand-ins. Demand is counted only while the configuration in force has allowed regions, worked out once per configuration. All demand of a group starts to be counted at the same time, so that its parts stay comparable.

--- a/crates/millwind-engine/src/catalog.rs
+++ b/crates/millwind-engine/src/catalog.rs
@@ -78,6 +78,18 @@
     pub transaction_idle_ms: u64,
 }
 
+impl ConfigSnapshot {
+    /// The terms of all databases and tenants on where statements may run.
+    pub fn allowed_regions(&self) -> impl Iterator<Item = &AllowedRegions> {
+        let of_databases = self.databases.values().map(|database| &database.allowed_regions);
+        let of_tenants = self
+            .tenants
+            .iter()
+            .flat_map(|tenants| tenants.allowed_regions.values());
+        of_databases.chain(of_tenants)
+    }
+}
+
 /// An instance as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceRecord {
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -69,6 +69,10 @@
         if self.directory.apply_config(config, origin) {
             let age_ms = clock::now().millis_since(origin.known_since);
             self.metrics.config_age.observe(age_ms as f64 / 1_000.0);
+            let config = self.directory.config();
+            let has_terms =
+                config.is_some_and(|config| config.allowed_regions().any(|regions| !regions.is_any()));
+            self.leader_demands.count(has_terms);
             self.tell_of_regions();
             self.pools.set_shares(|record| self.share_of(record));
             for known in self.directory.instances() {
--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -86,6 +86,17 @@
 
 type Ranked = Arc<Vec<Owner>>;
 
+/// The ranking of one instance for statements that may pass all nodes.
+#[derive(Debug, Clone)]
+struct PlainRanking {
+    /// Version of the registry that it follows from.
+    version: u64,
+    /// Owners, and those that stand in for them.
+    nodes: Arc<OwnersOf>,
+    /// Both, first ones first.
+    ranked: Ranked,
+}
+
 /// What an instance's ranking follows from: a statement that may not pass all nodes has
 /// one of its own. Customers differ in few sets of regions.
 type RankingKey = (InstanceName, AllowedRegions);
@@ -96,10 +107,10 @@
     links: Arc<Links>,
     /// Regions of the zones.
     topology: Topology,
-    /// The ranking for statements that may pass all nodes, by instance, with the
-    /// version of the registry that it follows from.
-    ranked: Mutex<HashMap<InstanceName, (u64, Ranked)>>,
-    /// The ranking by what a statement may pass, in the same way.
+    /// The ranking for statements that may pass all nodes, by instance.
+    plain: Mutex<HashMap<InstanceName, PlainRanking>>,
+    /// The ranking by what other statements may pass, with the version of the registry
+    /// that it follows from.
     allowed: Mutex<HashMap<RankingKey, (u64, Arc<OwnersOf>)>>,
     avoided: Mutex<HashMap<(SocketAddr, InstanceName), Instant>>,
     /// Since when no owner of an instance is reached, and when that was last
@@ -118,27 +129,36 @@
 
     /// Owners of `record` and then those that stand in for them.
     pub fn ranked(&self, registry: &Registry, record: &InstanceRecord) -> Ranked {
+        self.plain(registry, record).ranked
+    }
+
+    /// Each forwarded statement asks for it: nothing is allocated while it holds.
+    fn plain(&self, registry: &Registry, record: &InstanceRecord) -> PlainRanking {
         let version = registry.version();
-        let mut ranked = self.ranked.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((held, owners)) = ranked.get(&record.name)
-            && *held == version
+        let mut plain = self.plain.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(held) = plain.get(&record.name)
+            && held.version == version
         {
-            return owners.clone();
+            return held.clone();
         }
-        let OwnersOf {
-            mut owners,
-            stand_ins,
-        } = self.find(registry, record, &AllowedRegions::Any);
-        owners.extend(stand_ins);
-        let owners = Arc::new(owners);
-        ranked.insert(record.name.clone(), (version, owners.clone()));
-        owners
+        let nodes = self.find(registry, record, &AllowedRegions::Any);
+        let ranked = nodes.owners.iter().chain(&nodes.stand_ins).cloned().collect();
+        let found = PlainRanking {
+            version,
+            nodes: Arc::new(nodes),
+            ranked: Arc::new(ranked),
+        };
+        plain.insert(record.name.clone(), found.clone());
+        found
     }
 
     /// Owners of `record`, and those that stand in for them, which the text of a
     /// statement may travel to; this node among them wherever it stands, since the
     /// statement is here already.
     fn allowed(&self, way: &Way<'_>) -> Arc<OwnersOf> {
+        if way.carriers.regions.is_any() {
+            return self.plain(way.registry, way.record).nodes;
+        }
         let version = way.registry.version();
         let key = (way.record.name.clone(), way.carriers.regions.clone());
         let mut allowed = self.allowed.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/millwind-engine/src/leader_demand.rs
+++ b/crates/millwind-engine/src/leader_demand.rs
@@ -2,6 +2,7 @@
 //! what other nodes report of theirs.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use millwind_core::Instant;
@@ -60,6 +61,8 @@
 /// The demand for all groups' leaders.
 #[derive(Debug, Default)]
 pub struct LeaderDemands {
+    /// Whether the configuration in force restricts anybody to some regions.
+    is_counted: AtomicBool,
     own: Mutex<HashMap<GroupName, Window>>,
     reported: Mutex<HashMap<GroupName, HashMap<String, Reported>>>,
 }
@@ -73,6 +76,17 @@
         self.reported.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether statements are counted from now on: where nobody's terms exclude a region
+    /// no lead is moved for them, and no statement need wait for its turn to be counted.
+    pub fn count(&self, is_counted: bool) {
+        self.is_counted.store(is_counted, Ordering::Relaxed);
+    }
+
+    /// Whether statements are counted.
+    pub fn is_counted(&self) -> bool {
+        self.is_counted.load(Ordering::Relaxed)
+    }
+
     /// A statement worth `worth` that may run in `regions` needs the leader of `group`,
     /// whether it is served or not.
     pub fn note(&self, group: &GroupName, regions: &AllowedRegions, worth: u64) {
--- a/crates/millwind-engine/src/region_terms.rs
+++ b/crates/millwind-engine/src/region_terms.rs
@@ -35,20 +35,10 @@
 /// Regions that terms name and that no zone lies in: statements that allow only these
 /// are refused.
 fn unknown_regions(config: &ConfigSnapshot, topology: &Topology) -> BTreeSet<RegionName> {
-    let of_databases = config
-        .databases
-        .values()
-        .map(|database| &database.allowed_regions);
-    let of_tenants = config
-        .tenants
-        .iter()
-        .flat_map(|tenants| tenants.allowed_regions.values());
-    let named = of_databases
-        .chain(of_tenants)
-        .filter_map(|regions| match regions {
-            AllowedRegions::Any => None,
-            AllowedRegions::Only(names) => Some(names),
-        });
+    let named = config.allowed_regions().filter_map(|regions| match regions {
+        AllowedRegions::Any => None,
+        AllowedRegions::Only(names) => Some(names),
+    });
     let names = named.flatten().filter(|region| !topology.has_region(region));
     names.cloned().collect()
 }
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -122,8 +122,10 @@
 
     /// Tells that the operation needs its group's leader.
     fn needs_leader(&self, engine: &Engine) {
-        let worth = worth_of(self.database.priority);
-        engine.leader_demands.note(self.group(), &self.regions, worth);
+        if engine.leader_demands.is_counted() {
+            let worth = worth_of(self.database.priority);
+            engine.leader_demands.note(self.group(), &self.regions, worth);
+        }
         engine.directory.used(self.group(), None);
     }
 
