--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -9,7 +9,7 @@
 use millwind_core::Instant;
 use millwind_core::affinity;
 use millwind_core::data_residency::{AllowedRegions, Topology};
-use millwind_core::ids::{InstanceName, TenantName};
+use millwind_core::ids::{InstanceName, TenantName, ZoneName};
 use millwind_core::owner_ranking::{OwnerCandidate, OwnersSought};
 use rand::RngExt;
 
@@ -91,6 +91,8 @@
 struct PlainRanking {
     /// Version of the registry that it follows from.
     version: u64,
+    /// Zone of the instance, which may come back under its name in another one.
+    zone: ZoneName,
     /// Owners, and those that stand in for them.
     nodes: Arc<OwnersOf>,
     /// Both, first ones first.
@@ -99,7 +101,7 @@
 
 /// What an instance's ranking follows from: a statement that may not pass all nodes has
 /// one of its own. Customers differ in few sets of regions.
-type RankingKey = (InstanceName, AllowedRegions);
+type RankingKey = (InstanceName, ZoneName, AllowedRegions);
 
 /// Owners of all instances.
 #[derive(Debug, Default)]
@@ -138,6 +140,7 @@
         let mut plain = self.plain.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(held) = plain.get(&record.name)
             && held.version == version
+            && held.zone == record.zone
         {
             return held.clone();
         }
@@ -145,6 +148,7 @@
         let ranked = nodes.owners.iter().chain(&nodes.stand_ins).cloned().collect();
         let found = PlainRanking {
             version,
+            zone: record.zone.clone(),
             nodes: Arc::new(nodes),
             ranked: Arc::new(ranked),
         };
@@ -160,7 +164,11 @@
             return self.plain(way.registry, way.record).nodes;
         }
         let version = way.registry.version();
-        let key = (way.record.name.clone(), way.carriers.regions.clone());
+        let key = (
+            way.record.name.clone(),
+            way.record.zone.clone(),
+            way.carriers.regions.clone(),
+        );
         let mut allowed = self.allowed.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((held, owners)) = allowed.get(&key)
             && *held == version
