--- a/crates/millwind-engine/src/backend/pool.rs
+++ b/crates/millwind-engine/src/backend/pool.rs
@@ -208,6 +208,12 @@
         drop(surplus);
     }
 
+    /// Whether the instance is no longer used, or began anew: what is answered on a
+    /// connection of this pool tells nothing of the one that lives now.
+    pub fn is_retired(&self) -> bool {
+        self.state().is_retired
+    }
+
     /// Closes idle connections and refuses statements from now on.
     pub fn retire(&self) {
         let (idle, waiters) = {
@@ -236,6 +242,16 @@
         drop(unneeded);
     }
 
+    /// Closes all connections that rest but `kept`.
+    pub fn close_resting(&self, kept: usize) {
+        let unneeded = {
+            let mut state = self.state();
+            let surplus = state.idle.len().saturating_sub(kept);
+            state.idle.drain(..surplus).collect::<Vec<_>>()
+        };
+        drop(unneeded);
+    }
+
     /// Open connections.
     pub fn open_connections(&self) -> usize {
         self.state().open
--- a/crates/millwind-engine/src/backend/pools.rs
+++ b/crates/millwind-engine/src/backend/pools.rs
@@ -70,7 +70,24 @@
         pool
     }
 
-    fn all(&self) -> Vec<Arc<Pool>> {
+    /// The instance of `record` began anew: its pool, if there is one, starts without
+    /// connections and with nothing learnt of its load. Whoever still holds the former
+    /// record gets the new pool as well.
+    pub fn begin_life(&self, record: &InstanceRecord, version: u64, share: usize) {
+        let former = {
+            let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+            let Some(shared) = pools.get_mut(&record.name) else {
+                return;
+            };
+            shared.version = version;
+            let pool = Pool::new(record.clone(), self.codec.clone(), share);
+            std::mem::replace(&mut shared.pool, pool)
+        };
+        former.retire();
+    }
+
+    /// All pools.
+    pub fn all(&self) -> Vec<Arc<Pool>> {
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         pools.values().map(|shared| shared.pool.clone()).collect()
     }
@@ -103,7 +120,7 @@
     }
 
     /// Opens connections of a pool ahead of need, in the background.
-    pub fn warm_up(&self, pool: Arc<Pool>, count: usize) {
+    pub fn open_ahead(&self, pool: Arc<Pool>, count: usize) {
         if pool.open_connections() < count {
             tokio::spawn(open_ahead(pool, count, OPEN_PACE));
         }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -4,16 +4,20 @@
 
 use log::warn;
 use millwind_core::Instant;
-use millwind_core::ids::InstanceName;
 
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
 use crate::connection_shares::AMPLE_SHARE;
 use crate::node::Engine;
-use crate::ports::CatalogCodec;
+use crate::passed_over::shortened;
+use crate::ports::{CatalogCodec, CatalogError};
 
 /// Connections opened ahead of need to a new instance.
-const WARM_CONNECTIONS: usize = 1;
+const AHEAD_CONNECTIONS: usize = 1;
+
+/// What peers are told in place of a record that cannot be read: no document of any
+/// form is empty.
+const UNREADABLE: &[u8] = &[];
 
 /// Who told this node of a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,21 +69,23 @@
         if self.directory.apply_config(config, origin) {
             let age_ms = clock::now().millis_since(origin.known_since);
             self.metrics.config_age.observe(age_ms as f64 / 1_000.0);
+            self.tell_of_regions();
             self.pools.set_shares(|record| self.share_of(record));
             for known in self.directory.instances() {
-                self.warm_up(&known.record);
+                self.open_ahead(&known.record);
             }
             self.wake_monitor();
         }
     }
 
     /// Opens connections to an instance of a configured group ahead of need.
-    fn warm_up(&self, record: &InstanceRecord) {
+    fn open_ahead(&self, record: &InstanceRecord) {
         let is_configured = self.directory.group_limits(&record.group).is_some();
         let share = self.share_of(record);
-        let is_of_use = !self.tells_tenants_apart() && share >= AMPLE_SHARE;
+        let is_evacuated = self.directory.evacuated_since(&record.zone).is_some();
+        let is_of_use = !is_evacuated && !self.tells_tenants_apart() && share >= AMPLE_SHARE;
         if is_configured && !record.is_leaving && is_of_use && self.registry.is_listed() {
-            self.pools.warm_up(self.pool(record), WARM_CONNECTIONS);
+            self.pools.open_ahead(self.pool(record), AHEAD_CONNECTIONS);
         }
     }
 
@@ -99,52 +105,106 @@
         };
         match codec.read_config(value) {
             Ok(config) => {
+                self.passed_over.forget(codec.config_key());
                 let version = config.version;
                 if version > self.config_version() {
                     self.catalog_cache.keep_config(version, value, known_since);
                     self.apply_config(config, &origin);
                 }
             }
-            Err(error) => warn!(
-                "event=config_refused source={source} error={:?}",
-                error.to_string()
-            ),
+            Err(error) => {
+                let reason = shortened(&error.to_string());
+                if self.passed_over.note(codec.config_key(), &reason) {
+                    warn!("event=config_refused source={source} error={reason:?}");
+                }
+            }
         }
     }
 
     /// Takes in an instance's document of `revision`, or that it was removed,
-    /// unless a newer one is known.
-    pub fn take_instance(&self, codec: &dyn CatalogCodec, key: &str, value: Option<&[u8]>, revision: u64) {
+    /// unless a newer one is known; true if the document names an instance.
+    ///
+    /// A document that cannot be read names none: an instance that was known under its
+    /// key is gone, as if the record had been removed, since nobody can tell what the
+    /// writer meant by it; all others hold.
+    pub fn take_instance(
+        &self,
+        codec: &dyn CatalogCodec,
+        key: &str,
+        value: Option<&[u8]>,
+        revision: u64,
+    ) -> bool {
+        let record = match value.map(|value| codec.read_instance(key, value)) {
+            Some(Ok(record)) => record,
+            Some(Err(error)) => {
+                self.pass_over(key, revision, &error);
+                // Peers need not read it to know that it cannot be read.
+                self.drop_record(codec, key, Some(UNREADABLE), revision);
+                return false;
+            }
+            None => {
+                self.passed_over.forget(key);
+                self.drop_record(codec, key, None, revision);
+                return false;
+            }
+        };
+        if self.catalog_cache.see_instance(key, revision) {
+            self.passed_over.forget(key);
+            if self.apply_record(record) {
+                self.catalog_cache.keep_instance(key, value, revision);
+            }
+        }
+        true
+    }
+
+    /// Tells of a document that cannot be read.
+    fn pass_over(&self, key: &str, revision: u64, error: &CatalogError) {
+        let reason = shortened(&error.to_string());
+        if self.passed_over.note(key, &reason) {
+            self.metrics.records_passed_over.inc();
+            let key = shortened(key);
+            warn!("event=record_passed_over key={key:?} revision={revision} reason={reason:?}");
+        }
+    }
+
+    /// The record under `key` names no instance since `revision`: it was removed, or
+    /// something lies there that cannot be read, for which peers are told `document`.
+    fn drop_record(&self, codec: &dyn CatalogCodec, key: &str, document: Option<&[u8]>, revision: u64) {
+        // Only names are remembered: no record can ever be read under another key.
+        let Some(name) = codec.instance_name(key) else {
+            return;
+        };
         if !self.catalog_cache.see_instance(key, revision) {
             return;
         }
-        let Some(value) = value else {
-            let name = key.strip_prefix(codec.instances_prefix()).unwrap_or(key);
-            if self.directory.remove_record(&InstanceName::from(name)) {
-                self.catalog_cache.keep_instance(key, None, revision);
-            }
-            return;
+        let is_news = match document {
+            Some(_) => self.directory.disown(&name),
+            None => self.directory.remove_record(&name),
         };
-        match codec.read_instance(key, value) {
-            Ok(record) => {
-                if self.apply_record(record) {
-                    self.catalog_cache.keep_instance(key, Some(value), revision);
-                }
-            }
-            Err(error) => warn!("event=instance_refused key={key} error={:?}", error.to_string()),
+        if is_news {
+            self.catalog_cache.keep_instance(key, document, revision);
         }
     }
 
     /// Takes in an instance's record; true if more than its heartbeat changed.
     fn apply_record(&self, record: InstanceRecord) -> bool {
-        let is_new = self
-            .directory
-            .instance(&record.name)
-            .is_none_or(|known| known.is_gone);
-        let has_changed = self.directory.apply_record(record.clone());
-        if is_new {
-            self.warm_up(&record);
+        let change = self.directory.apply_record(record.clone());
+        if change.has_begun_anew {
+            self.begin_life(&record);
         }
-        has_changed
+        if change.is_new || change.has_begun_anew {
+            self.open_ahead(&record);
+        }
+        change.has_changed || change.has_begun_anew
+    }
+
+    /// An instance began anew: connections to its former life are closed, with what was
+    /// set and prepared on them, and its group's leader is looked for at once.
+    fn begin_life(&self, record: &InstanceRecord) {
+        self.metrics.lives_begun.inc();
+        self.pools
+            .begin_life(record, self.registry.version(), self.share_of(record));
+        self.doubt_leader();
+        self.wake_monitor();
     }
 }
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -6,6 +6,7 @@
 
 use millwind_core::Instant;
 use millwind_core::concurrency_limit::TurnEnd;
+use millwind_core::eligibility::Ineligible;
 use millwind_core::ids::InstanceName;
 use millwind_core::position::Position;
 use millwind_core::session_state::{PreparedStatement, SessionState};
@@ -16,9 +17,10 @@
 use crate::backend::{ConnectionUser, LinkError, Pool, Purpose, Urgency};
 use crate::catalog::InstanceRecord;
 use crate::clock;
+use crate::cold_places::{PlaceNeed, PlaceWait};
 use crate::directory::Directory;
 use crate::node::Engine;
-use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply};
+use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply, TransactionState};
 
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,20 +41,27 @@
     }
 
     /// Whether the statement would have waited beyond its deadline where it was
-    /// sent: the instance has more to do than it can serve in time.
+    /// sent: the instance has more to do than it can serve in time, or is still cold.
     pub fn is_overload(&self) -> bool {
-        matches!(self, AttemptError::Link(LinkError::NoConnection))
+        matches!(
+            self,
+            AttemptError::Link(LinkError::NoConnection | LinkError::WarmingUp { .. })
+        )
     }
 
-    /// Whether no instance may be used by the statement, so that trying on is in vain.
-    pub fn is_ineligible(&self) -> bool {
-        matches!(self, AttemptError::Link(LinkError::Ineligible(_)))
+    /// Why the statement may not use the instance, or the way to it, where that is what
+    /// the attempt failed by.
+    pub const fn ineligible(&self) -> Option<Ineligible> {
+        match self {
+            AttemptError::Link(LinkError::Ineligible(reason)) => Some(*reason),
+            _ => None,
+        }
     }
 
     /// What the caller is told when nothing was kept.
     pub fn into_failure(self) -> Failure {
         match self {
-            AttemptError::Link(error) => Refusal::new(error.kind(), error).into(),
+            AttemptError::Link(error) => Refusal::of_link(error.kind(), error).into(),
             AttemptError::BackEnd(error) => Failure::BackEnd(error),
         }
     }
@@ -229,6 +238,7 @@
         since,
         command: Command::Begin { read_only },
     };
+    engine.check_evacuation(record, read_only)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let reply = match connection.exchange(&envelope, deadline).await {
         Ok(reply) => reply,
@@ -242,7 +252,7 @@
         note_error(engine, record, &error);
         return Err(AttemptError::BackEnd(error));
     }
-    if !read_only && !prove_leader(engine, record, inquiry.asked, reply.position) {
+    if !read_only && !prove_leader_by(engine, &pool, inquiry.asked, reply.position) {
         return Err(AttemptError::Link(LinkError::NoPermit));
     }
     Ok(())
@@ -260,10 +270,16 @@
 ) -> Result<Reply, AttemptError> {
     let pool = connection.pool().clone();
     let record = pool.record();
-    let turn = match connection.take_turn() {
-        Some(turn) => turn,
-        None => take_turn(&pool, connection, deadline).await?,
+    let need = match (connection.transaction(), proves_leader) {
+        (TransactionState::Idle, false) => PlaceNeed::Elsewhere,
+        (TransactionState::Idle, true) => PlaceNeed::ByAim,
+        _ if connection.urgency() == Urgency::InTransaction => PlaceNeed::ByDeadline,
+        _ => PlaceNeed::ByAim,
     };
+    let turn = turn_and_place(engine, connection, need, deadline).await?;
+    // The evacuation of its zone may have begun while the statement waited.
+    let is_single_read = !proves_leader && connection.transaction() == TransactionState::Idle;
+    engine.check_evacuation(record, is_single_read)?;
     let inquiry = Inquiry::new(&engine.directory, &record.name);
     let exchanged = connection.run(session, envelope, deadline).await;
     turn.end(turn_end(&exchanged));
@@ -286,12 +302,44 @@
         note_error(engine, record, error);
         return Err(AttemptError::BackEnd(error.clone()));
     }
-    if proves_leader && !prove_leader(engine, record, inquiry.asked, reply.position) {
+    if proves_leader && !prove_leader_by(engine, &pool, inquiry.asked, reply.position) {
         return Err(AttemptError::Link(LinkError::NoPermit));
     }
     Ok(reply)
 }
 
+/// Waits for the statement's turn, and for its place where the instance is cold. The
+/// place is taken last, so that the statement is sent right after it. Who waits for a
+/// place leaves the turn to others.
+async fn turn_and_place(
+    engine: &Arc<Engine>,
+    connection: &mut PooledConnection,
+    need: PlaceNeed,
+    deadline: Instant,
+) -> Result<Turn, AttemptError> {
+    let pool = connection.pool().clone();
+    let mut wait = PlaceWait::new(engine, pool.record(), need, connection.urgency());
+    loop {
+        let turn = match connection.take_turn() {
+            Some(turn) => turn,
+            None => take_turn(&pool, connection, deadline).await?,
+        };
+        let Err(refused) = engine.take_place(pool.record(), &wait).await else {
+            return Ok(turn);
+        };
+        drop(turn);
+        let until = match need {
+            PlaceNeed::ByDeadline => deadline,
+            _ => connection.aim().min(deadline),
+        };
+        if !wait.pause(until).await {
+            engine.note_place_refused(pool.record(), refused);
+            let retry_after_ms = refused.retry_after_ms;
+            return Err(AttemptError::Link(LinkError::WarmingUp { retry_after_ms }));
+        }
+    }
+}
+
 async fn take_turn(
     pool: &Arc<Pool>,
     connection: &PooledConnection,
@@ -330,6 +378,16 @@
     }
 }
 
+/// Takes in that an instance answered on a connection of `pool` as a leader. The answer
+/// of a former life proves nothing for the one that lives now; where promotions fence it
+/// is delivered all the same, since it is true of what that life has run.
+fn prove_leader_by(engine: &Engine, pool: &Pool, asked: Instant, position: Option<Position>) -> bool {
+    if pool.is_retired() {
+        return engine.directory.is_fenced();
+    }
+    prove_leader(engine, pool.record(), asked, position)
+}
+
 /// Takes in that `record` answered a question sent at `asked` as a leader; false
 /// if the answer does not count, since another may lead by now.
 pub fn prove_leader(
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -7,19 +7,23 @@
 
 use futures::future::join_all;
 use log::{info, warn};
+use millwind_core::Instant;
 use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::lead_permit::term_to_close;
+use millwind_core::lead_relocation::LeaderDemand;
 use millwind_core::position::{Position, Term};
 use millwind_store::Store;
 
+use super::pauses::Pauses;
 use super::revocation::ClosedTerm;
 use super::{Monitor, health};
 use crate::clock;
+use crate::directory::Known;
 use crate::duty::{Claim, DutyError};
 use crate::ports::{PromotionAnswer, PromotionOrder};
 use crate::statement::{Command, InstanceStatus};
-use crate::term_closing::ask_status;
+use crate::term_closing::ask_status_over;
 
 /// Each node that comes later in the order waits this much longer.
 const RANK_STEP: Duration = Duration::from_millis(500);
@@ -34,6 +38,10 @@
 /// A choice older than this is made again, in milliseconds.
 const CHOICE_MS: u64 = 250;
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Where the lead is moved though its leader serves well, replicas get this time to
+/// receive what it has reported before they are asked: a few times their usual lag. On a
+/// busy group none would else ever hold the newest.
+const CATCH_UP: Duration = Duration::from_millis(100);
 
 /// A chosen replica.
 struct Choice {
@@ -45,6 +53,8 @@
     newest_term: Term,
     /// Another instance that says that it leads.
     leading: Option<InstanceName>,
+    /// What the comparison of positions rests on.
+    pauses: Pauses,
 }
 
 /// A leader that is being replaced.
@@ -168,9 +178,17 @@
         if !lost.is(&leader.instance) {
             return true;
         }
+        if lost.reason == ReplaceReason::Relocating {
+            // One that fails meanwhile is replaced for that, by its own evidence.
+            let known = directory.instance(&leader.instance);
+            return known.is_none_or(|known| known.contact.failing_since.is_some());
+        }
         directory.instance(&leader.instance).is_some_and(|known| {
             let contact = &known.contact;
-            contact.failing_since.is_none() && !contact.is_sick() && !known.is_leaving
+            contact.failing_since.is_none()
+                && !contact.is_sick()
+                && !known.is_leaving
+                && !self.must_leave_zone(&known)
         })
     }
 
@@ -191,7 +209,7 @@
         let held = self.duties.held_token(group);
         if let (Some(token), true, true) = (held, is_first, choice.is_by_majority) {
             self.record_in_background(group, &choice.instance);
-            return self.promote(group, choice.instance, token).await;
+            return self.promote(group, choice, token).await;
         }
         let claim = Claim::Order(choice.instance.clone());
         let token = match self.duties.take(group, claim).await {
@@ -204,8 +222,10 @@
         };
         let is_old = clock::now().millis_since(chosen_at) > CHOICE_MS;
         if !is_old && choice.is_by_majority {
-            return self.promote(group, choice.instance, token).await;
+            return self.promote(group, choice, token).await;
         }
+        // Its connections are wanted for the next comparison.
+        drop(choice);
         // This node may have been cut off: another leader may have taken over
         // meanwhile, and promoting over it would undo its commits.
         if !self.read_records().await {
@@ -216,7 +236,7 @@
             return Ended::Yield;
         }
         match self.choose(lost, excluded).await {
-            Some(choice) => self.promote(group, choice.instance, token).await,
+            Some(choice) => self.promote(group, choice, token).await,
             None => Ended::Again,
         }
     }
@@ -265,25 +285,36 @@
             is_live: lost.reason.is_of_live_leader(),
             token,
         };
+        let life = self.life_of(closed.leader.as_ref());
         if !self.revoke(&closed).await {
             return Ended::Yield;
         }
         let is_old = clock::now().millis_since(chosen_at) > CHOICE_MS;
         let chosen = match is_old {
             false => Some(choice),
-            true => self.choose(lost, excluded).await,
+            true => {
+                drop(choice);
+                self.choose(lost, excluded).await
+            }
         };
         let Some(choice) = chosen else {
             return Ended::Again;
         };
         let claim = Claim::Order(choice.instance.clone());
         match self.duties.take(group, claim).await {
-            Ok(token) => self.promote(group, choice.instance, token).await,
+            // It has forgotten that it stepped down: permits for its term count again.
+            Ok(_) if self.life_of(closed.leader.as_ref()) != life => Ended::Again,
+            Ok(token) => self.promote(group, choice, token).await,
             Err(DutyError::Taken) => Ended::Yield,
             Err(DutyError::Store(_)) => Ended::Again,
         }
     }
 
+    /// Since when the present life of an instance is known.
+    pub(super) fn life_of(&self, instance: Option<&InstanceName>) -> Option<Instant> {
+        self.engine.directory.life_began(instance?)
+    }
+
     /// The term that must be closed before `choice` is promoted.
     fn term_to_close(&self, group: &GroupName, choice: &Choice) -> Term {
         let directory = &self.engine.directory;
@@ -320,7 +351,11 @@
     }
 
     /// Orders the promotion, and waits until the replica leads.
-    async fn promote(&self, group: &GroupName, chosen: InstanceName, token: u64) -> Ended {
+    async fn promote(&self, group: &GroupName, choice: Choice, token: u64) -> Ended {
+        if !choice.pauses.hold(&self.engine.directory) {
+            return Ended::Again;
+        }
+        let chosen = choice.instance;
         let order = PromotionOrder {
             group: group.clone(),
             instance: chosen.clone(),
@@ -355,6 +390,23 @@
 
     /// The replica that takes over, by what each has received.
     async fn choose(&self, lost: &LostLeader, excluded: &HashSet<InstanceName>) -> Option<Choice> {
+        let sync_replicas = self.engine.directory.group_limits(&lost.group)?.sync_replicas;
+        let pause = self.pause_command(&lost.group, sync_replicas);
+        if lost.reason == ReplaceReason::Relocating && sync_replicas > 0 {
+            // The leader serves well: replicas stop receiving only once one of them is
+            // known to be fit, since its commits wait for them.
+            self.choose_by(lost, excluded, Command::Status).await?;
+        }
+        self.choose_by(lost, excluded, pause).await
+    }
+
+    /// The same by the answers to `question`.
+    async fn choose_by(
+        &self,
+        lost: &LostLeader,
+        excluded: &HashSet<InstanceName>,
+        question: Command<'static>,
+    ) -> Option<Choice> {
         let engine = &self.engine;
         let group = &lost.group;
         let must_hold = self.must_hold(lost);
@@ -370,16 +422,26 @@
         if sync_replicas == 0 && replicas.iter().any(|known| !known.contact.is_sick()) {
             replicas.retain(|known| !known.contact.is_sick());
         }
-        let pause = self.pause_command(group, sync_replicas);
+        let demand = engine.leader_demands.total_of(group);
+        let worth_in = |known: &Known| demand.served_in(engine.region_of(known));
+        if lost.reason == ReplaceReason::Relocating {
+            tokio::time::sleep(CATCH_UP).await;
+        }
         let questions = replicas
             .iter()
-            .map(|known| ask_status(engine, &known.record, pause));
-        let statuses = join_all(questions).await;
-        let answered: Vec<_> = replicas
-            .iter()
-            .zip(statuses)
-            .filter_map(|(known, status)| Some((known, status?)))
-            .collect();
+            .map(|known| ask_status_over(engine, &known.record, question));
+        let answers = join_all(questions).await;
+        let mut pauses = Pauses::default();
+        let mut answered = Vec::new();
+        for (known, answer) in replicas.iter().zip(answers) {
+            let Some((status, connection)) = answer else {
+                continue;
+            };
+            if matches!(question, Command::Pause { .. }) {
+                pauses.add(&engine.directory, &known.record.name, connection);
+            }
+            answered.push((known, status));
+        }
         let named_before = self.duties.get(group).and_then(|duty| duty.record.chosen);
         let successors: Vec<_> = answered
             .iter()
@@ -388,14 +450,26 @@
                 received: status.received,
                 is_leaving: known.is_leaving,
                 is_evacuated: engine.directory.evacuated_since(&known.record.zone).is_some(),
-                allowed_worth: 0,
-                is_cold: false,
+                allowed_worth: worth_in(known),
+                is_cold: known.warmth.is_cold(clock::now()),
                 is_named: named_before.as_ref() == Some(&known.record.name),
                 is_near: known.record.zone.as_str() == engine.settings.zone,
             })
             .collect();
+        if lost.reason == ReplaceReason::Evacuated {
+            info!(
+                "event=leader_leaves_zone group={group} instance={} answered={} must_hold={}",
+                lost.name(),
+                answered.len(),
+                must_hold.unwrap_or_default()
+            );
+        }
         let total = known.iter().filter(|known| !lost.is(&known.record.name)).count();
-        let Some(chosen) = choose_successor(&successors, total, sync_replicas, must_hold) else {
+        let chosen = choose_successor(&successors, total, sync_replicas, must_hold)
+            // A leader that serves is not replaced by one that must go as well.
+            .filter(|chosen| !lost.reason.is_move() || !chosen.is_evacuated)
+            .filter(|chosen| self.is_worth_the_move(lost, chosen, &demand));
+        let Some(chosen) = chosen else {
             info!(
                 "event=no_successor group={group} lost={} answered={} replicas={total} must_hold={}",
                 lost.name(),
@@ -419,9 +493,22 @@
                 .iter()
                 .find(|(_, status)| status.is_leader)
                 .map(|(known, _)| known.record.name.clone()),
+            pauses,
         })
     }
 
+    /// Whether a leader that serves well is replaced by `chosen`: where its region is
+    /// the cause, only by one whose region serves more, and that will stay.
+    fn is_worth_the_move(&self, lost: &LostLeader, chosen: &Successor, demand: &LeaderDemand) -> bool {
+        if lost.reason != ReplaceReason::Relocating {
+            return true;
+        }
+        let leader = lost.instance.as_ref();
+        let leader = leader.and_then(|leader| self.engine.directory.instance(leader));
+        let worth_before = leader.map_or(0, |leader| demand.served_in(self.engine.region_of(&leader)));
+        chosen.allowed_worth > worth_before && !chosen.is_leaving && !chosen.is_evacuated
+    }
+
     /// What a successor must have received: all that a leader has reported which
     /// still serves. One that leaves is given up with what it holds once half of
     /// its time is over.
--- a/crates/millwind-engine/src/forward/lease.rs
+++ b/crates/millwind-engine/src/forward/lease.rs
@@ -190,6 +190,10 @@
                 inquiry.taken();
                 note_error(engine, &self.record, error);
             }
+            Err(AttemptError::Link(LinkError::WarmingUp { .. })) => {
+                inquiry.passed();
+                engine.directory.avoid_while_full(&self.record.name);
+            }
             Err(AttemptError::Link(error)) => {
                 inquiry.passed();
                 engine.directory.avoid(&self.record.name);
--- a/crates/millwind-engine/src/metrics.rs
+++ b/crates/millwind-engine/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Counters and latency histograms of a node, as Prometheus text.
 
+use millwind_core::ids::InstanceName;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -44,6 +46,27 @@
     }
 }
 
+/// Labels of what is told by instance.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct InstanceLabels {
+    /// Its name.
+    pub instance: String,
+}
+
+/// A count by instance.
+#[derive(Debug, Clone, Default)]
+pub struct InstanceCounts(Family<InstanceLabels, Counter>);
+
+impl InstanceCounts {
+    /// Counts one for an instance.
+    pub fn count(&self, instance: &InstanceName) {
+        let labels = InstanceLabels {
+            instance: instance.0.clone(),
+        };
+        self.0.get_or_create(&labels).inc();
+    }
+}
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -58,6 +81,8 @@
     pub transactions_abandoned: Counter,
     /// Promotions ordered.
     pub promotions: Counter,
+    /// Hand-overs begun since customers' terms exclude the leader's region.
+    pub lead_relocations: Counter,
     /// Leaders that were told to step down and did.
     pub step_downs: Counter,
     /// Promotions that waited until permits had run out.
@@ -79,8 +104,26 @@
     pub forwarded_in: Counter,
     /// Operations refused since their tenant was over its quota.
     pub quota_refusals: Counter,
+    /// Documents in the store that cannot be read, each counted once a change.
+    pub records_passed_over: Counter,
+    /// Instances that were seen to begin anew under their names.
+    pub lives_begun: Counter,
     /// Loans that were asked for on behalf of tenants' callers.
     pub quota_loans: Counter,
+    /// Instances that are cold.
+    pub cold_instances: Gauge,
+    /// Statements that were given a place at a cold instance.
+    pub cold_arrivals: InstanceCounts,
+    /// Statements that found no place at one.
+    pub cold_refusals: InstanceCounts,
+    /// Zones that are being evacuated, as this node knows.
+    pub evacuated_zones: Gauge,
+    /// Instances of such zones that this node still holds connections to in use.
+    pub evacuated_instances_in_use: Gauge,
+    /// Groups whose believed leader stands in such a zone.
+    pub evacuated_leaders: Gauge,
+    /// Transactions ended since their instance's zone is being evacuated.
+    pub evacuated_transactions: Counter,
 }
 
 impl Default for Metrics {
@@ -96,6 +139,7 @@
             hedged: Counter::default(),
             transactions_abandoned: Counter::default(),
             promotions: Counter::default(),
+            lead_relocations: Counter::default(),
             step_downs: Counter::default(),
             permits_waited_out: Counter::default(),
             answers_without_permit: Counter::default(),
@@ -108,6 +152,15 @@
             forwarded_in: Counter::default(),
             quota_refusals: Counter::default(),
             quota_loans: Counter::default(),
+            records_passed_over: Counter::default(),
+            lives_begun: Counter::default(),
+            cold_instances: Gauge::default(),
+            cold_arrivals: InstanceCounts::default(),
+            cold_refusals: InstanceCounts::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_instances_in_use: Gauge::default(),
+            evacuated_leaders: Gauge::default(),
+            evacuated_transactions: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Statements answered", metrics.answers.clone());
@@ -131,6 +184,41 @@
             "Loans of tenants' operations that this node asked for",
             metrics.quota_loans.clone(),
         );
+        registry.register(
+            "cold_instances",
+            "Instances that have just started",
+            metrics.cold_instances.clone(),
+        );
+        registry.register(
+            "cold_arrivals",
+            "Statements that this node sent to an instance while it was cold",
+            metrics.cold_arrivals.0.clone(),
+        );
+        registry.register(
+            "cold_refusals",
+            "Statements that found no place at an instance while it was cold",
+            metrics.cold_refusals.0.clone(),
+        );
+        registry.register(
+            "evacuated_zones",
+            "Zones that are being evacuated",
+            metrics.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_instances_in_use",
+            "Instances of evacuated zones to which connections of this node are in use",
+            metrics.evacuated_instances_in_use.clone(),
+        );
+        registry.register(
+            "evacuated_leaders",
+            "Groups whose leader stands in an evacuated zone",
+            metrics.evacuated_leaders.clone(),
+        );
+        registry.register(
+            "evacuated_transactions",
+            "Transactions ended since the zone of their instance is evacuated",
+            metrics.evacuated_transactions.clone(),
+        );
         registry.register(
             "hedged_reads",
             "Reads tried on two instances",
@@ -142,6 +230,11 @@
             metrics.transactions_abandoned.clone(),
         );
         registry.register("promotions", "Promotions ordered", metrics.promotions.clone());
+        registry.register(
+            "lead_relocations",
+            "Hand-overs begun since customers' terms exclude the leader's region",
+            metrics.lead_relocations.clone(),
+        );
         registry.register(
             "step_downs",
             "Leaders that stepped down when told to",
@@ -183,6 +276,16 @@
             "Statements run for other nodes",
             metrics.forwarded_in.clone(),
         );
+        registry.register(
+            "records_passed_over",
+            "Documents in the store that cannot be read, counted with each change",
+            metrics.records_passed_over.clone(),
+        );
+        registry.register(
+            "lives_begun",
+            "Instances that began anew under the name that they had",
+            metrics.lives_begun.clone(),
+        );
         Metrics { registry, ..metrics }
     }
 }
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -17,15 +17,18 @@
 use crate::catalog::InstanceRecord;
 use crate::catalog_cache::CatalogCache;
 use crate::catalog_watch::{ConfigFollower, InstanceFollower};
+use crate::cold_places::ColdPlaces;
 use crate::counted_store::CountedStore;
 use crate::directory::{Directory, Known};
 use crate::duty::Duties;
 use crate::failover::Monitor;
 use crate::forward::Owners;
 use crate::group_marks::GroupMarks;
+use crate::leader_demand::LeaderDemands;
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::own_keys::OwnKeys;
+use crate::passed_over::PassedOver;
 use crate::peer_reach::{self, PeerReach};
 use crate::peers::{self, Exchange, PeerClient};
 use crate::ports::{BackEndCodec, CallerCodec, CatalogCodec, Promoter};
@@ -75,9 +78,6 @@
 /// After it the nodes are listed within this time, so that most know by then that
 /// relays read the rest: a few times an answer's usual time between regions.
 const FIRST_START_LISTING: Duration = Duration::from_millis(300);
-/// Part of the evacuation bound in which a leader of the zone is still used, in
-/// percent: the rest is for the news on its way and for statements under way.
-const EVACUATED_LEADER_PERCENT: u64 = 50;
 /// Taken off the time in which a leaving leader is still used.
 const LEAVING_MARGIN_MS: u64 = 1_500;
 
@@ -112,6 +112,8 @@
     pub peers: PeerClient,
     /// Documents for peers that cannot read the store.
     pub catalog_cache: CatalogCache,
+    /// Documents in the store that cannot be read.
+    pub passed_over: PassedOver,
     /// The system's own keys in the store.
     pub own_keys: Arc<OwnKeys>,
     /// The nodes that read the store on behalf of others.
@@ -128,8 +130,12 @@
     pub stepping_down: Arc<GroupMarks>,
     /// The nodes that own connections to instances.
     pub owners: Owners,
+    /// What needs the leaders of groups.
+    pub leader_demands: LeaderDemands,
     /// Quotas of tenants.
     pub quotas: Quotas,
+    /// Places to arrive at cold instances.
+    pub cold_places: ColdPlaces,
     /// Which of the other nodes this one reaches.
     pub peer_reach: PeerReach,
     /// Connections leased to other nodes.
@@ -226,14 +232,6 @@
         }
     }
 
-    /// Whether the leader of a zone whose evacuation was heard of at `since` must get
-    /// nothing new any more.
-    pub fn is_evacuation_due(&self, since: Instant) -> bool {
-        let bound = self.settings.evacuation_bound_ms;
-        let patience = bound * EVACUATED_LEADER_PERCENT / 100;
-        clock::now().millis_since(since) >= patience
-    }
-
     /// Whether a leader still takes new work: one that will end does for a
     /// while, until another takes over.
     pub fn takes_new_work(&self, known: &Known) -> bool {
@@ -506,6 +504,7 @@
         registry,
         peers: PeerClient::default(),
         catalog_cache: CatalogCache::default(),
+        passed_over: PassedOver::default(),
         own_keys: Arc::new(OwnKeys::new(own_followers, relays.reading())),
         relays,
         store_contact: Arc::new(StoreContact::default()),
@@ -513,8 +512,10 @@
         departure: watch::Sender::new(None),
         unreached: Unreached::default(),
         stepping_down: Arc::default(),
-        owners: Owners::default(),
+        owners: Owners::new(settings.topology.clone()),
+        leader_demands: LeaderDemands::default(),
         quotas: Quotas::default(),
+        cold_places: ColdPlaces::default(),
         peer_reach: PeerReach::default(),
         forwarded_leases: AtomicUsize::new(0),
         pools: Pools::new(ports.backend_codec.clone()),
@@ -542,7 +543,7 @@
             following.await;
         });
     };
-    follow(catalog.config_key(), Arc::new(config), catalog_settle);
+    follow(catalog.operators_prefix(), Arc::new(config), catalog_settle);
     follow(catalog.instances_prefix(), Arc::new(instances), catalog_settle);
     follow(catalog.own_prefix(), engine.own_keys.clone(), nodes_settle);
     let record = NodeRecord {
@@ -565,6 +566,7 @@
         ports.promoter.clone(),
         ports.catalog_codec.clone(),
     );
+    tokio::spawn(monitor.clone().follow_leads());
     tokio::spawn(monitor.run());
 }
 
@@ -573,7 +575,9 @@
     let mut seen = 0;
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
+        engine.follow_cold_instances();
         engine.pools.trim(|record| engine.spare_connections(record));
+        engine.leave_evacuated_zones();
         for instance in engine.directory.forget_gone(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
         }
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -65,14 +65,19 @@
             config_version,
             instances_revision,
             own_revision,
+            evacuations_revision,
             as_relay,
         } => {
             if *as_relay == 1 {
                 engine.relays.asked_as_relay();
             }
-            engine
-                .catalog_cache
-                .newer_than(*config_version, *instances_revision, *own_revision, engine)
+            engine.catalog_cache.newer_than(
+                *config_version,
+                *instances_revision,
+                *own_revision,
+                *evacuations_revision,
+                engine,
+            )
         }
         ExchangeRequest::Reach { instance } => {
             let instance = InstanceName::from(instance.as_str());
@@ -89,6 +94,10 @@
         ExchangeRequest::CloseTerm(closing) => ExchangeReply::TermClosed {
             has_stepped_down: u8::from(term_closing::hand_back(engine, closing).await),
         },
+        ExchangeRequest::LeaderDemand(report) => {
+            engine.leader_demands.take(report);
+            ExchangeReply::Noted
+        }
     }
 }
 
--- a/crates/millwind-engine/src/ports.rs
+++ b/crates/millwind-engine/src/ports.rs
@@ -106,6 +106,9 @@
 /// Where the operators' configuration and the instances' own records lie in
 /// the store, and how they are read.
 pub trait CatalogCodec: Send + Sync + 'static {
+    /// Prefix of all that operators write: the configuration and the requests to
+    /// evacuate zones, which are watched together.
+    fn operators_prefix(&self) -> &str;
     /// Key of the operators' configuration.
     fn config_key(&self) -> &str;
     /// Prefix of the instances' records.
@@ -119,7 +122,10 @@
     fn own_prefix(&self) -> &str;
     /// Reads a configuration.
     fn read_config(&self, value: &[u8]) -> Result<ConfigSnapshot, CatalogError>;
-    /// Reads the record of the instance named by `key`.
+    /// The instance that `key` stands for; none where it names none.
+    fn instance_name(&self, key: &str) -> Option<InstanceName>;
+    /// Reads the record of the instance named by `key`. Anybody may have written it: what
+    /// is not wholly of the expected form is an error.
     fn read_instance(&self, key: &str, value: &[u8]) -> Result<InstanceRecord, CatalogError>;
 }
 
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -57,14 +57,14 @@
     /// own, which a former leader refuses.
     async fn leader_read(&mut self, operation: Operation) -> Answer {
         let engine = self.engine.clone();
-        engine.directory.used(operation.group(), None);
+        operation.needs_leader(&engine);
         let mut overloads = Overloads::default();
         loop {
             let record = usable_leader(&engine, &operation).await?;
             let attempt = operation.within(patience(&engine, &record));
             match self.leader_read_on(&record, &attempt).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation, 0, &mut overloads).await?,
+                Err(error) => after_failed_read(&engine, error, &operation, 0, &mut overloads).await?,
             }
         }
     }
@@ -107,7 +107,7 @@
             let floor = self.floor_for(&operation).await?;
             match hedged_read(&engine, &self.state, &operation, floor).await {
                 Ok(reply) => return attempt::success(reply),
-                Err(error) => after_failed_read(error, &operation, rounds, &mut overloads).await?,
+                Err(error) => after_failed_read(&engine, error, &operation, rounds, &mut overloads).await?,
             }
             rounds += 1;
         }
@@ -144,6 +144,7 @@
 /// Returns where a read may be tried again, after a pause that grows with
 /// `rounds`, and fails where not.
 async fn after_failed_read(
+    engine: &Engine,
     error: AttemptError,
     operation: &Operation,
     rounds: u32,
@@ -151,7 +152,8 @@
 ) -> Result<(), Failure> {
     let has_run = matches!(&error, AttemptError::BackEnd(error)
         if !error.kind.is_not_run());
-    let is_in_vain = error.is_ineligible() || overloads.is_enough(&error);
+    let is_in_vain = engine.is_in_vain(&error, operation.group(), &operation.regions);
+    let is_in_vain = is_in_vain || overloads.is_enough(&error);
     if has_run || clock::now() >= operation.deadline || is_in_vain {
         return Err(read_failure(error));
     }
@@ -169,7 +171,7 @@
                 LinkError::Silent => ErrorKind::WindowTooShort,
                 _ => error.kind(),
             };
-            Refusal::new(kind, error).into()
+            Refusal::of_link(kind, error).into()
         }
         AttemptError::BackEnd(error) => Failure::BackEnd(error),
     }
@@ -208,6 +210,7 @@
             is_avoided: known.contact.avoid_until > now
                 || known.contact.failing_since.is_some()
                 || known.contact.is_sick(),
+            is_cold: known.warmth.is_cold(now),
         })
         .collect();
     let find = |name: InstanceName| {
--- a/crates/millwind-engine/src/session/writes.rs
+++ b/crates/millwind-engine/src/session/writes.rs
@@ -5,6 +5,7 @@
 
 use millwind_core::eligibility::Ineligible;
 use millwind_core::error_kind::ErrorKind;
+use millwind_core::ids::{GroupName, RegionName};
 
 use super::attempt::{self, Overloads};
 use super::{Operation, Session};
@@ -25,13 +26,16 @@
 /// Between two tries while owners don't reach an instance, or watchers know no
 /// leader.
 const LEADER_PAUSE: Duration = Duration::from_millis(60);
+/// A leader that was heard within this time is not asked after again by those who may
+/// not use it, in milliseconds: callers that are refused are told to come back after so
+/// long.
+const BELIEF_MS: u64 = 1_000;
 
 impl Session {
     /// Runs a write outside of a transaction.
     pub(super) async fn single_write(&mut self, operation: Operation) -> Answer {
         let engine = self.engine.clone();
-        let group = operation.group().clone();
-        engine.directory.used(&group, None);
+        operation.needs_leader(&engine);
         let mut overloads = Overloads::default();
         loop {
             let record = usable_leader(&engine, &operation).await?;
@@ -72,7 +76,8 @@
 }
 
 /// The leader of the operation's group, once one is known that answers. Where the known
-/// one may not be used the operation is refused at once.
+/// one may not be used the operation is refused at once, unless another instance takes
+/// over from it.
 pub(super) async fn usable_leader(
     engine: &Arc<Engine>,
     operation: &Operation,
@@ -82,12 +87,25 @@
         let leader = engine.directory.leader(group);
         let known = leader.and_then(|leader| engine.directory.instance(&leader.instance));
         let watches = engine.watches(group);
+        let mut is_handed_over = false;
         let reason = match known {
             Some(known) if is_usable(engine, &known, watches) => {
                 match engine.judge_instance(&known, InstanceUse::Leader, &operation.regions) {
                     Ok(()) => return Ok(known.record),
                     Err(Ineligible::Leaving) => format!("leader {} will end", known.record.name),
-                    Err(reason) => return Err(unusable_leader(&known, reason, operation)),
+                    Err(Ineligible::ZoneEvacuated)
+                        if engine.has_instance_elsewhere(group, &operation.regions) =>
+                    {
+                        is_handed_over = true;
+                        let record = &known.record;
+                        format!("leader {} in evacuated zone {}", record.name, record.zone)
+                    }
+                    Err(reason) => {
+                        if !watches {
+                            renew_belief(engine, group);
+                        }
+                        return Err(unusable_leader(engine, &known, reason, operation));
+                    }
                 }
             }
             Some(known) => format!("leader {} does not answer", known.record.name),
@@ -96,7 +114,8 @@
         if clock::now() >= deadline {
             return Err(Refusal::new(ErrorKind::NoPrimary, reason));
         }
-        if !watches && peers::ask_leader(engine, group).await {
+        // While the lead is handed over its watchers name the old leader for a moment.
+        if !watches && peers::ask_leader(engine, group).await && !is_handed_over {
             continue;
         }
         let pause = if watches { RETRY_PAUSE } else { LEADER_PAUSE };
@@ -105,6 +124,19 @@
     }
 }
 
+/// Asks in the background who leads, where that was not heard lately. A node that does
+/// not watch the group, and whose callers are all refused, hears from nobody else that
+/// the lead has moved.
+fn renew_belief(engine: &Arc<Engine>, group: &GroupName) {
+    let newest = engine.directory.newest_observation(group);
+    let is_recent = newest.is_some_and(|newest| clock::now().millis_since(newest.asked) < BELIEF_MS);
+    if is_recent {
+        return;
+    }
+    let (engine, group) = (engine.clone(), group.clone());
+    tokio::spawn(async move { peers::observe_leader(&engine, &group).await });
+}
+
 /// Whether a leader may be used. A node that does not watch the group has no
 /// contact with it, and one that does not run statements there needs no permit:
 /// the owner that runs the statement judges.
@@ -117,11 +149,12 @@
     is_reached && may_lead
 }
 
-fn unusable_leader(known: &Known, reason: Ineligible, operation: &Operation) -> Refusal {
+fn unusable_leader(engine: &Engine, known: &Known, reason: Ineligible, operation: &Operation) -> Refusal {
     let detail = format!(
-        "leader {} in zone {}: {}, allowed regions: {}",
+        "leader {} in zone {}, region {}: {}, allowed regions: {}",
         known.record.name,
         known.record.zone,
+        engine.region_of(known).map_or("none", RegionName::as_str),
         reason.name(),
         operation.regions
     );
--- a/crates/millwind-model/tests/check.rs
+++ b/crates/millwind-model/tests/check.rs
@@ -4,6 +4,7 @@
 use millwind_model::configuration::Configuration;
 use millwind_model::leadership::Leadership;
 use millwind_model::links::Links;
+use millwind_model::pausing::Pausing;
 use millwind_model::writes::{Bounds, Writes};
 use millwind_model::{Counterexample, Rule, check};
 
@@ -15,14 +16,15 @@
     }
 }
 
-fn leadership(broken: Option<Rule>) -> Leadership {
-    Leadership { broken, units: 2 }
+fn leadership(broken: Option<Rule>) -> [Leadership; 2] {
+    Leadership::bounded(broken, 2)
 }
 
 /// Looks only where the rule guards something: the whole model takes long.
 fn leadership_violation(broken: Option<Rule>) -> Option<Counterexample> {
     let rule = broken.filter(|rule| Leadership::RULES.contains(rule))?;
-    check(&leadership(Some(rule))).counterexample
+    let mut models = leadership(Some(rule)).into_iter();
+    models.find_map(|model| check(&model).counterexample)
 }
 
 fn bounds(broken: Option<Rule>) -> Bounds {
@@ -63,13 +65,18 @@
     assert_eq!(configuration.counterexample, None);
     let links = check(&links(None));
     assert_eq!(links.counterexample, None);
-    let leadership = check(&leadership(None));
-    assert_eq!(leadership.counterexample, None);
-    assert!(
-        leadership.states > 10_000,
-        "only {} states explored",
-        leadership.states
-    );
+    let pausing = check(&Pausing { broken: None });
+    assert_eq!(pausing.counterexample, None);
+    assert!(pausing.states > 100, "only {} states explored", pausing.states);
+    for model in leadership(None) {
+        let leadership = check(&model);
+        assert_eq!(leadership.counterexample, None);
+        assert!(
+            leadership.states > 10_000,
+            "only {} states explored",
+            leadership.states
+        );
+    }
 }
 
 #[test]
@@ -77,6 +84,7 @@
     for rule in Rule::value_variants() {
         let broken = Some(*rule);
         let counterexample = leadership_violation(broken)
+            .or_else(|| check(&Pausing { broken }).counterexample)
             .or_else(|| writes(broken))
             .or_else(|| check(&links(broken)).counterexample)
             .or_else(|| check(&Configuration { broken, losses: 1 }).counterexample)
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 6;
+pub const EXCHANGE_VERSION: u8 = 7;
 
 /// One document of the store.
 #[binrw]
@@ -45,6 +45,33 @@
     pub document: Compressed,
 }
 
+/// A request to evacuate a zone.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuatedZone {
+    /// The zone.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub zone: String,
+    /// Time since when the request may have been made, in milliseconds; the greatest
+    /// value for longer than that.
+    pub age_ms: u32,
+}
+
+/// All requests to evacuate a zone that the store held at a revision.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuationListing {
+    /// The revision.
+    pub revision: u64,
+    /// The requests.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    pub zones: Vec<EvacuatedZone>,
+}
+
 /// A question of one node to another.
 #[binrw]
 #[brw(big)]
@@ -60,6 +87,9 @@
         /// Store revision up to which it knows the system's own keys, zero for
         /// none.
         own_revision: u64,
+        /// Store revision up to which it knows the requests to evacuate zones, zero
+        /// for none.
+        evacuations_revision: u64,
         /// One if the answering node is asked as a relay, which reads the
         /// store on behalf of others.
         as_relay: u8,
@@ -83,6 +113,54 @@
     /// A group's term is closed: hand the permit for it back.
     #[brw(magic = 4u8)]
     CloseTerm(TermClosing),
+    /// What the asking node's callers need of a group's leader; nothing is asked.
+    #[brw(magic = 5u8)]
+    LeaderDemand(DemandReport),
+}
+
+/// What a node's callers needed of a group's leader lately.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DemandReport {
+    /// The group.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub group: String,
+    /// The node.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub node: String,
+    /// The demand by the regions that it allows.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    pub parts: Vec<DemandPart>,
+}
+
+/// Statements that allow the same regions.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DemandPart {
+    /// One if every region is allowed.
+    pub is_any: u8,
+    /// Else the regions.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    pub regions: Vec<RegionText>,
+    /// What they are worth.
+    pub worth: u64,
+}
+
+/// Name of a region.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegionText {
+    /// The name.
+    #[br(parse_with = text::read_text)]
+    #[bw(write_with = text::write_text)]
+    pub name: String,
 }
 
 /// A closed term, as the store holds it.
@@ -132,6 +210,11 @@
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
         config: Vec<ConfigDocument>,
+        /// The requests to evacuate zones, if newer ones are known: at most one
+        /// listing.
+        #[br(parse_with = text::read_list)]
+        #[bw(write_with = text::write_list)]
+        evacuations: Vec<EvacuationListing>,
         /// Instances that changed since.
         #[br(parse_with = text::read_list)]
         #[bw(write_with = text::write_list)]
@@ -171,6 +254,9 @@
         /// longer.
         has_stepped_down: u8,
     },
+    /// A report was taken in.
+    #[brw(magic = 5u8)]
+    Noted,
 }
 
 /// Writes a message with its version.
