--- a/crates/millwind-engine/src/forward/owners.rs
+++ b/crates/millwind-engine/src/forward/owners.rs
@@ -9,7 +9,7 @@
 use millwind_core::Instant;
 use millwind_core::affinity;
 use millwind_core::data_residency::{AllowedRegions, Topology};
-use millwind_core::ids::{InstanceName, TenantName};
+use millwind_core::ids::{InstanceName, TenantName, ZoneName};
 use millwind_core::owner_ranking::{OwnerCandidate, OwnersSought};
 use rand::RngExt;
 
@@ -86,9 +86,22 @@
 
 type Ranked = Arc<Vec<Owner>>;
 
+/// The ranking of one instance for statements that may pass all nodes.
+#[derive(Debug, Clone)]
+struct PlainRanking {
+    /// Version of the registry that it follows from.
+    version: u64,
+    /// Zone of the instance, which may come back under its name in another one.
+    zone: ZoneName,
+    /// Owners, and those that stand in for them.
+    nodes: Arc<OwnersOf>,
+    /// Both, first ones first.
+    ranked: Ranked,
+}
+
 /// What an instance's ranking follows from: a statement that may not pass all nodes has
 /// one of its own. Customers differ in few sets of regions.
-type RankingKey = (InstanceName, AllowedRegions);
+type RankingKey = (InstanceName, ZoneName, AllowedRegions);
 
 /// Owners of all instances.
 #[derive(Debug, Default)]
@@ -96,10 +109,10 @@
     links: Arc<Links>,
     /// Regions of the zones.
     topology: Topology,
-    /// The ranking for statements that may pass all nodes, by instance, with the
-    /// version of the registry that it follows from.
-    ranked: Mutex<HashMap<InstanceName, (u64, Ranked)>>,
-    /// The ranking by what a statement may pass, in the same way.
+    /// The ranking for statements that may pass all nodes, by instance.
+    plain: Mutex<HashMap<InstanceName, PlainRanking>>,
+    /// The ranking by what other statements may pass, with the version of the registry
+    /// that it follows from.
     allowed: Mutex<HashMap<RankingKey, (u64, Arc<OwnersOf>)>>,
     avoided: Mutex<HashMap<(SocketAddr, InstanceName), Instant>>,
     /// Since when no owner of an instance is reached, and when that was last
@@ -118,29 +131,44 @@
 
     /// Owners of `record` and then those that stand in for them.
     pub fn ranked(&self, registry: &Registry, record: &InstanceRecord) -> Ranked {
+        self.plain(registry, record).ranked
+    }
+
+    /// Each forwarded statement asks for it: nothing is allocated while it holds.
+    fn plain(&self, registry: &Registry, record: &InstanceRecord) -> PlainRanking {
         let version = registry.version();
-        let mut ranked = self.ranked.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((held, owners)) = ranked.get(&record.name)
-            && *held == version
+        let mut plain = self.plain.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(held) = plain.get(&record.name)
+            && held.version == version
+            && held.zone == record.zone
         {
-            return owners.clone();
+            return held.clone();
         }
-        let OwnersOf {
-            mut owners,
-            stand_ins,
-        } = self.find(registry, record, &AllowedRegions::Any);
-        owners.extend(stand_ins);
-        let owners = Arc::new(owners);
-        ranked.insert(record.name.clone(), (version, owners.clone()));
-        owners
+        let nodes = self.find(registry, record, &AllowedRegions::Any);
+        let ranked = nodes.owners.iter().chain(&nodes.stand_ins).cloned().collect();
+        let found = PlainRanking {
+            version,
+            zone: record.zone.clone(),
+            nodes: Arc::new(nodes),
+            ranked: Arc::new(ranked),
+        };
+        plain.insert(record.name.clone(), found.clone());
+        found
     }
 
     /// Owners of `record`, and those that stand in for them, which the text of a
     /// statement may travel to; this node among them wherever it stands, since the
     /// statement is here already.
     fn allowed(&self, way: &Way<'_>) -> Arc<OwnersOf> {
+        if way.carriers.regions.is_any() {
+            return self.plain(way.registry, way.record).nodes;
+        }
         let version = way.registry.version();
-        let key = (way.record.name.clone(), way.carriers.regions.clone());
+        let key = (
+            way.record.name.clone(),
+            way.record.zone.clone(),
+            way.carriers.regions.clone(),
+        );
         let mut allowed = self.allowed.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((held, owners)) = allowed.get(&key)
             && *held == version
