The lab's client shows its token only after all of an answer is taken in

Cause: the connection's task took in the token and the answer in one poll, which woke the caller on another thread before the token was noted. Ruled out: the product (the token comes before the end of the answer). Shown by a pause of 5 ms between the poll and the note: the test fails with the old client, and passes with the token's lock held meanwhile. The product's code is unchanged.

--- a/crates/millwind-lab/src/client.rs
+++ b/crates/millwind-lab/src/client.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 
-use tokio_postgres::{Client, Config, NoTls};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_postgres::{AsyncMessage, Client, Config, Connection, NoTls};
 
 const SESSION_PARAMETER: &str = "millwind.session";
 
@@ -19,11 +21,26 @@
         self.token.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn set(&self, token: &str) {
+    /// Lets `connection` take in messages, and the token among them. Nobody sees the token
+    /// meanwhile: an answer wakes its caller on another thread before the messages that
+    /// came with it are all taken in.
+    fn update<S, T>(
+        &self,
+        connection: &mut Connection<S, T>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<AsyncMessage, tokio_postgres::Error>>>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+        T: AsyncRead + AsyncWrite + Unpin,
+    {
         let mut held = self.token.lock().unwrap_or_else(PoisonError::into_inner);
-        if held.as_deref() != Some(token) {
+        let polled = connection.poll_message(context);
+        if let Some(token) = connection.parameter(SESSION_PARAMETER)
+            && held.as_deref() != Some(token)
+        {
             *held = Some(token.to_owned());
         }
+        polled
     }
 }
 
@@ -48,13 +65,7 @@
     let reported = cell.clone();
     tokio::spawn(async move {
         loop {
-            let polled = futures::future::poll_fn(|context| {
-                let polled = connection.poll_message(context);
-                if let Some(token) = connection.parameter(SESSION_PARAMETER) {
-                    reported.set(token);
-                }
-                polled
-            });
+            let polled = futures::future::poll_fn(|context| reported.update(&mut connection, context));
             match polled.await {
                 Some(Ok(_)) => {}
                 Some(Err(_)) | None => return,
