A retried read pays for its next try once, and says why it failed

Cause, by reading: between two rounds a retry was taken from the budget, and the next round's first try took another one; where that was the last, the round ended before its first try with its initial error. Ruled out: allowed regions (none are set there; they have an error of their own). No test brings it about alone: it needs a budget of exactly one.

--- a/crates/millwind-node/src/gateway/dispatch.rs
+++ b/crates/millwind-node/src/gateway/dispatch.rs
@@ -256,6 +256,8 @@
             if over_budget || settled || clock::now() >= self.terms.deadline {
                 return Err(Refusal::new(failed.kind, failed.detail));
             }
+            // The next round's first try is paid for: paid twice, it hid what had failed.
+            attempts = 0;
             self.await_some_primary().await?;
             tokio::time::sleep(RETRY_PAUSE).await;
         }
