Terms on leads are gathered once a look, not once a group

Cause: where leads may be moved for customers' regions, a node walked all databases for each group every 2 s, also where nobody's terms exclude a region: the square of the groups. Change: no look without such terms; else one walk gathers them by group.

--- a/crates/millwind-engine/src/failover/relocation.rs
+++ b/crates/millwind-engine/src/failover/relocation.rs
@@ -27,6 +27,7 @@
 use crate::connection_shares::WATCHERS;
 use crate::directory::Known;
 use crate::eligibility::InstanceUse;
+use crate::lead_terms::LeadTerms;
 use crate::leader_demand::write_report;
 use crate::node::Engine;
 
@@ -64,12 +65,12 @@
 
     /// Takes in the group's terms: under other ones the lead may go back at once. Other
     /// changes of the configuration don't move it.
-    fn follow_terms(&mut self, config: &ConfigSnapshot, group: &GroupName) {
-        if self.config_version == config.version {
+    fn follow_terms(&mut self, terms: &LeadTerms<'_>, group: &GroupName) {
+        if self.config_version == terms.config_version {
             return;
         }
-        self.config_version = config.version;
-        let terms: BTreeSet<_> = terms_of(config, group).cloned().collect();
+        self.config_version = terms.config_version;
+        let terms: BTreeSet<_> = terms.of(group).cloned().collect();
         if self.terms != terms {
             self.left.clear();
             self.terms = terms;
@@ -129,17 +130,27 @@
         }
         loop {
             tokio::time::sleep(TICK).await;
+            // Where nobody's terms exclude a region no lead is moved for them.
+            if !self.engine.leader_demands.is_counted() {
+                continue;
+            }
             let Some(config) = self.engine.directory.config() else {
                 continue;
             };
+            let terms = LeadTerms::of_config(&config);
             for group in config.groups.keys() {
-                self.look_at_lead(&config, group);
+                self.look_at_lead(&config, &terms, group);
             }
         }
     }
 
     /// Weighs a move of one group's lead, or reports to the one who does.
-    fn look_at_lead(self: &Arc<Self>, config: &Arc<ConfigSnapshot>, group: &GroupName) {
+    fn look_at_lead(
+        self: &Arc<Self>,
+        config: &Arc<ConfigSnapshot>,
+        terms: &LeadTerms<'_>,
+        group: &GroupName,
+    ) {
         let leader = self.engine.directory.leader(group);
         let known = leader.and_then(|leader| self.engine.directory.instance(&leader.instance));
         let Some(known) = known else {
@@ -147,11 +158,11 @@
         };
         let mut histories = self.lead_histories.histories();
         let history = histories.entry(group.clone()).or_default();
-        history.follow_terms(config, group);
+        history.follow_terms(terms, group);
         history.follow(&known.record.name, clock::now());
         drop(histories);
         let region = self.engine.region_of(&known);
-        if !excludes(config, group, region) {
+        if !terms.exclude(group, region) {
             return;
         }
         if self.duties.held_token(group).is_some() {
@@ -275,25 +286,3 @@
         self.settings.topology.region_of(&known.record.zone)
     }
 }
-
-/// Whether some customer's terms exclude a leader of `group` in `region`.
-fn excludes(config: &ConfigSnapshot, group: &GroupName, region: Option<&RegionName>) -> bool {
-    terms_of(config, group).any(|regions| !regions.allows(region))
-}
-
-/// The terms of all who may use `group`. Any tenant may use any database.
-fn terms_of<'a>(
-    config: &'a ConfigSnapshot,
-    group: &'a GroupName,
-) -> impl Iterator<Item = &'a AllowedRegions> {
-    let of_group = config
-        .databases
-        .values()
-        .filter(move |database| database.settings.group == *group);
-    let of_databases = of_group.map(|database| &database.allowed_regions);
-    let of_tenants = config
-        .tenants
-        .iter()
-        .flat_map(|tenants| tenants.allowed_regions.values());
-    of_databases.chain(of_tenants)
-}
