Lines about single instances are bounded, and the rest counted

Change: 20 a second and node; the rest are told by their count. The limit for lines about requests is the same code.

--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -26,6 +26,7 @@
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
 use crate::catalog_intake::ConfigOrigin;
 use crate::clock;
+use crate::logging::LineLimit;
 use crate::peers::Testimony;
 
 use warmth::sight_of;
@@ -33,6 +34,11 @@
 pub use contact::Contact;
 use lives::{FormerLog, SteppedDown, begin_life};
 
+/// Lines about single instances' records at most: a node of a fleet that starts learns of
+/// 3,000 instances within seconds, and so do all others; some 4,000 lines from each of 985
+/// nodes tell no more than their count.
+const BELIEF_LINES_PER_SECOND: u64 = 20;
+
 /// An instance with what is known of it.
 #[derive(Debug, Clone)]
 pub struct Known {
@@ -207,6 +213,8 @@
     /// Counts the changes of who is believed to lead, and of instances' records but for
     /// their heartbeats.
     lead_changes: AtomicU64,
+    /// For lines about single instances' records.
+    belief_lines: LineLimit,
 }
 
 impl Directory {
@@ -228,6 +236,7 @@
             config_version: watch::Sender::new(0),
             evacuation_changes: watch::Sender::new(0),
             lead_changes: AtomicU64::new(0),
+            belief_lines: LineLimit::new("instances", BELIEF_LINES_PER_SECOND),
         }
     }
 
@@ -328,6 +337,8 @@
             is_new || previous.is_some_and(|known| !known.record.says_but_for_heartbeat(&record));
         if has_changed {
             self.lead_changed();
+        }
+        if has_changed && self.belief_lines.admit() {
             info!(
                 "event=instance_seen instance={} group={} address={} zone={} leaving={} claims_lead={}",
                 record.name, record.group, record.address, record.zone, record.is_leaving, record.claims_lead
@@ -387,10 +398,12 @@
         if current.as_ref() == Some(instance) || entry.retired.as_ref() == Some(instance) {
             return;
         }
-        info!(
-            "event=leader_claimed group={group} instance={instance} previous={}",
-            current.as_ref().map_or("none", |name| name.as_str())
-        );
+        if self.belief_lines.admit() {
+            info!(
+                "event=leader_claimed group={group} instance={instance} previous={}",
+                current.as_ref().map_or("none", |name| name.as_str())
+            );
+        }
         entry.leader = Some(Leader {
             instance: instance.clone(),
             term: None,
--- a/crates/millwind-engine/src/logging.rs
+++ b/crates/millwind-engine/src/logging.rs
@@ -101,30 +101,35 @@
     }
 }
 
-/// Limits the lines about single requests; the rest are counted and told with
-/// the next line that passes.
-#[derive(Debug, Default, Clone)]
-pub struct RequestLog {
-    state: Arc<Mutex<RequestLogState>>,
+/// Limits the lines of one kind; the rest are counted and told with the next line that
+/// passes in a later second.
+#[derive(Debug)]
+pub struct LineLimit {
+    subject: &'static str,
+    lines_per_second: u64,
+    state: Mutex<LineLimitState>,
 }
 
 #[derive(Debug, Default)]
-struct RequestLogState {
+struct LineLimitState {
     second: Instant,
     lines: u64,
     suppressed: u64,
-    seen: u64,
 }
 
-impl RequestLog {
-    /// Whether one of `sample` lines of a kind should be written.
-    pub fn is_sampled(&self, sample: u64) -> bool {
-        if sample <= 1 {
-            return true;
+impl LineLimit {
+    /// At most `lines_per_second` lines about `subject`.
+    pub const fn new(subject: &'static str, lines_per_second: u64) -> Self {
+        let state = LineLimitState {
+            second: Instant(0),
+            lines: 0,
+            suppressed: 0,
+        };
+        LineLimit {
+            subject,
+            lines_per_second,
+            state: Mutex::new(state),
         }
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.seen += 1;
-        state.seen.is_multiple_of(sample)
     }
 
     /// Whether one more line may be written now.
@@ -133,13 +138,17 @@
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if now.millis_since(state.second) >= 1_000 {
             if state.suppressed > 0 {
-                log::info!("event=request_lines_suppressed count={}", state.suppressed);
+                log::info!(
+                    "event=lines_suppressed subject={} count={}",
+                    self.subject,
+                    state.suppressed
+                );
             }
             state.second = now;
             state.lines = 0;
             state.suppressed = 0;
         }
-        if state.lines >= REQUEST_LINES_PER_SECOND {
+        if state.lines >= self.lines_per_second {
             state.suppressed += 1;
             return false;
         }
@@ -147,3 +156,31 @@
         true
     }
 }
+
+/// Limits the lines about single requests.
+#[derive(Debug)]
+pub struct RequestLog {
+    limit: LineLimit,
+    seen: AtomicU64,
+}
+
+impl Default for RequestLog {
+    fn default() -> Self {
+        RequestLog {
+            limit: LineLimit::new("requests", REQUEST_LINES_PER_SECOND),
+            seen: AtomicU64::new(0),
+        }
+    }
+}
+
+impl RequestLog {
+    /// Whether one of `sample` lines of a kind should be written.
+    pub fn is_sampled(&self, sample: u64) -> bool {
+        sample <= 1 || (self.seen.fetch_add(1, Ordering::Relaxed) + 1).is_multiple_of(sample)
+    }
+
+    /// Whether one more line may be written now.
+    pub fn admit(&self) -> bool {
+        self.limit.admit()
+    }
+}
