--- a/crates/millwind-core/src/evacuation.rs
+++ b/crates/millwind-core/src/evacuation.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use millwind_wire::store_revision::StoreRevision;
+
 use crate::Instant;
 use crate::ids::ZoneName;
 
@@ -19,7 +21,7 @@
     /// By zone that may be used again, when this node heard that it may.
     returned: BTreeMap<ZoneName, Instant>,
     /// Store revision up to which the requests are known; zero for none.
-    revision: u64,
+    revision: StoreRevision,
 }
 
 /// What a newer listing changed.
@@ -46,7 +48,7 @@
     /// It is asked for; else taken back.
     pub is_requested: bool,
     /// Store revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// One request with the time since when it may have been made.
@@ -62,7 +64,7 @@
     /// Takes in all requests that the store held at `revision`; one that is older
     /// than what is known changes nothing. Those that are new here may have been made
     /// at `since`.
-    pub fn apply(&mut self, zones: &[ZoneName], revision: u64, since: Instant) -> EvacuationChange {
+    pub fn apply(&mut self, zones: &[ZoneName], revision: StoreRevision, since: Instant) -> EvacuationChange {
         let dated: Vec<_> = zones
             .iter()
             .map(|zone| DatedEvacuation {
@@ -78,14 +80,17 @@
     pub fn apply_dated(
         &mut self,
         requests: &[DatedEvacuation],
-        revision: u64,
+        revision: StoreRevision,
         now: Instant,
     ) -> EvacuationChange {
         if revision < self.revision {
             return EvacuationChange::default();
         }
+        let is_restored = !self.revision.is_none() && self.revision.era < revision.era;
         self.revision = revision;
-        let is_asked = |zone: &ZoneName| requests.iter().any(|request| request.zone == *zone);
+        // A store that was restored may lack requests that are still asked for: they are
+        // written again, and hold until then.
+        let is_asked = |zone: &ZoneName| is_restored || requests.iter().any(|request| request.zone == *zone);
         let taken_back: Vec<_> = self
             .since
             .keys()
@@ -141,7 +146,7 @@
 
     /// Whether the requests are known as of some revision of the store.
     pub fn is_known(&self) -> bool {
-        self.revision > 0
+        !self.revision.is_none()
     }
 
     /// When this node heard that `zone` may be used again; none where it was not
@@ -166,7 +171,7 @@
     }
 
     /// Store revision up to which the requests are known; zero for none.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 }
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -6,6 +6,7 @@
 
 use log::warn;
 use millwind_core::Instant;
+use millwind_store::StoreRevision;
 use millwind_wire::compressed::Compressed;
 use millwind_wire::exchange::{ConfigDocument, ExchangeReply, StoredDocument};
 
@@ -62,9 +63,9 @@
     instances: KeptDocuments,
     /// By instance, the newest revision of its record that was taken in; a
     /// heartbeat alone changes nothing else.
-    seen: BTreeMap<String, u64>,
-    /// Store revision up to which all instances are known; zero for none.
-    instances_revision: u64,
+    seen: BTreeMap<String, StoreRevision>,
+    /// Store revision up to which all instances are known; none where they are not.
+    instances_revision: StoreRevision,
 }
 
 /// An age as it travels; the greatest value for never.
@@ -95,7 +96,7 @@
     }
 
     /// Keeps an instance's document, or that it was removed, unless a newer one is kept.
-    pub fn keep_instance(&self, key: &str, value: Option<&[u8]>, revision: u64) {
+    pub fn keep_instance(&self, key: &str, value: Option<&[u8]>, revision: StoreRevision) {
         let mut state = self.state();
         let kept = state.instances.get(key);
         if kept.is_some_and(|kept| kept.revision > revision) {
@@ -112,7 +113,7 @@
 
     /// Notes that an instance's record of `revision` is taken in; false if a
     /// newer one was.
-    pub fn see_instance(&self, key: &str, revision: u64) -> bool {
+    pub fn see_instance(&self, key: &str, revision: StoreRevision) -> bool {
         let mut state = self.state();
         match state.seen.get_mut(key) {
             Some(seen) if *seen > revision => false,
@@ -128,7 +129,7 @@
     }
 
     /// Keys of the instances of which something newer than `revision` was taken in.
-    pub fn seen_after(&self, revision: u64) -> Vec<String> {
+    pub fn seen_after(&self, revision: StoreRevision) -> Vec<String> {
         let state = self.state();
         let newer = state.seen.iter().filter(|(_, seen)| **seen > revision);
         newer.map(|(key, _)| key.clone()).collect()
@@ -137,13 +138,13 @@
     /// All instances are known up to this store revision. Comparing by the
     /// newest document instead would send a record again and again whose
     /// heartbeat another node has seen later.
-    pub fn instances_known_to(&self, revision: u64) {
+    pub fn instances_known_to(&self, revision: StoreRevision) {
         let mut state = self.state();
         state.instances_revision = state.instances_revision.max(revision);
     }
 
-    /// Store revision up to which all instances are known; zero for none.
-    pub fn instances_revision(&self) -> u64 {
+    /// Store revision up to which all instances are known; none where they are not.
+    pub fn instances_revision(&self) -> StoreRevision {
         self.state().instances_revision
     }
 
@@ -151,9 +152,9 @@
     pub fn newer_than(
         &self,
         config_version: u64,
-        instances_revision: u64,
-        own_revision: u64,
-        evacuations_revision: u64,
+        instances_revision: StoreRevision,
+        own_revision: StoreRevision,
+        evacuations_revision: StoreRevision,
         engine: &Engine,
     ) -> ExchangeReply {
         // Before anything is read: what changes meanwhile is not covered by it.
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -1,9 +1,11 @@
 //! Takes the catalog in, from the store or from other nodes.
 
+use std::collections::HashSet;
 use std::fmt;
 
 use log::warn;
 use millwind_core::Instant;
+use millwind_core::ids::InstanceName;
 
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
@@ -11,6 +13,7 @@
 use crate::node::Engine;
 use crate::passed_over::shortened;
 use crate::ports::{CatalogCodec, CatalogError};
+use millwind_store::StoreRevision;
 
 /// Connections opened ahead of need to a new instance.
 const AHEAD_CONNECTIONS: usize = 1;
@@ -145,7 +148,7 @@
         codec: &dyn CatalogCodec,
         key: &str,
         value: Option<&[u8]>,
-        revision: u64,
+        revision: StoreRevision,
     ) -> bool {
         if self.is_older(codec, key, revision) {
             return true;
@@ -171,14 +174,29 @@
         true
     }
 
+    /// All instances at `revision` are `present`: the others are gone.
+    pub fn drop_unlisted(
+        &self,
+        codec: &dyn CatalogCodec,
+        present: &HashSet<InstanceName>,
+        revision: StoreRevision,
+    ) {
+        for missing in self.directory.listing_applied(present) {
+            let key = format!("{}{missing}", codec.instances_prefix());
+            // A record of before this listing that a peer still sends is old.
+            self.catalog_cache.see_instance(&key, revision);
+            self.catalog_cache.keep_instance(&key, None, revision);
+        }
+    }
+
     /// Whether something newer than `revision` is known of the instance under `key`. Only
     /// names are remembered: no record can ever be read under another key.
-    fn is_older(&self, codec: &dyn CatalogCodec, key: &str, revision: u64) -> bool {
+    fn is_older(&self, codec: &dyn CatalogCodec, key: &str, revision: StoreRevision) -> bool {
         codec.instance_name(key).is_some() && !self.catalog_cache.see_instance(key, revision)
     }
 
     /// Tells of a document that cannot be read.
-    fn pass_over(&self, key: &str, revision: u64, error: &CatalogError) {
+    fn pass_over(&self, key: &str, revision: StoreRevision, error: &CatalogError) {
         let reason = shortened(&error.to_string());
         if self.passed_over.note(key, &reason) {
             self.metrics.records_passed_over.inc();
@@ -189,7 +207,13 @@
 
     /// The record under `key` names no instance since `revision`: it was removed, or
     /// something lies there that cannot be read, for which peers are told `document`.
-    fn drop_record(&self, codec: &dyn CatalogCodec, key: &str, document: Option<&[u8]>, revision: u64) {
+    fn drop_record(
+        &self,
+        codec: &dyn CatalogCodec,
+        key: &str,
+        document: Option<&[u8]>,
+        revision: StoreRevision,
+    ) {
         let Some(name) = codec.instance_name(key) else {
             return;
         };
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -118,12 +118,7 @@
         // A peer may have told of something that this listing is too old to hold.
         let newer = self.engine.catalog_cache.seen_after(revision);
         present.extend(newer.iter().filter_map(|key| self.codec.instance_name(key)));
-        for missing in self.engine.directory.listing_applied(&present) {
-            let key = format!("{}{missing}", self.codec.instances_prefix());
-            // A record of before this listing that a peer still sends is old.
-            self.engine.catalog_cache.see_instance(&key, revision);
-            self.engine.catalog_cache.keep_instance(&key, None, revision);
-        }
+        self.engine.drop_unlisted(&*self.codec, &present, revision);
         let keys: HashSet<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
         self.engine
             .passed_over
--- a/crates/millwind-engine/src/counted_store.rs
+++ b/crates/millwind-engine/src/counted_store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use millwind_store::{Condition, Listing, Store, StoreError, Swap, Watch, WatchReport, Write};
+use millwind_store::{Condition, Listing, Store, StoreError, StoreRevision, Swap, Watch, WatchReport, Write};
 
 use crate::metrics::CallCounts;
 
@@ -33,6 +33,7 @@
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::NoAnswer(_)) => "no_answer",
         Err(StoreError::WatchEnded(_)) => "watch_ended",
+        Err(StoreError::Restored { .. }) => "restored",
     }
 }
 
@@ -65,7 +66,7 @@
         )
     }
 
-    async fn watch(&self, prefix: &str, revision: u64) -> Result<Self::Watch, StoreError> {
+    async fn watch(&self, prefix: &str, revision: StoreRevision) -> Result<Self::Watch, StoreError> {
         let watch = self.store.watch(prefix, revision).await?;
         Ok(CountedWatch {
             watch,
--- a/crates/millwind-engine/src/directory/evacuation.rs
+++ b/crates/millwind-engine/src/directory/evacuation.rs
@@ -8,10 +8,15 @@
 
 use super::Directory;
 use crate::clock;
+use millwind_store::StoreRevision;
 
 impl Directory {
     /// Takes in all requests to evacuate a zone that the store held at `revision`.
-    pub fn apply_evacuations(&self, requests: &[DatedEvacuation], revision: u64) -> EvacuationChange {
+    pub fn apply_evacuations(
+        &self,
+        requests: &[DatedEvacuation],
+        revision: StoreRevision,
+    ) -> EvacuationChange {
         self.change_evacuations(|evacuations, now| evacuations.apply_dated(requests, revision, now))
     }
 
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -9,7 +9,6 @@
 mod warmth;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use log::info;
@@ -133,8 +132,13 @@
     instances: BTreeMap<InstanceName, Known>,
     /// Instances by group: a group's are looked up with every statement.
     members: HashMap<GroupName, BTreeSet<InstanceName>>,
-    /// None before it was first asked for.
-    claims: Option<Claims>,
+    /// Groups that changed since the watch list last took them in.
+    changed_groups: HashSet<GroupName>,
+    /// Version of the configuration whose groups all have an instance that says that it
+    /// leads; none where some have none, or that is not known.
+    claims_checked_for: Option<u64>,
+    /// A group that was last found without one.
+    unclaimed: Option<GroupName>,
     has_listing: bool,
     store_heard: Option<Instant>,
     /// Everything that the store held of closed terms at this time is known.
@@ -168,31 +172,40 @@
 }
 
 impl State {
-    fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |config| config.version)
+    /// The believed leader of a group, or the record of one of its instances, changed.
+    fn group_changed(&mut self, group: &GroupName) {
+        self.changed_groups.insert(group.clone());
+        self.claims_checked_for = None;
     }
 
-    fn finds_claimed_leaders(&self) -> bool {
-        let Some(config) = &self.config else {
+    /// Comparisons of catalogs ask for it again and again: all groups are looked at only
+    /// after a change, and not even then while the group that lacked a leader still does.
+    fn knows_claimed_leaders(&mut self) -> bool {
+        let Some(config) = self.config.clone() else {
             return false;
         };
-        let is_claimed = |name: &InstanceName| {
-            let known = self.instances.get(name);
-            known.is_some_and(|known| known.record.claims_lead && !known.is_gone)
-        };
-        config.groups.keys().all(|group| {
-            let members = self.members.get(group);
-            members.is_some_and(|members| members.iter().any(is_claimed))
-        })
+        if self.claims_checked_for == Some(config.version) {
+            return true;
+        }
+        if let Some(group) = &self.unclaimed
+            && config.groups.contains_key(group)
+            && !self.is_claimed(group)
+        {
+            return false;
+        }
+        let mut groups = config.groups.keys();
+        self.unclaimed = groups.find(|group| !self.is_claimed(group)).cloned();
+        let are_claimed = self.unclaimed.is_none();
+        self.claims_checked_for = are_claimed.then_some(config.version);
+        are_claimed
     }
-}
 
-/// Whether every group has an instance that says that it leads.
-#[derive(Debug, Clone, Copy)]
-struct Claims {
-    /// Version of the configuration, and the count of changes, that it follows from.
-    as_of: (u64, u64),
-    are_complete: bool,
+    /// Whether an instance of a group says that it leads.
+    fn is_claimed(&self, group: &GroupName) -> bool {
+        let members = self.members.get(group).into_iter().flatten();
+        let mut known = members.filter_map(|name| self.instances.get(name));
+        known.any(|known| known.record.claims_lead && !known.is_gone)
+    }
 }
 
 /// Beliefs of a node.
@@ -210,9 +223,6 @@
     config_version: watch::Sender<u64>,
     /// Counts the changes of evacuated zones.
     evacuation_changes: watch::Sender<u64>,
-    /// Counts the changes of who is believed to lead, and of instances' records but for
-    /// their heartbeats.
-    lead_changes: AtomicU64,
     /// For lines about single instances' records.
     belief_lines: LineLimit,
 }
@@ -235,7 +245,6 @@
             completed: Notify::new(),
             config_version: watch::Sender::new(0),
             evacuation_changes: watch::Sender::new(0),
-            lead_changes: AtomicU64::new(0),
             belief_lines: LineLimit::new("instances", BELIEF_LINES_PER_SECOND),
         }
     }
@@ -254,14 +263,10 @@
         self.state().config.clone()
     }
 
-    /// Rises with each change of who is believed to lead, and of instances' records but
-    /// for their heartbeats.
-    pub fn lead_changes(&self) -> u64 {
-        self.lead_changes.load(Ordering::Relaxed)
-    }
-
-    fn lead_changed(&self) {
-        self.lead_changes.fetch_add(1, Ordering::Relaxed);
+    /// Groups of which, since this was last asked, the believed leader or the record of an
+    /// instance changed, but for heartbeats.
+    pub fn take_changed_groups(&self) -> HashSet<GroupName> {
+        std::mem::take(&mut self.state().changed_groups)
     }
 
     /// Version of the configuration in force, as it changes.
@@ -336,7 +341,7 @@
         let has_changed =
             is_new || previous.is_some_and(|known| !known.record.says_but_for_heartbeat(&record));
         if has_changed {
-            self.lead_changed();
+            state.group_changed(&record.group);
         }
         if has_changed && self.belief_lines.admit() {
             info!(
@@ -408,7 +413,7 @@
             instance: instance.clone(),
             term: None,
         });
-        self.lead_changed();
+        state.group_changed(group);
         self.leaders_changed.notify_waiters();
     }
 
@@ -421,13 +426,11 @@
         if known.is_gone {
             return false;
         }
-        self.lead_changed();
         known.is_gone = true;
         known.leaving_since.get_or_insert(clock::now());
-        info!(
-            "event=instance_gone instance={instance} group={}",
-            known.record.group
-        );
+        let group = known.record.group.clone();
+        info!("event=instance_gone instance={instance} group={group}");
+        state.group_changed(&group);
         true
     }
 
@@ -491,10 +494,11 @@
             })
             .map(|known| known.record.name.clone())
             .collect();
-        if !forgotten.is_empty() {
-            self.lead_changed();
-        }
         for name in &forgotten {
+            let group = state.instances.get(name).map(|known| known.record.group.clone());
+            if let Some(group) = group {
+                state.group_changed(&group);
+            }
             // It may come back under this name, and is not compared with this life then.
             for group in state.groups.values_mut() {
                 group.end_life(name);
@@ -535,19 +539,9 @@
     }
 
     /// Whether some instance of every configured group is known that says that it
-    /// leads. Comparisons of catalogs ask for it again and again: it is looked up anew
-    /// only after a change.
+    /// leads.
     pub fn knows_claimed_leaders(&self) -> bool {
-        let mut state = self.state();
-        let as_of = (state.config_version(), self.lead_changes());
-        match state.claims {
-            Some(claims) if claims.as_of == as_of => claims.are_complete,
-            _ => {
-                let are_complete = state.finds_claimed_leaders();
-                state.claims = Some(Claims { as_of, are_complete });
-                are_complete
-            }
-        }
+        self.state().knows_claimed_leaders()
     }
 
     /// Groups that were used after `since`, over this node's own connections or others'.
@@ -638,7 +632,7 @@
             position.term, position.log_position.0
         );
         entry.leader = Some(leader);
-        self.lead_changed();
+        state.group_changed(group);
         if is_other {
             self.leaders_changed.notify_waiters();
         }
@@ -656,7 +650,7 @@
         if is_believed {
             info!("event=leader_denied group={group} instance={instance}");
             entry.leader = None;
-            self.lead_changed();
+            state.group_changed(group);
         }
     }
 
--- a/crates/millwind-engine/src/directory/permits.rs
+++ b/crates/millwind-engine/src/directory/permits.rs
@@ -77,7 +77,7 @@
                 .as_ref()
                 .map_or("none", |leader| leader.instance.as_str())
         );
-        self.lead_changed();
+        state.group_changed(group);
         self.leaders_changed.notify_waiters();
     }
 
--- a/crates/millwind-engine/src/duty.rs
+++ b/crates/millwind-engine/src/duty.rs
@@ -7,7 +7,7 @@
 //! holder keeps its token while the store is out; an order of an earlier
 //! holder that is carried out late is turned away by its token.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -15,7 +15,9 @@
 use millwind_core::Instant;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::position::Term;
-use millwind_store::{Condition, Entry, Listing, Store, StoreError, Swap, USUAL_SILENCE, Write};
+use millwind_store::{
+    Condition, Entry, Listing, Store, StoreError, StoreRevision, Swap, USUAL_SILENCE, Write,
+};
 use millwind_wire::exchange::StoredDocument;
 use serde::{Deserialize, Serialize};
 
@@ -46,11 +48,22 @@
     pub is_ordered: bool,
 }
 
+impl DutyRecord {
+    /// Whether this record holds all that may follow from `other`: closed terms, and an
+    /// order that may have been sent.
+    fn covers(&self, other: &DutyRecord) -> bool {
+        let has_order = self.is_ordered || !other.is_ordered;
+        self.closed_term > other.closed_term || (self.closed_term == other.closed_term && has_order)
+    }
+}
+
 /// What a node writes when it takes a duty.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Claim {
     /// Only the duty.
     Hold,
+    /// What the store lost when it was restored.
+    Restore,
     /// The replica that will be ordered to take over, under the new token.
     Order(InstanceName),
     /// The same, where the old leader's term must be closed first; the order
@@ -69,6 +82,12 @@
     /// The record that `holder` writes in place of `held`: closed terms stay
     /// closed.
     fn record(self, holder: &str, held: Option<DutyRecord>) -> DutyRecord {
+        if let (Claim::Restore, Some(held)) = (&self, &held) {
+            return DutyRecord {
+                holder: holder.to_owned(),
+                ..held.clone()
+            };
+        }
         let (closed_term, retired) =
             held.map_or_else(Default::default, |held| (held.closed_term, held.retired));
         let record = DutyRecord {
@@ -79,7 +98,7 @@
             is_ordered: false,
         };
         match self {
-            Claim::Hold => record,
+            Claim::Hold | Claim::Restore => record,
             Claim::Order(chosen) => DutyRecord {
                 chosen: Some(chosen),
                 is_ordered: true,
@@ -104,8 +123,8 @@
 pub struct SeenDuty {
     /// The record.
     pub record: DutyRecord,
-    /// Its revision: the fencing token.
-    pub revision: u64,
+    /// Its revision, which the fencing token follows from.
+    pub revision: StoreRevision,
     /// When this node first saw it.
     pub seen: Instant,
 }
@@ -126,6 +145,9 @@
     node: String,
     directory: Arc<Directory>,
     seen: Mutex<HashMap<GroupName, SeenDuty>>,
+    /// Records that the store lost when it was restored, with the time at which that was
+    /// seen: they are written again before anybody may rest on their absence.
+    lost: Mutex<HashMap<GroupName, (DutyRecord, Instant)>>,
     is_listed: AtomicBool,
 }
 
@@ -145,6 +167,7 @@
             node,
             directory,
             seen: Mutex::new(HashMap::new()),
+            lost: Mutex::new(HashMap::new()),
             is_listed: AtomicBool::new(false),
         }
     }
@@ -153,6 +176,42 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lost(&self) -> MutexGuard<'_, HashMap<GroupName, (DutyRecord, Instant)>> {
+        self.lost.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Groups whose records the store lost when it was restored, and since when that is
+    /// known.
+    pub fn lost_records(&self) -> Vec<(GroupName, Instant)> {
+        let lost = self.lost();
+        lost.iter()
+            .map(|(group, (_, since))| (group.clone(), *since))
+            .collect()
+    }
+
+    /// Takes in that the store no longer holds `record`, whatever it holds instead.
+    fn note_lost(&self, group: &GroupName, record: &DutyRecord) {
+        let mut lost = self.lost();
+        let is_known = lost.get(group).is_some_and(|(known, _)| known.covers(record));
+        if !is_known {
+            info!(
+                "event=duty_lost group={group} closed_term={} ordered={} holder={}",
+                record.closed_term, record.is_ordered, record.holder
+            );
+            lost.insert(group.clone(), (record.clone(), clock::now()));
+        }
+    }
+
+    /// What is known of a group's duty, in the store or lost with it.
+    fn known_record(&self, group: &GroupName) -> Option<DutyRecord> {
+        let held = self.get(group).map(|duty| duty.record);
+        let lost = self.lost().get(group).map(|(record, _)| record.clone());
+        match (held, lost) {
+            (Some(held), Some(lost)) if held.covers(&lost) => Some(held),
+            (held, lost) => lost.or(held),
+        }
+    }
+
     /// Lists the keys under `prefix` in the store, as of now.
     pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
         let listing = self.store.list(prefix, USUAL_SILENCE).await;
@@ -173,6 +232,16 @@
         }
     }
 
+    /// Writes again what the store lost of a group's duty, unless somebody has.
+    pub async fn restore(&self, group: &GroupName) {
+        if !self.lost().contains_key(group) {
+            return;
+        }
+        if let Ok(token) = self.take(group, Claim::Restore).await {
+            info!("event=duty_restored group={group} token={token}");
+        }
+    }
+
     /// The record of `group` as last seen.
     pub fn get(&self, group: &GroupName) -> Option<SeenDuty> {
         self.seen().get(group).cloned()
@@ -207,7 +276,7 @@
     /// duty as far as it knows.
     pub fn held_token(&self, group: &GroupName) -> Option<u64> {
         let duty = self.get(group)?;
-        (duty.record.holder == self.node).then_some(duty.revision)
+        (duty.record.holder == self.node).then_some(duty.revision.fencing_token())
     }
 
     /// The key of a group's record.
@@ -219,8 +288,8 @@
     pub async fn take(&self, group: &GroupName, claim: Claim) -> Result<u64, DutyError> {
         let key = self.key(group);
         let held = self.get(group);
-        let known = held.as_ref().map_or(0, |duty| duty.revision);
-        let record = claim.record(&self.node, held.map(|duty| duty.record));
+        let known = held.as_ref().map_or(StoreRevision::NONE, |duty| duty.revision);
+        let record = claim.record(&self.node, self.known_record(group));
         let write = Write {
             key: key.clone(),
             value: encode(&record),
@@ -228,9 +297,10 @@
         let condition = Condition { key, revision: known };
         match self.store.swap(&[condition], &[write]).await {
             Ok(Swap::Done { revision }) => {
-                info!("event=duty_taken group={group} token={revision} previous={known}");
+                let token = revision.fencing_token();
+                info!("event=duty_taken group={group} token={token} revision={revision} previous={known}");
                 self.note(group.clone(), record, revision);
-                Ok(revision)
+                Ok(token)
             }
             Ok(Swap::Conflict { current }) => {
                 info!("event=duty_conflict group={group} expected={known}");
@@ -244,14 +314,21 @@
         }
     }
 
-    fn note(&self, group: GroupName, record: DutyRecord, revision: u64) {
+    fn note(&self, group: GroupName, record: DutyRecord, revision: StoreRevision) {
         if record.closed_term > Term::default() {
             self.directory
                 .close_term(&group, record.closed_term, record.retired.as_ref());
         }
+        self.lost()
+            .retain(|lost, (known, _)| *lost != group || !record.covers(known));
         let mut seen = self.seen();
-        if seen.get(&group).is_some_and(|held| held.revision >= revision) {
-            return;
+        if let Some(held) = seen.get(&group) {
+            if held.revision >= revision {
+                return;
+            }
+            if held.revision.era < revision.era && !record.covers(&held.record) {
+                self.note_lost(&group, &held.record);
+            }
         }
         let duty = SeenDuty {
             record,
@@ -261,6 +338,27 @@
         seen.insert(group, duty);
     }
 
+    /// Forgets records that the store no longer holds. Nobody removes any: they are lost
+    /// with what it held before it was restored, and a claim in their place must expect
+    /// that there is none.
+    fn forget_unlisted(&self, listing: &Listing) {
+        let keys = listing.entries.iter().map(|entry| entry.key.as_str());
+        let present: HashSet<GroupName> = keys
+            .filter_map(|key| key.strip_prefix(&self.prefix))
+            .map(GroupName::from)
+            .collect();
+        let is_gone = |group: &GroupName, duty: &SeenDuty| {
+            duty.revision.era < listing.revision.era && !present.contains(group)
+        };
+        let gone: Vec<_> = {
+            let mut seen = self.seen();
+            seen.extract_if(|group, duty| is_gone(group, duty)).collect()
+        };
+        for (group, duty) in gone {
+            self.note_lost(&group, &duty.record);
+        }
+    }
+
     fn apply(&self, entries: Vec<Entry>) {
         for entry in entries {
             let Some(group) = entry.key.strip_prefix(&self.prefix) else {
@@ -292,6 +390,7 @@
     }
 
     fn listed(&self, listing: Listing) {
+        self.forget_unlisted(&listing);
         self.apply(listing.entries);
         self.is_listed.store(true, Ordering::Relaxed);
     }
--- a/crates/millwind-engine/src/evacuation.rs
+++ b/crates/millwind-engine/src/evacuation.rs
@@ -10,7 +10,7 @@
 use millwind_core::eligibility::Ineligible;
 use millwind_core::evacuation::{DatedEvacuation, EvacuationChange, EvacuationEvent, Evacuations};
 use millwind_core::ids::{GroupName, ZoneName};
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 use millwind_wire::exchange::{EvacuatedZone, EvacuationListing};
 
 use crate::backend::LinkError;
@@ -78,7 +78,7 @@
 
     /// The requests as another node is told them which knows them up to `revision`;
     /// empty where it knows as much.
-    pub fn evacuations_after(&self, revision: u64) -> Vec<EvacuationListing> {
+    pub fn evacuations_after(&self, revision: StoreRevision) -> Vec<EvacuationListing> {
         let known = self.directory.evacuations();
         if known.revision() <= revision {
             return Vec::new();
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -52,6 +52,12 @@
 const STORE_RECENT_MS: u64 = 2_500;
 /// Between two rounds of questions to peers about one leader.
 const ASK_PAUSE: Duration = Duration::from_millis(200);
+/// Each node that comes later in a group's order waits so much longer before it writes
+/// again what a restored store lost, in milliseconds: a write and its way to the others
+/// through relays.
+const RESTORE_STEP_MS: u64 = 1_500;
+/// None waits longer than this, in milliseconds: by then most nodes of the order are gone.
+const MOST_RESTORE_WAIT_MS: u64 = 12_000;
 /// Between two tries to take a duty that nobody holds.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
 /// A group whose leader this node has never seen may still be starting, in
@@ -126,6 +132,7 @@
                 self.engine.directory.forgive_silence();
             }
             last = now;
+            self.restore_lost_duties();
             let watched = watch_list.current(&self.engine);
             for group in watched.iter() {
                 self.start_look(group);
@@ -140,6 +147,27 @@
         }
     }
 
+    /// Writes the duties' records again that the store lost when it was restored. The
+    /// first of a group's order does it at once; each one after it waits longer, and finds
+    /// it done: a node that was restarted meanwhile knows nothing of what was lost.
+    fn restore_lost_duties(self: &Arc<Self>) {
+        let now = clock::now();
+        for (group, since) in self.duties.lost_records() {
+            let rank = self.engine.registry.rank(group.as_str()) as u64;
+            let due = since.plus_millis((rank * RESTORE_STEP_MS).min(MOST_RESTORE_WAIT_MS));
+            if now < due {
+                continue;
+            }
+            if let Some(mark) = self.taking.enter(&group) {
+                let duties = self.duties.clone();
+                tokio::spawn(async move {
+                    duties.restore(mark.group()).await;
+                    tokio::time::sleep(DUTY_PAUSE).await;
+                });
+            }
+        }
+    }
+
     /// Looks at a group that this node uses, or asks others about it.
     fn follow_used(self: &Arc<Self>, group: &GroupName, watched: &HashSet<GroupName>) {
         if watched.contains(group) || self.engine.directory.group_limits(group).is_none() {
--- a/crates/millwind-engine/src/kept_documents.rs
+++ b/crates/millwind-engine/src/kept_documents.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 
 use log::warn;
-use millwind_wire::compressed::Compressed;
+use millwind_store::StoreRevision;
 use millwind_wire::exchange::{DocumentList, StoredDocument, pack_documents};
 
 /// Fewer documents travel as they are: compressing gains little.
-const LEAST_PACKED: usize = 64;
+const LEAST_PACKED: usize = 32;
 /// All documents are packed anew once this part of them, in percent, changed since they
 /// were packed: the rest of an answer is small then, and packing is rare.
 const REPACK_PERCENT: usize = 10;
@@ -16,8 +16,8 @@
 #[derive(Debug)]
 struct Packed {
     /// Store revision of the newest of them.
-    newest: u64,
-    documents: Compressed,
+    newest: StoreRevision,
+    documents: DocumentList,
 }
 
 /// Documents by key, with the revision of their last change that matters; removed ones
@@ -26,8 +26,19 @@
 pub struct KeptDocuments {
     by_key: BTreeMap<String, StoredDocument>,
     /// Store revision of the newest document.
-    newest: u64,
+    newest: StoreRevision,
     packed: Option<Packed>,
+    /// What changed between two revisions, packed for those that know the first.
+    difference: Option<Difference>,
+}
+
+/// What changed after one revision up to another, compressed once: nodes that heard the
+/// same news before ask for the same ones next.
+#[derive(Debug)]
+struct Difference {
+    after: StoreRevision,
+    newest: StoreRevision,
+    documents: DocumentList,
 }
 
 impl KeptDocuments {
@@ -50,17 +61,38 @@
     /// What changed after `revision`, for another node. In calm times nothing did, which
     /// is seen without a look at the documents: a relay answers some 45 such questions a
     /// second (36 nodes every 0.8 s) about some 5,000 documents.
-    pub fn after(&mut self, revision: u64) -> DocumentList {
+    pub fn after(&mut self, revision: StoreRevision) -> DocumentList {
         if revision >= self.newest {
             return DocumentList::default();
         }
-        match revision {
-            0 => self.all(),
-            _ => DocumentList::new(None, self.plain_after(revision)),
+        // A node that knows nothing of this era lacks all: the store was restored.
+        match revision.is_none() || revision.era < self.newest.era {
+            true => self.all(),
+            false => self.difference(revision),
         }
     }
 
-    fn plain_after(&self, revision: u64) -> Vec<StoredDocument> {
+    fn difference(&mut self, after: StoreRevision) -> DocumentList {
+        let newest = self.newest;
+        if let Some(held) = &self.difference
+            && (held.after, held.newest) == (after, newest)
+        {
+            return held.documents.clone();
+        }
+        let changed = self.plain_after(after);
+        if changed.len() < LEAST_PACKED {
+            return DocumentList::new(None, changed);
+        }
+        let documents = packed_list(changed);
+        self.difference = Some(Difference {
+            after,
+            newest,
+            documents: documents.clone(),
+        });
+        documents
+    }
+
+    fn plain_after(&self, revision: StoreRevision) -> Vec<StoredDocument> {
         let newer = self
             .by_key
             .values()
@@ -73,32 +105,37 @@
     fn all(&mut self) -> DocumentList {
         let count = self.by_key.len();
         if count < LEAST_PACKED {
-            return DocumentList::new(None, self.plain_after(0));
+            return DocumentList::new(None, self.plain_after(StoreRevision::NONE));
         }
         let changed = match &self.packed {
             Some(packed) => self.plain_after(packed.newest),
-            None => self.plain_after(0),
+            None => self.plain_after(StoreRevision::NONE),
         };
         if let Some(packed) = &self.packed
             && changed.len() * 100 < count * REPACK_PERCENT
         {
-            return DocumentList::new(Some(packed.documents.clone()), changed);
+            return packed.documents.clone().followed_by(changed);
         }
-        match pack_documents(self.plain_after(0)) {
-            Ok(documents) => {
-                self.packed = Some(Packed {
-                    newest: self.newest,
-                    documents: documents.clone(),
-                });
-                DocumentList::new(Some(documents), Vec::new())
-            }
-            Err(error) => {
-                warn!(
-                    "event=documents_not_packed documents={count} error={:?}",
-                    error.to_string()
-                );
-                DocumentList::new(None, self.plain_after(0))
-            }
+        let documents = packed_list(self.plain_after(StoreRevision::NONE));
+        self.packed = Some(Packed {
+            newest: self.newest,
+            documents: documents.clone(),
+        });
+        documents
+    }
+}
+
+/// Documents compressed, or as they are where that fails.
+fn packed_list(documents: Vec<StoredDocument>) -> DocumentList {
+    let count = documents.len();
+    match pack_documents(documents.clone()) {
+        Ok(packed) => DocumentList::new(Some(packed), Vec::new()),
+        Err(error) => {
+            warn!(
+                "event=documents_not_packed documents={count} error={:?}",
+                error.to_string()
+            );
+            DocumentList::new(None, documents)
         }
     }
 }
--- a/crates/millwind-engine/src/logging.rs
+++ b/crates/millwind-engine/src/logging.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use log::LevelFilter;
--- a/crates/millwind-engine/src/own_keys.rs
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use log::warn;
 use millwind_core::Instant;
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 use millwind_wire::exchange::{DocumentList, StoredDocument};
 use tokio::sync::watch;
 
@@ -23,8 +24,8 @@
 struct State {
     /// By key; removed ones too, so that peers hear of the removal.
     documents: KeptDocuments,
-    /// Store revision up to which everything is known; zero for none.
-    known_revision: u64,
+    /// Store revision up to which everything is known; none where nothing is known.
+    known_revision: StoreRevision,
 }
 
 /// Follows the system's own keys on behalf of everything kept there.
@@ -67,31 +68,37 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Store revision up to which everything is known; zero for none.
-    pub fn known_revision(&self) -> u64 {
+    /// Store revision up to which everything is known; none where nothing is known.
+    pub fn known_revision(&self) -> StoreRevision {
         self.state().known_revision
     }
 
     /// Documents that changed after `revision`, for a peer.
-    pub fn documents_after(&self, revision: u64) -> DocumentList {
+    pub fn documents_after(&self, revision: StoreRevision) -> DocumentList {
         self.state().documents.after(revision)
     }
 
     /// Takes in the documents that a peer told of, which knows all of them up
     /// to `revision`.
-    pub fn learn(&self, documents: Vec<StoredDocument>, revision: u64) {
-        if revision == 0 {
+    pub fn learn(&self, documents: Vec<StoredDocument>, revision: StoreRevision) {
+        if revision.is_none() {
             return;
         }
-        let (fresh, is_first) = {
+        let entries: Vec<Entry> = documents.into_iter().map(entry_of).collect();
+        let (fresh, is_whole) = {
             let mut state = self.state();
-            let is_first = state.known_revision == 0;
+            let is_new_era = revision.era > state.known_revision.era;
+            let is_whole = state.known_revision.is_none() || is_new_era;
+            if is_new_era {
+                // The other node has told all that the store holds since it was restored.
+                state.remove_all_but(&entries, revision);
+            }
             let news = |entry: &Entry| state.keep(entry);
-            let fresh: Vec<Entry> = documents.into_iter().map(entry_of).filter(news).collect();
-            state.known_revision = state.known_revision.max(revision);
-            (fresh, is_first)
+            let fresh: Vec<Entry> = entries.into_iter().filter(news).collect();
+            state.know(revision);
+            (fresh, is_whole)
         };
-        if is_first {
+        if is_whole {
             let known = self.state().as_listing();
             self.tell_listed(&known);
         } else if !fresh.is_empty() {
@@ -103,10 +110,10 @@
     /// that changed before it may still be unknown.
     pub fn told(&self, document: StoredDocument) {
         let entry = entry_of(document);
-        let is_news = self.state().keep(&entry);
-        if is_news {
-            self.tell_changed(&[entry]);
-        }
+        self.state().keep(&entry);
+        // Followers hear of it also where the store, restored since, no longer holds it:
+        // a term that somebody has closed stays closed.
+        self.tell_changed(&[entry]);
     }
 
     fn tell_listed(&self, listing: &Listing) {
@@ -142,19 +149,29 @@
         }
     }
 
-    /// Marks everything as removed that a listing does not hold.
-    fn remove_all_but(&mut self, listing: &Listing) {
-        let present: BTreeSet<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+    /// Everything is known up to `revision`.
+    fn know(&mut self, revision: StoreRevision) {
+        let known = self.known_revision;
+        if revision.era > known.era && !known.is_none() {
+            warn!(
+                "event=store_restored era={} previous={} revision={} known={}",
+                revision.era, known.era, revision.number, known.number
+            );
+        }
+        self.known_revision = known.max(revision);
+    }
+
+    /// Marks everything as removed that a listing at `revision` does not hold.
+    fn remove_all_but(&mut self, entries: &[Entry], revision: StoreRevision) {
+        let present: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
         let is_gone = |document: &&StoredDocument| {
-            document.removed == 0
-                && document.revision <= listing.revision
-                && !present.contains(document.key.as_str())
+            document.removed == 0 && document.revision <= revision && !present.contains(document.key.as_str())
         };
         let gone: Vec<_> = self.documents.iter().filter(is_gone).cloned().collect();
         for document in gone {
             self.documents.insert(StoredDocument {
                 removed: 1,
-                revision: listing.revision,
+                revision,
                 value: Vec::new(),
                 ..document
             });
@@ -205,11 +222,11 @@
     fn listed(&self, listing: Listing) {
         let known = {
             let mut state = self.state();
-            state.remove_all_but(&listing);
+            state.remove_all_but(&listing.entries, listing.revision);
             for entry in &listing.entries {
                 state.keep(entry);
             }
-            state.known_revision = state.known_revision.max(listing.revision);
+            state.know(listing.revision);
             state.as_listing()
         };
         self.tell_listed(&known);
@@ -225,7 +242,7 @@
         let fresh: Vec<Entry> = {
             let mut state = self.state();
             let newest = entries.iter().map(|entry| entry.revision).max();
-            state.known_revision = state.known_revision.max(newest.unwrap_or_default());
+            state.know(newest.unwrap_or_default());
             let news = |entry: &Entry| state.keep(entry);
             entries.into_iter().filter(news).collect()
         };
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -21,8 +21,11 @@
 
 /// Between two comparisons.
 const INTERVAL: Duration = Duration::from_millis(800);
-/// Between two comparisons while news are urgent.
-const URGENT_INTERVAL: Duration = Duration::from_millis(150);
+/// Between two comparisons while news are urgent: relays read them as often then, and to
+/// ask more often makes 985 nodes that start send questions in vain.
+const URGENT_INTERVAL: Duration = Duration::from_millis(300);
+/// The same of a node that does not know enough to serve: whom it asks may just have heard.
+const STARTING_INTERVAL: Duration = Duration::from_millis(150);
 /// Neighbours in a node's own zone.
 const NEAR_NEIGHBOURS: usize = 4;
 /// Neighbours in other zones.
@@ -76,20 +79,16 @@
     }
 
     fn interval(&self) -> Duration {
-        match self.is_urgent() {
+        let (directory, relays) = (&self.engine.directory, &self.engine.relays);
+        if !directory.is_complete() || relays.store_age_ms().is_none() {
+            return STARTING_INTERVAL;
+        }
+        match relays.are_news_urgent(directory) {
             true => URGENT_INTERVAL,
             false => INTERVAL,
         }
     }
 
-    /// Whether this node should hear of the catalog soon: it does not know enough
-    /// to serve, or not how old it is, or misses a leader.
-    fn is_urgent(&self) -> bool {
-        let (directory, relays) = (&self.engine.directory, &self.engine.relays);
-        let is_heard = relays.store_age_ms().is_some();
-        !directory.is_complete() || !is_heard || relays.are_news_urgent(directory)
-    }
-
     /// Whom to compare with: a relay where this node leaves the store to them
     /// and they have fresh news, else a neighbour.
     fn pick(&self) -> Option<Source> {
@@ -186,11 +185,19 @@
         for document in config {
             self.take_config(address, &document);
         }
+        let known = self.engine.catalog_cache.instances_revision();
         for document in &instances {
             let value = (document.removed == 0).then_some(document.value.as_slice());
             self.engine
                 .take_instance(&*self.codec, &document.key, value, document.revision);
         }
+        if complete == 1 && instances_revision.era > known.era && !known.is_none() {
+            // The other node has told all that the store holds since it was restored.
+            let present = instances.iter().filter(|document| document.removed == 0);
+            let names = present.filter_map(|document| self.codec.instance_name(&document.key));
+            self.engine
+                .drop_unlisted(&*self.codec, &names.collect(), instances_revision);
+        }
         if complete == 1 {
             self.engine.catalog_cache.instances_known_to(instances_revision);
             self.engine.directory.listing_known();
--- a/crates/millwind-engine/src/registration.rs
+++ b/crates/millwind-engine/src/registration.rs
@@ -14,7 +14,7 @@
 
 use log::{info, warn};
 use millwind_core::Instant;
-use millwind_store::{Condition, Store, Swap, Write};
+use millwind_store::{Condition, Store, StoreRevision, Swap, Write};
 use tokio::sync::watch;
 
 use crate::clock;
@@ -145,7 +145,7 @@
     store: &S,
     name: &str,
     record: NodeRecord,
-    revision: u64,
+    revision: StoreRevision,
 ) -> bool {
     let key = registry.key(&record.zone, name);
     let write = Write {
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -10,7 +10,7 @@
 use millwind_core::ids::{InstanceName, ZoneName};
 use millwind_core::lead_permit::PERMIT_MS;
 use millwind_core::owner_ranking::{Nearness, OwnerCandidate, OwnersSought, rank_owners};
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
@@ -116,7 +116,7 @@
 struct RegisteredNode {
     record: NodeRecord,
     /// Store revision of its record.
-    revision: u64,
+    revision: StoreRevision,
     /// Hash of its name.
     hash: u64,
     /// Zone of the record.
@@ -127,7 +127,7 @@
 }
 
 impl RegisteredNode {
-    fn new(name: &str, record: NodeRecord, revision: u64) -> Self {
+    fn new(name: &str, record: NodeRecord, revision: StoreRevision) -> Self {
         RegisteredNode {
             revision,
             hash: hash_of(name),
@@ -503,12 +503,12 @@
         rank
     }
 
-    /// This node's record as it is known, with its revision; revision zero where
+    /// This node's record as it is known, with its revision, which is none where
     /// there is none.
-    pub fn own_record(&self) -> (Option<NodeRecord>, u64) {
+    pub fn own_record(&self) -> (Option<NodeRecord>, StoreRevision) {
         let nodes = self.nodes();
         let own = nodes.get(&self.node);
-        let revision = own.map_or(0, |own| own.revision);
+        let revision = own.map_or(StoreRevision::NONE, |own| own.revision);
         (own.map(|own| own.record.clone()), revision)
     }
 
@@ -535,7 +535,7 @@
     }
 
     /// The store has taken `record` of a node under `revision`.
-    pub fn written(&self, name: &str, record: NodeRecord, revision: u64) {
+    pub fn written(&self, name: &str, record: NodeRecord, revision: StoreRevision) {
         if self.keep(&mut self.nodes(), name, record, revision) {
             self.changed();
         }
@@ -568,7 +568,7 @@
 
     /// A node with its record's revision, by its address; none for one that is
     /// known to have gone.
-    pub fn present_at(&self, address: SocketAddr) -> Option<(String, NodeRecord, u64)> {
+    pub fn present_at(&self, address: SocketAddr) -> Option<(String, NodeRecord, StoreRevision)> {
         let nodes = self.nodes();
         let nodes = &nodes.by_name;
         let mut present = nodes.iter().filter(|(_, node)| node.record.departure.is_none());
@@ -578,7 +578,7 @@
 
     /// Takes in a node's record unless a newer one is known; true if that changes which
     /// nodes there are or where.
-    fn keep(&self, nodes: &mut Nodes, name: &str, record: NodeRecord, revision: u64) -> bool {
+    fn keep(&self, nodes: &mut Nodes, name: &str, record: NodeRecord, revision: StoreRevision) -> bool {
         let mut node = RegisteredNode::new(name, record, revision);
         if let Some(held) = nodes.get(name) {
             if held.revision > revision {
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -9,7 +9,7 @@
 use futures::stream::FuturesUnordered;
 use log::{debug, info, warn};
 use millwind_core::Instant;
-use millwind_store::{Entry, Listing, Store, StoreError, USUAL_SILENCE, Watch};
+use millwind_store::{Entry, Listing, Store, StoreError, StoreRevision, USUAL_SILENCE, Watch};
 use rand::RngExt;
 use tokio::sync::watch;
 
@@ -293,7 +293,7 @@
     follower: &dyn Follower,
     contact: &StoreContact,
     progress: &mut Progress,
-) -> Result<Option<u64>, StoreError> {
+) -> Result<Option<StoreRevision>, StoreError> {
     let is_first = !progress.has_read;
     if is_first {
         if let Some(part) = follower.part_read_first() {
@@ -339,7 +339,7 @@
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
-    revision: u64,
+    revision: StoreRevision,
 ) -> Result<(), StoreError> {
     let mut watch = store.watch(prefix, revision).await?;
     loop {
--- a/crates/millwind-engine/tests/fleet_growth.rs
+++ b/crates/millwind-engine/tests/fleet_growth.rs
@@ -14,7 +14,7 @@
 use millwind_engine::lead_terms::LeadTerms;
 use millwind_engine::registry::{Departure, NodeRecord, OwnedPlace, Registry};
 use millwind_engine::store_watch::Follower;
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 
 const ZONES: usize = 6;
 /// Zones that instances run in.
@@ -38,7 +38,7 @@
     let value = serde_json::to_vec(&node_record(index, departure)).unwrap();
     Entry {
         key: format!("nodes/node-{index}"),
-        revision,
+        revision: StoreRevision::new(0, revision),
         value: Some(value),
     }
 }
@@ -48,7 +48,7 @@
     let directory = Arc::new(Directory::new("zone-0", 0, true));
     let registry = Registry::new("nodes/".to_owned(), format!("node-{own}"), directory);
     registry.listed(Listing {
-        revision: count as u64,
+        revision: StoreRevision::new(0, count as u64),
         entries: (0..count)
             .map(|index| node_entry(index, None, index as u64 + 1))
             .collect(),
@@ -164,7 +164,7 @@
     let value = serde_json::to_vec(&record).unwrap();
     registry.changed(vec![Entry {
         key: "nodes/node-5".to_owned(),
-        revision: 60,
+        revision: StoreRevision::new(0, 60),
         value: Some(value),
     }]);
     assert_eq!(registry.version(), version + 1);
@@ -195,18 +195,22 @@
     for index in 0..30 {
         assert!(directory.apply_record(instance_record(index, 1)).has_changed);
     }
-    let changes = directory.lead_changes();
+    assert_eq!(directory.take_changed_groups().len(), 10);
     for heartbeat in 2..5 {
         for index in 0..30 {
             let change = directory.apply_record(instance_record(index, heartbeat));
             assert!(!change.has_changed && !change.is_new);
         }
     }
-    assert_eq!(directory.lead_changes(), changes);
+    assert!(directory.take_changed_groups().is_empty());
     let known = directory.instance(&instance(4).0).unwrap();
     assert_eq!(known.record.heartbeat, Some(4));
     directory.remove_record(&instance(4).0);
-    assert!(directory.lead_changes() > changes);
+    let changed = directory.take_changed_groups();
+    assert_eq!(
+        changed.into_iter().collect::<Vec<_>>(),
+        [GroupName::from("group-1")]
+    );
 }
 
 fn database(group: usize, regions: AllowedRegions) -> Arc<Database> {
@@ -279,7 +283,7 @@
     };
     Entry {
         key: format!("nodes/{}/node-{index}", record.zone),
-        revision: index as u64 + 1,
+        revision: StoreRevision::new(0, index as u64 + 1),
         value: Some(serde_json::to_vec(&record).unwrap()),
     }
 }
@@ -293,7 +297,7 @@
     let link = |index: usize| if wide.contains(&index) { 200 } else { 20 };
     let entries = (0..120).map(|index| entry_with_link(index, link(index)));
     registry.listed(Listing {
-        revision: 120,
+        revision: StoreRevision::new(0, 120),
         entries: entries.collect(),
     });
     let first: BTreeSet<_> = registry.zone_peers("zone-0").into_iter().take(3).collect();
@@ -312,13 +316,13 @@
     assert_eq!(registry.zone_prefix(), "nodes/zone-0/");
     let of_zone = (0..60).step_by(ZONES).map(|index| entry_with_link(index, 20));
     registry.zone_learned(Listing {
-        revision: 60,
+        revision: StoreRevision::new(0, 60),
         entries: of_zone.collect(),
     });
     assert!(registry.is_zone_known() && !registry.is_listed());
     assert_eq!(registry.zone_peers("zone-0").len(), 9);
     registry.listed(Listing {
-        revision: 61,
+        revision: StoreRevision::new(0, 61),
         entries: (0..60).map(|index| entry_with_link(index, 20)).collect(),
     });
     assert!(registry.is_listed());
--- a/crates/millwind-engine/tests/neighbours.rs
+++ b/crates/millwind-engine/tests/neighbours.rs
@@ -8,7 +8,7 @@
 use millwind_engine::directory::Directory;
 use millwind_engine::registry::{NodeRecord, Registry};
 use millwind_engine::store_watch::Follower;
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 
 const NEAR: usize = 4;
 const FAR: usize = 4;
@@ -41,12 +41,12 @@
         };
         Entry {
             key: format!("nodes/{}", node.name),
-            revision: index as u64 + 1,
+            revision: StoreRevision::new(0, index as u64 + 1),
             value: Some(serde_json::to_vec(&record).unwrap()),
         }
     };
     registry.listed(Listing {
-        revision: nodes.len() as u64,
+        revision: StoreRevision::new(0, nodes.len() as u64),
         entries: nodes.iter().enumerate().map(entry).collect(),
     });
     registry
--- a/crates/millwind-engine/tests/own_keys.rs
+++ b/crates/millwind-engine/tests/own_keys.rs
@@ -4,7 +4,7 @@
 
 use millwind_engine::own_keys::OwnKeys;
 use millwind_engine::store_watch::{Follower, StoreReading};
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 use millwind_wire::exchange::{DocumentList, ExchangeReply, StoredDocument, encode_exchange};
 use tokio::sync::watch;
 
@@ -35,7 +35,12 @@
     (OwnKeys::new(vec![witness.clone()], reads_store), witness)
 }
 
-fn documents_after(teacher: &OwnKeys, revision: u64) -> Vec<StoredDocument> {
+/// A revision of a store that was never restored.
+fn plain(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
+fn documents_after(teacher: &OwnKeys, revision: StoreRevision) -> Vec<StoredDocument> {
     teacher.documents_after(revision).into_documents().unwrap()
 }
 
@@ -43,12 +48,15 @@
     Entry {
         key: key.to_owned(),
         value: value.map(|value| value.as_bytes().to_vec()),
-        revision,
+        revision: plain(revision),
     }
 }
 
 fn listing(revision: u64, entries: Vec<Entry>) -> Listing {
-    Listing { revision, entries }
+    Listing {
+        revision: plain(revision),
+        entries,
+    }
 }
 
 #[test]
@@ -59,8 +67,11 @@
         vec![entry("a", Some("1"), 3), entry("b", Some("2"), 5)],
     ));
     let (pupil, witness) = own_keys();
-    pupil.learn(documents_after(&teacher, 0), teacher.known_revision());
-    assert_eq!(pupil.known_revision(), 7);
+    pupil.learn(
+        documents_after(&teacher, StoreRevision::NONE),
+        teacher.known_revision(),
+    );
+    assert_eq!(pupil.known_revision(), plain(7));
     let listings = witness.listings.lock().unwrap();
     assert_eq!(listings.len(), 1);
     assert_eq!(listings[0].entries.len(), 2);
@@ -71,7 +82,10 @@
     let (teacher, _) = own_keys();
     teacher.listed(listing(7, vec![entry("a", Some("1"), 3)]));
     let (pupil, witness) = own_keys();
-    pupil.learn(documents_after(&teacher, 0), teacher.known_revision());
+    pupil.learn(
+        documents_after(&teacher, StoreRevision::NONE),
+        teacher.known_revision(),
+    );
     teacher.changed(vec![entry("b", Some("2"), 9)]);
     let news = documents_after(&teacher, pupil.known_revision());
     assert_eq!(news.len(), 1);
@@ -93,7 +107,10 @@
         vec![entry("a", Some("1"), 3), entry("b", Some("2"), 5)],
     ));
     let (pupil, witness) = own_keys();
-    pupil.learn(documents_after(&teacher, 0), teacher.known_revision());
+    pupil.learn(
+        documents_after(&teacher, StoreRevision::NONE),
+        teacher.known_revision(),
+    );
     teacher.listed(listing(12, vec![entry("b", Some("2"), 5)]));
     pupil.learn(
         documents_after(&teacher, pupil.known_revision()),
@@ -111,14 +128,14 @@
     let listings = witness.listings.lock().unwrap();
     let last = listings.last().unwrap();
     assert_eq!(last.entries, [entry("a", Some("2"), 9)]);
-    assert_eq!(keys.known_revision(), 9);
+    assert_eq!(keys.known_revision(), plain(9));
 }
 
 #[test]
 fn a_peer_that_knows_nothing_teaches_nothing() {
     let (pupil, witness) = own_keys();
-    pupil.learn(Vec::new(), 0);
-    assert_eq!(pupil.known_revision(), 0);
+    pupil.learn(Vec::new(), StoreRevision::NONE);
+    assert_eq!(pupil.known_revision(), plain(0));
     assert!(witness.listings.lock().unwrap().is_empty());
 }
 
@@ -128,9 +145,9 @@
         config: Vec::new(),
         evacuations: Vec::new(),
         instances: DocumentList::default(),
-        instances_revision: 0,
+        instances_revision: StoreRevision::NONE,
         own: documents,
-        own_revision: 0,
+        own_revision: StoreRevision::NONE,
         complete: 0,
         store_age_ms: 0,
         own_age_ms: 0,
@@ -164,22 +181,25 @@
         .iter()
         .map(|entry| entry.key.len() + entry.value.as_ref().map_or(0, Vec::len))
         .sum();
-    let travelling = travelling_bytes(teacher.documents_after(0));
+    let travelling = travelling_bytes(teacher.documents_after(StoreRevision::NONE));
     assert!(travelling * 4 < plain, "{travelling} bytes for {plain}");
-    assert_eq!(documents_after(&teacher, 0).len(), 1_000);
+    assert_eq!(documents_after(&teacher, StoreRevision::NONE).len(), 1_000);
 }
 
 #[test]
 fn what_changed_since_documents_were_packed_is_told_with_them() {
     let (teacher, _) = own_keys();
     teacher.listed(listing(2_000, node_entries(100)));
-    assert_eq!(documents_after(&teacher, 0).len(), 100);
+    assert_eq!(documents_after(&teacher, StoreRevision::NONE).len(), 100);
     teacher.changed(vec![
         entry("nodes/zone-0/node-0", Some("new"), 2_001),
         entry("nodes/zone-1/node-1", None, 2_002),
     ]);
     let (pupil, witness) = own_keys();
-    pupil.learn(documents_after(&teacher, 0), teacher.known_revision());
+    pupil.learn(
+        documents_after(&teacher, StoreRevision::NONE),
+        teacher.known_revision(),
+    );
     let listings = witness.listings.lock().unwrap();
     let entries = &listings[0].entries;
     assert_eq!(entries.len(), 99);
@@ -187,10 +207,61 @@
     assert_eq!(changed.unwrap().value.as_deref(), Some("new".as_bytes()));
     // Many changes are packed anew, with the same result.
     let renewed = node_entries(100).into_iter().map(|held| Entry {
-        revision: held.revision + 3_000,
+        revision: plain(held.revision.number + 3_000),
         ..held
     });
     teacher.changed(renewed.collect());
-    assert_eq!(documents_after(&teacher, 0).len(), 100);
+    assert_eq!(documents_after(&teacher, StoreRevision::NONE).len(), 100);
     assert!(documents_after(&teacher, teacher.known_revision()).is_empty());
 }
+
+/// The same entry as a store tells it in a later era.
+fn in_era(era: u32, held: &Entry) -> Entry {
+    Entry {
+        revision: StoreRevision::new(era, held.revision.number),
+        ..held.clone()
+    }
+}
+
+#[test]
+fn what_a_restored_store_lacks_is_gone_though_its_revisions_went_back() {
+    let (keys, witness) = own_keys();
+    let (kept, lost) = (entry("a", Some("old"), 40), entry("b", Some("lost"), 60));
+    keys.listed(listing(70, vec![entry("a", Some("new"), 65), lost]));
+    keys.listed(Listing {
+        revision: StoreRevision::new(1, 50),
+        entries: vec![in_era(1, &kept)],
+    });
+    assert_eq!(keys.known_revision(), StoreRevision::new(1, 50));
+    let listings = witness.listings.lock().unwrap();
+    assert_eq!(listings[1].entries, [in_era(1, &kept)]);
+}
+
+/// A node that the store refuses hears of the restore from another one, and a node that
+/// has not heard of it teaches nothing any more.
+#[test]
+fn news_of_a_later_era_replace_all_and_those_of_an_earlier_one_nothing() {
+    let (restored, _) = own_keys();
+    let kept = in_era(1, &entry("a", Some("old"), 40));
+    restored.listed(Listing {
+        revision: StoreRevision::new(1, 50),
+        entries: vec![kept.clone()],
+    });
+    let (behind, witness) = own_keys();
+    behind.listed(listing(
+        70,
+        vec![entry("a", Some("new"), 65), entry("b", Some("lost"), 60)],
+    ));
+    restored.learn(
+        documents_after(&behind, restored.known_revision()),
+        behind.known_revision(),
+    );
+    assert_eq!(restored.known_revision(), StoreRevision::new(1, 50));
+    behind.learn(
+        documents_after(&restored, behind.known_revision()),
+        restored.known_revision(),
+    );
+    assert_eq!(behind.known_revision(), StoreRevision::new(1, 50));
+    let listings = witness.listings.lock().unwrap();
+    assert_eq!(listings[1].entries, [kept]);
+}
--- a/crates/millwind-engine/tests/permits.rs
+++ b/crates/millwind-engine/tests/permits.rs
@@ -10,7 +10,7 @@
 use millwind_engine::directory::Directory;
 use millwind_engine::registry::{Departure, NodeRecord, Registry};
 use millwind_engine::store_watch::Follower;
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 
 const OWN: &str = "n1";
 
@@ -27,7 +27,7 @@
     Entry {
         key: format!("nodes/{OWN}"),
         value: Some(serde_json::to_vec(&record(departure)).unwrap()),
-        revision,
+        revision: StoreRevision::new(0, revision),
     }
 }
 
@@ -44,7 +44,10 @@
 }
 
 fn listing(entries: Vec<Entry>) -> Listing {
-    Listing { revision: 9, entries }
+    Listing {
+        revision: StoreRevision::new(0, 9),
+        entries,
+    }
 }
 
 #[test]
@@ -58,7 +61,7 @@
     let (directory, registry) = node();
     let before = clock::now();
     std::thread::sleep(std::time::Duration::from_millis(2));
-    registry.written(OWN, record(None), 5);
+    registry.written(OWN, record(None), StoreRevision::new(0, 5));
     directory.confirm_terms(before);
     assert!(!counts_leader(&directory, 1));
     directory.confirm_terms(clock::now());
@@ -90,7 +93,7 @@
     registry.listed(listing(vec![entry(Some(Departure::Unreachable), 5)]));
     directory.confirm_terms(clock::now());
     assert!(!counts_leader(&directory, 1));
-    registry.written(OWN, record(None), 6);
+    registry.written(OWN, record(None), StoreRevision::new(0, 6));
     directory.confirm_terms(clock::now());
     assert!(counts_leader(&directory, 1));
 }
--- a/crates/millwind-engine/tests/slow_answers.rs
+++ b/crates/millwind-engine/tests/slow_answers.rs
@@ -9,6 +9,7 @@
 use millwind_wire::exchange::{
     DocumentList, ExchangeReply, ExchangeRequest, Reach, StoredDocument, decode_exchange, encode_exchange,
 };
+use millwind_wire::store_revision::StoreRevision;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -25,9 +26,9 @@
 fn catalog_question() -> ExchangeRequest {
     ExchangeRequest::Catalog {
         config_version: 0,
-        instances_revision: 0,
-        own_revision: 0,
-        evacuations_revision: 0,
+        instances_revision: StoreRevision::new(0, 0),
+        own_revision: StoreRevision::new(0, 0),
+        evacuations_revision: StoreRevision::new(0, 0),
         as_relay: 1,
     }
 }
@@ -35,7 +36,7 @@
 fn large_answer() -> ExchangeReply {
     let document = StoredDocument {
         key: String::new(),
-        revision: 7,
+        revision: StoreRevision::new(0, 7),
         removed: 0,
         value: vec![7; BYTES],
     };
@@ -43,9 +44,9 @@
         config: vec![],
         evacuations: vec![],
         instances: DocumentList::new(None, vec![document]),
-        instances_revision: 0,
+        instances_revision: StoreRevision::new(0, 0),
         own: DocumentList::default(),
-        own_revision: 0,
+        own_revision: StoreRevision::new(0, 0),
         complete: 1,
         store_age_ms: 0,
         own_age_ms: 0,
--- a/crates/millwind-engine/tests/stale_relays.rs
+++ b/crates/millwind-engine/tests/stale_relays.rs
@@ -9,7 +9,7 @@
 use millwind_engine::registry::{NodeRecord, Registry};
 use millwind_engine::relays::Relays;
 use millwind_engine::store_watch::Follower;
-use millwind_store::{Entry, Listing};
+use millwind_store::{Entry, Listing, StoreRevision};
 
 /// Enough for a deployment to have relays; all in one zone.
 const NODES: usize = 30;
@@ -35,12 +35,12 @@
         };
         Entry {
             key: format!("nodes/node-{index}"),
-            revision: index as u64 + 1,
+            revision: StoreRevision::new(0, index as u64 + 1),
             value: Some(serde_json::to_vec(&record).unwrap()),
         }
     };
     registry.listed(Listing {
-        revision: NODES as u64,
+        revision: StoreRevision::new(0, NODES as u64),
         entries: (0..NODES).map(entry).collect(),
     });
     registry
--- a/crates/millwind-engine/tests/store_watch.rs
+++ b/crates/millwind-engine/tests/store_watch.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use millwind_engine::store_watch::{Follower, StoreContact, StoreReading, follow};
-use millwind_store::{Condition, Entry, Listing, Store, StoreError, Swap, Watch, WatchReport, Write};
+use millwind_store::{
+    Condition, Entry, Listing, Store, StoreError, StoreRevision, Swap, Watch, WatchReport, Write,
+};
 use tokio::sync::watch;
 
 /// A starting node waits so long for the decision whether it reads the store.
@@ -34,12 +36,12 @@
     async fn list(&self, _prefix: &str, _silence: Duration) -> Result<Listing, StoreError> {
         tokio::time::sleep(LISTING).await;
         Ok(Listing {
-            revision: 1,
+            revision: StoreRevision::new(0, 1),
             entries: Vec::new(),
         })
     }
 
-    async fn watch(&self, _prefix: &str, _revision: u64) -> Result<SilentWatch, StoreError> {
+    async fn watch(&self, _prefix: &str, _revision: StoreRevision) -> Result<SilentWatch, StoreError> {
         Ok(SilentWatch(self.watches.clone()))
     }
 
--- a/crates/millwind-node/src/admin_change.rs
+++ b/crates/millwind-node/src/admin_change.rs
@@ -5,7 +5,7 @@
 
 use millwind_core::config_state::{ConfigState, DocumentError};
 use millwind_store::pacing::Backoff;
-use millwind_store::{Condition, Store, StoreError, Swap, USUAL_SILENCE, Write};
+use millwind_store::{Condition, Store, StoreError, StoreRevision, Swap, USUAL_SILENCE, Write};
 use millwind_wire::control::WireDocument;
 use thiserror::Error;
 
@@ -135,21 +135,21 @@
     if change.body.is_none() && !exists {
         return Err(TryError::Final(ChangeError::NotFound(change.key.clone())));
     }
-    check(&documents, listing.revision, change).map_err(|error| TryError::Final(error.into()))?;
+    check(&documents, listing.revision.number, change).map_err(|error| TryError::Final(error.into()))?;
     let head = listing.entries.iter().find(|entry| entry.key == keys.head());
     let conditions = [
         Condition {
             key: keys.document(&change.key),
-            revision: seen,
+            revision: of_etcd(seen),
         },
         Condition {
             key: keys.head(),
-            revision: head.map_or(0, |entry| entry.revision),
+            revision: head.map_or(StoreRevision::NONE, |entry| entry.revision),
         },
     ];
     let swapped = store.swap(&conditions, &writes(keys, change)).await;
     match swapped {
-        Ok(Swap::Done { revision }) => Ok(Step::Stored(revision)),
+        Ok(Swap::Done { revision }) => Ok(Step::Stored(revision.number)),
         Ok(Swap::Conflict { .. }) => Ok(Step::Retry),
         Err(error) => {
             let may_have_run = matches!(error, StoreError::NoAnswer(_));
@@ -158,6 +158,11 @@
     }
 }
 
+/// A revision of etcd, which does not tell of restores.
+fn of_etcd(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 fn check(documents: &[WireDocument], revision: u64, change: &Change) -> Result<(), DocumentError> {
     let mut state = ConfigState::default();
     state.apply_snapshot(revision, documents);
--- a/crates/millwind-node/src/config_watch.rs
+++ b/crates/millwind-node/src/config_watch.rs
@@ -75,7 +75,7 @@
         let deleted = stored.as_ref().is_none_or(|stored| stored.deleted);
         Some(WireDocument {
             key: key.to_owned(),
-            revision: entry.revision,
+            revision: entry.revision.number,
             deleted: u8::from(deleted),
             change_id: stored
                 .as_ref()
@@ -89,7 +89,7 @@
 fn machine_document(name: &str, entry: &Entry) -> WireDocument {
     WireDocument {
         key: DocumentKind::Machine.key(name),
-        revision: entry.revision,
+        revision: entry.revision.number,
         deleted: u8::from(entry.value.is_none()),
         change_id: String::new(),
         body: entry
@@ -138,7 +138,7 @@
     let mut watch = store.watch(keys.prefix(), listing.revision).await?;
     let snapshot = FromPlatform::Snapshot {
         asked,
-        revision: listing.revision,
+        revision: listing.revision.number,
         documents,
     };
     let _ = control.actor.send(snapshot).await;
@@ -147,7 +147,7 @@
         let report = watch.next().await?;
         let changes = FromPlatform::Changes {
             asked: report.asked.map(clock::at),
-            revision: report.revision,
+            revision: report.revision.number,
             documents: self::documents(keys, &report.changes),
         };
         let _ = control.actor.send(changes).await;
--- a/crates/millwind-node/tests/changes.rs
+++ b/crates/millwind-node/tests/changes.rs
@@ -7,7 +7,9 @@
 
 use millwind_node::admin_change::{Change, ChangeError, change};
 use millwind_node::config_watch::KeySpace;
-use millwind_store::{Condition, Entry, Listing, Store, StoreError, Swap, Watch, WatchReport, Write};
+use millwind_store::{
+    Condition, Entry, Listing, Store, StoreError, StoreRevision, Swap, Watch, WatchReport, Write,
+};
 
 const TEMPLATE: &str = "name = \"t\"\n[parameters.weight]\ndefault = 1\nminimum = 1\nmaximum = 10\n";
 
@@ -70,16 +72,16 @@
             .map(|(key, (value, revision))| Entry {
                 key: key.clone(),
                 value: Some(value.clone()),
-                revision: *revision,
+                revision: StoreRevision::new(0, *revision),
             })
             .collect();
         Ok(Listing {
-            revision: content.revision,
+            revision: StoreRevision::new(0, content.revision),
             entries,
         })
     }
 
-    async fn watch(&self, _prefix: &str, _revision: u64) -> Result<NoWatch, StoreError> {
+    async fn watch(&self, _prefix: &str, _revision: StoreRevision) -> Result<NoWatch, StoreError> {
         Ok(NoWatch)
     }
 
@@ -92,7 +94,7 @@
         let held = |key: &str| content.keys.get(key).map_or(0, |(_, revision)| *revision);
         if conditions
             .iter()
-            .any(|condition| held(&condition.key) != condition.revision)
+            .any(|condition| held(&condition.key) != condition.revision.number)
         {
             return Ok(Swap::Conflict { current: Vec::new() });
         }
@@ -102,7 +104,7 @@
             return Err(StoreError::NoAnswer("lost".into()));
         }
         Ok(Swap::Done {
-            revision: content.revision,
+            revision: StoreRevision::new(0, content.revision),
         })
     }
 }
--- a/crates/millwind-store/src/etcd.rs
+++ b/crates/millwind-store/src/etcd.rs
@@ -13,11 +13,13 @@
 
 use crate::messages::{
     Compare, CompareOperand, CompareResult, CompareTarget, Event, EventType, KeyValue, PutRequest,
-    RangeRequest, RangeResponse, RequestOp, RequestOpKind, ResponseOp, ResponseOpKind, TxnRequest,
-    TxnResponse, WatchCreateRequest, WatchProgressRequest, WatchRequest, WatchRequestKind, WatchResponse,
-    prefix_end,
+    RangeRequest, RangeResponse, RequestOp, RequestOpKind, ResponseHeader, ResponseOp, ResponseOpKind,
+    TxnRequest, TxnResponse, WatchCreateRequest, WatchProgressRequest, WatchRequest, WatchRequestKind,
+    WatchResponse, prefix_end,
+};
+use crate::{
+    Condition, Entry, Listing, Store, StoreError, StoreRevision, Swap, Watch, WatchReport, Write, service,
 };
-use crate::{Condition, Entry, Listing, Store, StoreError, Swap, Watch, WatchReport, Write, service};
 
 /// Longest wait for the answer to one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -101,7 +103,7 @@
             .unary(service::RANGE, request, silence.max(CALL_TIMEOUT))
             .await?;
         Ok(Listing {
-            revision: response.header.unwrap_or_default().revision as u64,
+            revision: revision_of(response.header),
             entries: response.kvs.into_iter().map(entry).collect(),
         })
     }
@@ -118,11 +120,20 @@
     }
 }
 
+/// A revision of etcd, which does not tell of restores: all are of one era.
+fn plain(revision: i64) -> StoreRevision {
+    StoreRevision::new(0, revision as u64)
+}
+
+fn revision_of(header: Option<ResponseHeader>) -> StoreRevision {
+    plain(header.unwrap_or_default().revision)
+}
+
 fn entry(kv: KeyValue) -> Entry {
     Entry {
         key: String::from_utf8_lossy(&kv.key).into_owned(),
         value: Some(kv.value),
-        revision: kv.mod_revision as u64,
+        revision: plain(kv.mod_revision),
     }
 }
 
@@ -137,12 +148,12 @@
         self.range(prefix, true, silence).await
     }
 
-    async fn watch(&self, prefix: &str, revision: u64) -> Result<EtcdWatch, StoreError> {
+    async fn watch(&self, prefix: &str, revision: StoreRevision) -> Result<EtcdWatch, StoreError> {
         let (requests, receiver) = mpsc::channel(16);
         let create = WatchCreateRequest {
             key: prefix.as_bytes().to_vec(),
             range_end: prefix_end(prefix.as_bytes()),
-            start_revision: revision as i64 + 1,
+            start_revision: revision.number as i64 + 1,
             progress_notify: true,
         };
         send(&requests, WatchRequestKind::Create(create)).await?;
@@ -176,7 +187,7 @@
         };
         let response: TxnResponse = self.unary(service::TXN, request, CALL_TIMEOUT).await?;
         if response.succeeded {
-            let revision = response.header.unwrap_or_default().revision as u64;
+            let revision = revision_of(response.header);
             return Ok(Swap::Done { revision });
         }
         let current = response.responses.into_iter().flat_map(range_entries).collect();
@@ -189,7 +200,7 @@
         result: CompareResult::Equal as i32,
         target: CompareTarget::Mod as i32,
         key: condition.key.as_bytes().to_vec(),
-        operand: Some(CompareOperand::ModRevision(condition.revision as i64)),
+        operand: Some(CompareOperand::ModRevision(condition.revision.number as i64)),
     }
 }
 
@@ -281,7 +292,7 @@
         // the question under way and vouches for everything up to its revision.
         let newest = changes.iter().map(|entry| entry.revision).max();
         Ok(WatchReport {
-            revision: newest.unwrap_or(header.revision as u64),
+            revision: newest.unwrap_or(plain(header.revision)),
             asked: if newest.is_none() { self.asked.take() } else { None },
             changes,
         })
--- a/crates/millwind-store/src/lib.rs
+++ b/crates/millwind-store/src/lib.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+pub use millwind_wire::store_revision::StoreRevision;
 use thiserror::Error;
 
 /// One key with its value and the revision of its last change.
@@ -19,15 +20,15 @@
     pub key: String,
     /// The value; none when the key was deleted.
     pub value: Option<Vec<u8>>,
-    /// Store revision of its last change; zero when it never existed.
-    pub revision: u64,
+    /// Store revision of its last change; none when it never existed.
+    pub revision: StoreRevision,
 }
 
 /// All keys under a prefix at one store revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
     /// Revision at which the listing was read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The keys.
     pub entries: Vec<Entry>,
 }
@@ -36,7 +37,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatchReport {
     /// Every change up to this revision has been reported.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Changed keys, in order; empty for a sign of life.
     pub changes: Vec<Entry>,
     /// When the store was asked for this sign of life; none for changes, which
@@ -44,13 +45,13 @@
     pub asked: Option<std::time::Instant>,
 }
 
-/// A condition on a key's revision; zero means that the key must not exist.
+/// A condition on a key's revision; none means that the key must not exist.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Condition {
     /// The key.
     pub key: String,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// A new value for a key.
@@ -68,7 +69,7 @@
     /// All conditions held and all writes took effect, at this revision.
     Done {
         /// Store revision of the writes.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// A condition failed and nothing was written; the keys as they are now.
     Conflict {
@@ -86,6 +87,15 @@
     /// No answer in time, or the link broke: it may have taken effect.
     #[error("store gave no answer: {0}")]
     NoAnswer(String),
+    /// A condition or a watch rests on what the store held before it was restored from an
+    /// older copy: nothing was done; list again.
+    #[error("the store was restored: era {known} is over, it is in {present}")]
+    Restored {
+        /// Era of what was known.
+        known: u32,
+        /// The store's era.
+        present: u32,
+    },
     /// The watch was ended by the store; list again.
     #[error("watch ended: {0}")]
     WatchEnded(String),
@@ -131,7 +141,7 @@
     fn watch(
         &self,
         prefix: &str,
-        revision: u64,
+        revision: StoreRevision,
     ) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
 
     /// Writes all of `writes` if all `conditions` hold, else nothing.
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -8,10 +8,11 @@
 
 use crate::compressed::{Compressed, DecompressError};
 use crate::forward::LeaderReport;
+use crate::store_revision::StoreRevision;
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 9;
+pub const EXCHANGE_VERSION: u8 = 10;
 
 /// One document of the store.
 #[binrw]
@@ -23,7 +24,7 @@
     #[bw(write_with = text::write_text)]
     pub key: String,
     /// Store revision of its last change that matters.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// One if it was removed; its value is then empty.
     pub removed: u8,
     /// Its value.
@@ -84,6 +85,12 @@
         }
     }
 
+    /// The same with `plain` documents after them.
+    pub fn followed_by(mut self, plain: Vec<StoredDocument>) -> Self {
+        self.plain.extend(plain);
+        self
+    }
+
     /// The documents; a later one under the same key replaces an earlier one.
     pub fn into_documents(self) -> Result<Vec<StoredDocument>, DocumentListError> {
         let mut documents = Vec::new();
@@ -130,7 +137,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EvacuationListing {
     /// The revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The requests.
     #[br(parse_with = text::read_list)]
     #[bw(write_with = text::write_list)]
@@ -145,16 +152,16 @@
     /// Everything newer than what the asking node has.
     #[brw(magic = 1u8)]
     Catalog {
-        /// Version of its configuration, zero for none.
+        /// Version of its configuration, none where nothing is known.
         config_version: u64,
-        /// Store revision up to which it knows the instances, zero for none.
-        instances_revision: u64,
+        /// Store revision up to which it knows the instances, none where nothing is known.
+        instances_revision: StoreRevision,
         /// Store revision up to which it knows the system's own keys, zero for
         /// none.
-        own_revision: u64,
+        own_revision: StoreRevision,
         /// Store revision up to which it knows the requests to evacuate zones, zero
         /// for none.
-        evacuations_revision: u64,
+        evacuations_revision: StoreRevision,
         /// One if the answering node is asked as a relay, which reads the
         /// store on behalf of others.
         as_relay: u8,
@@ -283,11 +290,11 @@
         /// Instances that changed since.
         instances: DocumentList,
         /// Store revision up to which the answering node knows the instances.
-        instances_revision: u64,
+        instances_revision: StoreRevision,
         /// The system's own keys that changed since.
         own: DocumentList,
         /// Store revision up to which the answering node knows its own keys.
-        own_revision: u64,
+        own_revision: StoreRevision,
         /// One if the answering node knows all instances.
         complete: u8,
         /// Time since the answering node heard the store, itself or through
--- a/crates/millwind-wire/src/lib.rs
+++ b/crates/millwind-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 pub mod forward;
 pub mod request;
+pub mod store_revision;
 mod text;
 
 use std::io::Cursor;
