--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -8,7 +8,7 @@
 mod usage;
 mod warmth;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use log::info;
@@ -25,6 +25,7 @@
 use crate::catalog::{ConfigSnapshot, GroupLimits, InstanceRecord};
 use crate::catalog_intake::ConfigOrigin;
 use crate::clock;
+use crate::logging::LineLimit;
 use crate::peers::Testimony;
 
 use warmth::sight_of;
@@ -32,6 +33,11 @@
 pub use contact::Contact;
 use lives::{FormerLog, SteppedDown, begin_life};
 
+/// Lines about single instances' records at most: a node of a fleet that starts learns of
+/// 3,000 instances within seconds, and so do all others; some 4,000 lines from each of 985
+/// nodes tell no more than their count.
+const BELIEF_LINES_PER_SECOND: u64 = 20;
+
 /// An instance with what is known of it.
 #[derive(Debug, Clone)]
 pub struct Known {
@@ -60,8 +66,17 @@
     pub life_began: Option<Instant>,
 }
 
+impl Known {
+    /// Whether `record` tells nothing but that the instance lives on.
+    fn is_heartbeat(&self, record: &InstanceRecord) -> bool {
+        let is_life_same = began_anew(&self.record.life_signs(), &record.life_signs()).is_none();
+        let is_used = !self.is_gone && !self.is_disowned;
+        is_used && is_life_same && self.record.says_but_for_heartbeat(record)
+    }
+}
+
 /// What an instance's record changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RecordChange {
     /// More than its heartbeat.
     pub has_changed: bool,
@@ -117,6 +132,13 @@
     instances: BTreeMap<InstanceName, Known>,
     /// Instances by group: a group's are looked up with every statement.
     members: HashMap<GroupName, BTreeSet<InstanceName>>,
+    /// Groups that changed since the watch list last took them in.
+    changed_groups: HashSet<GroupName>,
+    /// Version of the configuration whose groups all have an instance that says that it
+    /// leads; none where some have none, or that is not known.
+    claims_checked_for: Option<u64>,
+    /// A group that was last found without one.
+    unclaimed: Option<GroupName>,
     has_listing: bool,
     store_heard: Option<Instant>,
     /// Everything that the store held of closed terms at this time is known.
@@ -149,6 +171,43 @@
     }
 }
 
+impl State {
+    /// The believed leader of a group, or the record of one of its instances, changed.
+    fn group_changed(&mut self, group: &GroupName) {
+        self.changed_groups.insert(group.clone());
+        self.claims_checked_for = None;
+    }
+
+    /// Comparisons of catalogs ask for it again and again: all groups are looked at only
+    /// after a change, and not even then while the group that lacked a leader still does.
+    fn knows_claimed_leaders(&mut self) -> bool {
+        let Some(config) = self.config.clone() else {
+            return false;
+        };
+        if self.claims_checked_for == Some(config.version) {
+            return true;
+        }
+        if let Some(group) = &self.unclaimed
+            && config.groups.contains_key(group)
+            && !self.is_claimed(group)
+        {
+            return false;
+        }
+        let mut groups = config.groups.keys();
+        self.unclaimed = groups.find(|group| !self.is_claimed(group)).cloned();
+        let are_claimed = self.unclaimed.is_none();
+        self.claims_checked_for = are_claimed.then_some(config.version);
+        are_claimed
+    }
+
+    /// Whether an instance of a group says that it leads.
+    fn is_claimed(&self, group: &GroupName) -> bool {
+        let members = self.members.get(group).into_iter().flatten();
+        let mut known = members.filter_map(|name| self.instances.get(name));
+        known.any(|known| known.record.claims_lead && !known.is_gone)
+    }
+}
+
 /// Beliefs of a node.
 #[derive(Debug)]
 pub struct Directory {
@@ -164,6 +223,8 @@
     config_version: watch::Sender<u64>,
     /// Counts the changes of evacuated zones.
     evacuation_changes: watch::Sender<u64>,
+    /// For lines about single instances' records.
+    belief_lines: LineLimit,
 }
 
 impl Directory {
@@ -184,6 +245,7 @@
             completed: Notify::new(),
             config_version: watch::Sender::new(0),
             evacuation_changes: watch::Sender::new(0),
+            belief_lines: LineLimit::new("instances", BELIEF_LINES_PER_SECOND),
         }
     }
 
@@ -191,11 +253,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Zone of this node.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Option<Arc<ConfigSnapshot>> {
         self.state().config.clone()
     }
 
+    /// Groups of which, since this was last asked, the believed leader or the record of an
+    /// instance changed, but for heartbeats.
+    pub fn take_changed_groups(&self) -> HashSet<GroupName> {
+        std::mem::take(&mut self.state().changed_groups)
+    }
+
     /// Version of the configuration in force, as it changes.
     pub fn config_versions(&self) -> watch::Receiver<u64> {
         self.config_version.subscribe()
@@ -252,14 +325,25 @@
     pub fn apply_record(&self, record: InstanceRecord) -> RecordChange {
         let now = clock::now();
         let mut state = self.state();
+        if let Some(known) = state.instances.get_mut(&record.name)
+            && known.is_heartbeat(&record)
+        {
+            known.sight = sight_of(Some(known), false, &record, now);
+            known.record = Arc::new(record);
+            known.heard = now;
+            return RecordChange::default();
+        }
         let previous = state.instances.get(&record.name).cloned();
         let previous = previous.as_ref();
         let began = previous.and_then(|known| began_anew(&known.record.life_signs(), &record.life_signs()));
         let claimed_before = previous.is_some_and(|known| known.record.claims_lead && !known.is_gone);
         let is_new = previous.is_none_or(|known| known.is_gone);
         let has_changed =
-            is_new || previous.is_some_and(|known| !known.record.differs_by_heartbeat_alone(&record));
+            is_new || previous.is_some_and(|known| !known.record.says_but_for_heartbeat(&record));
         if has_changed {
+            state.group_changed(&record.group);
+        }
+        if has_changed && self.belief_lines.admit() {
             info!(
                 "event=instance_seen instance={} group={} address={} zone={} leaving={} claims_lead={}",
                 record.name, record.group, record.address, record.zone, record.is_leaving, record.claims_lead
@@ -319,14 +403,17 @@
         if current.as_ref() == Some(instance) || entry.retired.as_ref() == Some(instance) {
             return;
         }
-        info!(
-            "event=leader_claimed group={group} instance={instance} previous={}",
-            current.as_ref().map_or("none", |name| name.as_str())
-        );
+        if self.belief_lines.admit() {
+            info!(
+                "event=leader_claimed group={group} instance={instance} previous={}",
+                current.as_ref().map_or("none", |name| name.as_str())
+            );
+        }
         entry.leader = Some(Leader {
             instance: instance.clone(),
             term: None,
         });
+        state.group_changed(group);
         self.leaders_changed.notify_waiters();
     }
 
@@ -341,10 +428,9 @@
         }
         known.is_gone = true;
         known.leaving_since.get_or_insert(clock::now());
-        info!(
-            "event=instance_gone instance={instance} group={}",
-            known.record.group
-        );
+        let group = known.record.group.clone();
+        info!("event=instance_gone instance={instance} group={group}");
+        state.group_changed(&group);
         true
     }
 
@@ -359,7 +445,7 @@
     }
 
     /// The whole list of instances was read; returns those that are gone now.
-    pub fn listing_applied(&self, present: &[InstanceName]) -> Vec<InstanceName> {
+    pub fn listing_applied(&self, present: &HashSet<InstanceName>) -> Vec<InstanceName> {
         let missing: Vec<InstanceName> = {
             let mut state = self.state();
             state.has_listing = true;
@@ -409,6 +495,10 @@
             .map(|known| known.record.name.clone())
             .collect();
         for name in &forgotten {
+            let group = state.instances.get(name).map(|known| known.record.group.clone());
+            if let Some(group) = group {
+                state.group_changed(&group);
+            }
             // It may come back under this name, and is not compared with this life then.
             for group in state.groups.values_mut() {
                 group.end_life(name);
@@ -451,18 +541,18 @@
     /// Whether some instance of every configured group is known that says that it
     /// leads.
     pub fn knows_claimed_leaders(&self) -> bool {
+        self.state().knows_claimed_leaders()
+    }
+
+    /// Groups that were used after `since`, over this node's own connections or others'.
+    pub fn groups_used_after(&self, since: Instant) -> Vec<GroupName> {
+        let is_after = |used: Option<Instant>| used.is_some_and(|used| used > since);
         let state = self.state();
-        let Some(config) = &state.config else {
-            return false;
-        };
-        let is_claimed = |name: &InstanceName| {
-            let known = state.instances.get(name);
-            known.is_some_and(|known| known.record.claims_lead && !known.is_gone)
-        };
-        config.groups.keys().all(|group| {
-            let members = state.members.get(group);
-            members.is_some_and(|members| members.iter().any(is_claimed))
-        })
+        let used = state
+            .groups
+            .iter()
+            .filter(|(_, group)| is_after(group.last_use) || is_after(group.last_direct_use));
+        used.map(|(name, _)| name.clone()).collect()
     }
 
     /// All instances.
@@ -542,6 +632,7 @@
             position.term, position.log_position.0
         );
         entry.leader = Some(leader);
+        state.group_changed(group);
         if is_other {
             self.leaders_changed.notify_waiters();
         }
@@ -559,6 +650,7 @@
         if is_believed {
             info!("event=leader_denied group={group} instance={instance}");
             entry.leader = None;
+            state.group_changed(group);
         }
     }
 
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -7,7 +7,7 @@
 mod replacement;
 mod revocation;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +26,7 @@
 use crate::node::Engine;
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
+use crate::watch_list::WatchList;
 use relocation::LeadHistories;
 use replacement::LostLeader;
 
@@ -51,11 +52,20 @@
 const STORE_RECENT_MS: u64 = 2_500;
 /// Between two rounds of questions to peers about one leader.
 const ASK_PAUSE: Duration = Duration::from_millis(200);
+/// Each node that comes later in a group's order waits so much longer before it writes
+/// again what a restored store lost, in milliseconds: a write and its way to the others
+/// through relays.
+const RESTORE_STEP_MS: u64 = 1_500;
+/// None waits longer than this, in milliseconds: by then most nodes of the order are gone.
+const MOST_RESTORE_WAIT_MS: u64 = 12_000;
 /// Between two tries to take a duty that nobody holds.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
 /// A group whose leader this node has never seen may still be starting, in
 /// milliseconds.
 const NEVER_LED_MS: u64 = 4_000;
+/// A group that was used within this time is looked at with those that are watched, in
+/// milliseconds: the longest time after a use for which reads need a leader's position.
+const IN_USE_MS: u64 = health::UNUSED_MS;
 /// Age of a peer's report beyond which it says nothing, in milliseconds.
 const REPORT_MS: u64 = 1_500;
 
@@ -110,6 +120,7 @@
     /// Watches for the life of the process.
     pub async fn run(self: Arc<Self>) {
         let mut last = clock::now();
+        let mut watch_list = WatchList::default();
         loop {
             tokio::select! {
                 () = tokio::time::sleep(TICK) => {}
@@ -121,17 +132,59 @@
                 self.engine.directory.forgive_silence();
             }
             last = now;
-            let Some(config) = self.engine.directory.config() else {
+            self.restore_lost_duties();
+            let watched = watch_list.current(&self.engine);
+            for group in watched.iter() {
+                self.start_look(group);
+            }
+            for group in self
+                .engine
+                .directory
+                .groups_used_after(clock::minus_millis(now, IN_USE_MS))
+            {
+                self.follow_used(&group, &watched);
+            }
+        }
+    }
+
+    /// Writes the duties' records again that the store lost when it was restored. The
+    /// first of a group's order does it at once; each one after it waits longer, and finds
+    /// it done: a node that was restarted meanwhile knows nothing of what was lost.
+    fn restore_lost_duties(self: &Arc<Self>) {
+        let now = clock::now();
+        for (group, since) in self.duties.lost_records() {
+            let rank = self.engine.registry.rank(group.as_str()) as u64;
+            let due = since.plus_millis((rank * RESTORE_STEP_MS).min(MOST_RESTORE_WAIT_MS));
+            if now < due {
                 continue;
-            };
-            for group in config.groups.keys() {
-                if !self.engine.watches(group) {
-                    self.observe(group);
-                } else if let Some(mark) = self.busy.enter(group) {
-                    let monitor = self.clone();
-                    tokio::spawn(async move { monitor.look_at(mark.group()).await });
-                }
             }
+            if let Some(mark) = self.taking.enter(&group) {
+                let duties = self.duties.clone();
+                tokio::spawn(async move {
+                    duties.restore(mark.group()).await;
+                    tokio::time::sleep(DUTY_PAUSE).await;
+                });
+            }
+        }
+    }
+
+    /// Looks at a group that this node uses, or asks others about it.
+    fn follow_used(self: &Arc<Self>, group: &GroupName, watched: &HashSet<GroupName>) {
+        if watched.contains(group) || self.engine.directory.group_limits(group).is_none() {
+            return;
+        }
+        self.engine.metrics.groups_judged.inc();
+        match self.engine.watches(group) {
+            true => self.start_look(group),
+            false => self.observe(group),
+        }
+    }
+
+    /// Looks at a group in the background, unless that is under way.
+    fn start_look(self: &Arc<Self>, group: &GroupName) {
+        if let Some(mark) = self.busy.enter(group) {
+            let monitor = self.clone();
+            tokio::spawn(async move { monitor.look_at(mark.group()).await });
         }
     }
 
--- a/crates/millwind-engine/src/own_keys.rs
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -1,16 +1,19 @@
 //! The system's own keys in the store: read by the relays, told on to the other
 //! nodes, and passed to everything that is kept there.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use log::warn;
 use millwind_core::Instant;
-use millwind_store::{Entry, Listing};
-use millwind_wire::exchange::StoredDocument;
+use millwind_store::{Entry, Listing, StoreRevision};
+use millwind_wire::exchange::{DocumentList, StoredDocument};
 use tokio::sync::watch;
 
+use crate::kept_documents::KeptDocuments;
+use crate::registry::Registry;
 use crate::store_watch::{Follower, StoreReading};
 
 /// Between two reports of the system's own keys: at a start every node
@@ -20,14 +23,16 @@
 #[derive(Debug, Default)]
 struct State {
     /// By key; removed ones too, so that peers hear of the removal.
-    documents: BTreeMap<String, StoredDocument>,
-    /// Store revision up to which everything is known; zero for none.
-    known_revision: u64,
+    documents: KeptDocuments,
+    /// Store revision up to which everything is known; none where nothing is known.
+    known_revision: StoreRevision,
 }
 
 /// Follows the system's own keys on behalf of everything kept there.
 pub struct OwnKeys {
     followers: Vec<Arc<dyn Follower>>,
+    /// The nodes, where those of the own zone are read first.
+    nodes: Option<Arc<Registry>>,
     reads_store: watch::Receiver<StoreReading>,
     state: Mutex<State>,
 }
@@ -44,45 +49,56 @@
     pub fn new(followers: Vec<Arc<dyn Follower>>, reads_store: watch::Receiver<StoreReading>) -> Self {
         OwnKeys {
             followers,
+            nodes: None,
             reads_store,
             state: Mutex::default(),
         }
     }
 
+    /// The same where a starting node reads the nodes of its own zone first: its relays
+    /// are among them, and tell it all the rest.
+    pub fn reading_zone_first(self, nodes: Arc<Registry>) -> Self {
+        OwnKeys {
+            nodes: Some(nodes),
+            ..self
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Store revision up to which everything is known; zero for none.
-    pub fn known_revision(&self) -> u64 {
+    /// Store revision up to which everything is known; none where nothing is known.
+    pub fn known_revision(&self) -> StoreRevision {
         self.state().known_revision
     }
 
     /// Documents that changed after `revision`, for a peer.
-    pub fn documents_after(&self, revision: u64) -> Vec<StoredDocument> {
-        let state = self.state();
-        let documents = state.documents.values();
-        documents
-            .filter(|document| document.revision > revision)
-            .cloned()
-            .collect()
+    pub fn documents_after(&self, revision: StoreRevision) -> DocumentList {
+        self.state().documents.after(revision)
     }
 
     /// Takes in the documents that a peer told of, which knows all of them up
     /// to `revision`.
-    pub fn learn(&self, documents: Vec<StoredDocument>, revision: u64) {
-        if revision == 0 {
+    pub fn learn(&self, documents: Vec<StoredDocument>, revision: StoreRevision) {
+        if revision.is_none() {
             return;
         }
-        let (fresh, is_first) = {
+        let entries: Vec<Entry> = documents.into_iter().map(entry_of).collect();
+        let (fresh, is_whole) = {
             let mut state = self.state();
-            let is_first = state.known_revision == 0;
+            let is_new_era = revision.era > state.known_revision.era;
+            let is_whole = state.known_revision.is_none() || is_new_era;
+            if is_new_era {
+                // The other node has told all that the store holds since it was restored.
+                state.remove_all_but(&entries, revision);
+            }
             let news = |entry: &Entry| state.keep(entry);
-            let fresh: Vec<Entry> = documents.into_iter().map(entry_of).filter(news).collect();
-            state.known_revision = state.known_revision.max(revision);
-            (fresh, is_first)
+            let fresh: Vec<Entry> = entries.into_iter().filter(news).collect();
+            state.know(revision);
+            (fresh, is_whole)
         };
-        if is_first {
+        if is_whole {
             let known = self.state().as_listing();
             self.tell_listed(&known);
         } else if !fresh.is_empty() {
@@ -94,10 +110,10 @@
     /// that changed before it may still be unknown.
     pub fn told(&self, document: StoredDocument) {
         let entry = entry_of(document);
-        let is_news = self.state().keep(&entry);
-        if is_news {
-            self.tell_changed(&[entry]);
-        }
+        self.state().keep(&entry);
+        // Followers hear of it also where the store, restored since, no longer holds it:
+        // a term that somebody has closed stays closed.
+        self.tell_changed(&[entry]);
     }
 
     fn tell_listed(&self, listing: &Listing) {
@@ -120,31 +136,45 @@
         if held.is_some_and(|held| held.revision >= entry.revision) {
             return false;
         }
-        self.documents.insert(entry.key.clone(), document_of(entry));
+        self.documents.insert(document_of(entry));
         true
     }
 
     /// Everything that is there.
     fn as_listing(&self) -> Listing {
-        let present = self.documents.values().filter(|document| document.removed == 0);
+        let present = self.documents.iter().filter(|document| document.removed == 0);
         Listing {
             revision: self.known_revision,
             entries: present.cloned().map(entry_of).collect(),
         }
     }
 
-    /// Marks everything as removed that a listing does not hold.
-    fn remove_all_but(&mut self, listing: &Listing) {
-        let present: BTreeSet<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
-        for document in self.documents.values_mut() {
-            let is_gone = document.removed == 0
-                && document.revision <= listing.revision
-                && !present.contains(document.key.as_str());
-            if is_gone {
-                document.removed = 1;
-                document.revision = listing.revision;
-                document.value.clear();
-            }
+    /// Everything is known up to `revision`.
+    fn know(&mut self, revision: StoreRevision) {
+        let known = self.known_revision;
+        if revision.era > known.era && !known.is_none() {
+            warn!(
+                "event=store_restored era={} previous={} revision={} known={}",
+                revision.era, known.era, revision.number, known.number
+            );
+        }
+        self.known_revision = known.max(revision);
+    }
+
+    /// Marks everything as removed that a listing at `revision` does not hold.
+    fn remove_all_but(&mut self, entries: &[Entry], revision: StoreRevision) {
+        let present: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let is_gone = |document: &&StoredDocument| {
+            document.removed == 0 && document.revision <= revision && !present.contains(document.key.as_str())
+        };
+        let gone: Vec<_> = self.documents.iter().filter(is_gone).cloned().collect();
+        for document in gone {
+            self.documents.insert(StoredDocument {
+                removed: 1,
+                revision,
+                value: Vec::new(),
+                ..document
+            });
         }
     }
 }
@@ -171,13 +201,14 @@
         "own_keys"
     }
 
-    fn learned(&self, listing: Listing) {
-        let present = listing.entries.iter().map(document_of);
-        self.learn(present.collect(), listing.revision);
+    fn part_read_first(&self) -> Option<String> {
+        self.nodes.as_ref().map(|nodes| nodes.zone_prefix())
     }
 
-    fn may_start_behind(&self) -> bool {
-        true
+    fn part_learned(&self, listing: Listing) {
+        if let Some(nodes) = &self.nodes {
+            nodes.zone_learned(listing);
+        }
     }
 
     fn reads(&self) -> Option<watch::Receiver<StoreReading>> {
@@ -191,11 +222,11 @@
     fn listed(&self, listing: Listing) {
         let known = {
             let mut state = self.state();
-            state.remove_all_but(&listing);
+            state.remove_all_but(&listing.entries, listing.revision);
             for entry in &listing.entries {
                 state.keep(entry);
             }
-            state.known_revision = state.known_revision.max(listing.revision);
+            state.know(listing.revision);
             state.as_listing()
         };
         self.tell_listed(&known);
@@ -211,7 +242,7 @@
         let fresh: Vec<Entry> = {
             let mut state = self.state();
             let newest = entries.iter().map(|entry| entry.revision).max();
-            state.known_revision = state.known_revision.max(newest.unwrap_or_default());
+            state.know(newest.unwrap_or_default());
             let news = |entry: &Entry| state.keep(entry);
             entries.into_iter().filter(news).collect()
         };
--- a/crates/millwind-engine/src/registration.rs
+++ b/crates/millwind-engine/src/registration.rs
@@ -14,7 +14,7 @@
 
 use log::{info, warn};
 use millwind_core::Instant;
-use millwind_store::{Condition, Store, Swap, Write};
+use millwind_store::{Condition, Store, StoreRevision, Swap, Write};
 use tokio::sync::watch;
 
 use crate::clock;
@@ -145,9 +145,9 @@
     store: &S,
     name: &str,
     record: NodeRecord,
-    revision: u64,
+    revision: StoreRevision,
 ) -> bool {
-    let key = registry.key(name);
+    let key = registry.key(&record.zone, name);
     let write = Write {
         key: key.clone(),
         // A record of texts always has a form.
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -4,13 +4,15 @@
 use std::io::Cursor;
 
 use binrw::{BinRead, BinWrite, binrw};
+use thiserror::Error;
 
-use crate::compressed::Compressed;
+use crate::compressed::{Compressed, DecompressError};
 use crate::forward::LeaderReport;
+use crate::store_revision::StoreRevision;
 use crate::text;
 
 /// Version of this protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 7;
+pub const EXCHANGE_VERSION: u8 = 10;
 
 /// One document of the store.
 #[binrw]
@@ -22,7 +24,7 @@
     #[bw(write_with = text::write_text)]
     pub key: String,
     /// Store revision of its last change that matters.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// One if it was removed; its value is then empty.
     pub removed: u8,
     /// Its value.
@@ -31,6 +33,76 @@
     pub value: Vec<u8>,
 }
 
+/// Documents of one kind that travel together.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct DocumentList {
+    /// Many of them, written one after the other and compressed: none or one part.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    packed: Vec<Compressed>,
+    /// Those that changed since that part was made.
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    plain: Vec<StoredDocument>,
+}
+
+/// Documents in the order in which they are compressed.
+#[binrw]
+#[brw(big)]
+struct PackedDocuments {
+    #[br(parse_with = text::read_list)]
+    #[bw(write_with = text::write_list)]
+    documents: Vec<StoredDocument>,
+}
+
+/// Compresses documents for a [`DocumentList`].
+pub fn pack_documents(documents: Vec<StoredDocument>) -> Result<Compressed, std::io::Error> {
+    let mut bytes = Cursor::new(Vec::new());
+    let packed = PackedDocuments { documents };
+    packed.write_be(&mut bytes).map_err(std::io::Error::other)?;
+    Compressed::pack(bytes.get_ref())
+}
+
+/// Why a [`DocumentList`] cannot be read.
+#[derive(Debug, Error)]
+pub enum DocumentListError {
+    /// Its compressed part is damaged.
+    #[error("compressed documents: {0}")]
+    Compressed(#[from] DecompressError),
+    /// What was compressed are no documents.
+    #[error("documents: {0}")]
+    Malformed(#[from] binrw::Error),
+}
+
+impl DocumentList {
+    /// Documents as they are, and before them `packed` ones.
+    pub fn new(packed: Option<Compressed>, plain: Vec<StoredDocument>) -> Self {
+        DocumentList {
+            packed: packed.into_iter().collect(),
+            plain,
+        }
+    }
+
+    /// The same with `plain` documents after them.
+    pub fn followed_by(mut self, plain: Vec<StoredDocument>) -> Self {
+        self.plain.extend(plain);
+        self
+    }
+
+    /// The documents; a later one under the same key replaces an earlier one.
+    pub fn into_documents(self) -> Result<Vec<StoredDocument>, DocumentListError> {
+        let mut documents = Vec::new();
+        for part in &self.packed {
+            let bytes = part.unpack()?;
+            documents.extend(PackedDocuments::read_be(&mut Cursor::new(bytes))?.documents);
+        }
+        documents.extend(self.plain);
+        Ok(documents)
+    }
+}
+
 /// A version of the configuration.
 #[binrw]
 #[brw(big)]
@@ -65,7 +137,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EvacuationListing {
     /// The revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The requests.
     #[br(parse_with = text::read_list)]
     #[bw(write_with = text::write_list)]
@@ -80,16 +152,16 @@
     /// Everything newer than what the asking node has.
     #[brw(magic = 1u8)]
     Catalog {
-        /// Version of its configuration, zero for none.
+        /// Version of its configuration, none where nothing is known.
         config_version: u64,
-        /// Store revision up to which it knows the instances, zero for none.
-        instances_revision: u64,
+        /// Store revision up to which it knows the instances, none where nothing is known.
+        instances_revision: StoreRevision,
         /// Store revision up to which it knows the system's own keys, zero for
         /// none.
-        own_revision: u64,
+        own_revision: StoreRevision,
         /// Store revision up to which it knows the requests to evacuate zones, zero
         /// for none.
-        evacuations_revision: u64,
+        evacuations_revision: StoreRevision,
         /// One if the answering node is asked as a relay, which reads the
         /// store on behalf of others.
         as_relay: u8,
@@ -216,17 +288,13 @@
         #[bw(write_with = text::write_list)]
         evacuations: Vec<EvacuationListing>,
         /// Instances that changed since.
-        #[br(parse_with = text::read_list)]
-        #[bw(write_with = text::write_list)]
-        instances: Vec<StoredDocument>,
+        instances: DocumentList,
         /// Store revision up to which the answering node knows the instances.
-        instances_revision: u64,
+        instances_revision: StoreRevision,
         /// The system's own keys that changed since.
-        #[br(parse_with = text::read_list)]
-        #[bw(write_with = text::write_list)]
-        own: Vec<StoredDocument>,
+        own: DocumentList,
         /// Store revision up to which the answering node knows its own keys.
-        own_revision: u64,
+        own_revision: StoreRevision,
         /// One if the answering node knows all instances.
         complete: u8,
         /// Time since the answering node heard the store, itself or through
