--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -1,7 +1,9 @@
 //! What this node believes: the configuration, the instances, who leads each
 //! group, what the leaders reported, and how each instance answers.
 
+mod changes;
 mod contact;
+mod departures;
 mod evacuation;
 mod lives;
 mod permits;
@@ -171,43 +173,6 @@
     }
 }
 
-impl State {
-    /// The believed leader of a group, or the record of one of its instances, changed.
-    fn group_changed(&mut self, group: &GroupName) {
-        self.changed_groups.insert(group.clone());
-        self.claims_checked_for = None;
-    }
-
-    /// Comparisons of catalogs ask for it again and again: all groups are looked at only
-    /// after a change, and not even then while the group that lacked a leader still does.
-    fn knows_claimed_leaders(&mut self) -> bool {
-        let Some(config) = self.config.clone() else {
-            return false;
-        };
-        if self.claims_checked_for == Some(config.version) {
-            return true;
-        }
-        if let Some(group) = &self.unclaimed
-            && config.groups.contains_key(group)
-            && !self.is_claimed(group)
-        {
-            return false;
-        }
-        let mut groups = config.groups.keys();
-        self.unclaimed = groups.find(|group| !self.is_claimed(group)).cloned();
-        let are_claimed = self.unclaimed.is_none();
-        self.claims_checked_for = are_claimed.then_some(config.version);
-        are_claimed
-    }
-
-    /// Whether an instance of a group says that it leads.
-    fn is_claimed(&self, group: &GroupName) -> bool {
-        let members = self.members.get(group).into_iter().flatten();
-        let mut known = members.filter_map(|name| self.instances.get(name));
-        known.any(|known| known.record.claims_lead && !known.is_gone)
-    }
-}
-
 /// Beliefs of a node.
 #[derive(Debug)]
 pub struct Directory {
@@ -263,12 +228,6 @@
         self.state().config.clone()
     }
 
-    /// Groups of which, since this was last asked, the believed leader or the record of an
-    /// instance changed, but for heartbeats.
-    pub fn take_changed_groups(&self) -> HashSet<GroupName> {
-        std::mem::take(&mut self.state().changed_groups)
-    }
-
     /// Version of the configuration in force, as it changes.
     pub fn config_versions(&self) -> watch::Receiver<u64> {
         self.config_version.subscribe()
@@ -417,52 +376,6 @@
         self.leaders_changed.notify_waiters();
     }
 
-    /// An instance's record is gone from the store.
-    pub fn remove_record(&self, instance: &InstanceName) -> bool {
-        let mut state = self.state();
-        let Some(known) = state.instances.get_mut(instance) else {
-            return false;
-        };
-        if known.is_gone {
-            return false;
-        }
-        known.is_gone = true;
-        known.leaving_since.get_or_insert(clock::now());
-        let group = known.record.group.clone();
-        info!("event=instance_gone instance={instance} group={group}");
-        state.group_changed(&group);
-        true
-    }
-
-    /// The record of an instance cannot be read any more: it is gone, and gets no grace
-    /// as one whose heartbeats the store merely missed.
-    pub fn disown(&self, instance: &InstanceName) -> bool {
-        let is_news = self.remove_record(instance);
-        if let Some(known) = self.state().instances.get_mut(instance) {
-            known.is_disowned = true;
-        }
-        is_news
-    }
-
-    /// The whole list of instances was read; returns those that are gone now.
-    pub fn listing_applied(&self, present: &HashSet<InstanceName>) -> Vec<InstanceName> {
-        let missing: Vec<InstanceName> = {
-            let mut state = self.state();
-            state.has_listing = true;
-            state
-                .instances
-                .values()
-                .filter(|known| !known.is_gone && !present.contains(&known.record.name))
-                .map(|known| known.record.name.clone())
-                .collect()
-        };
-        for instance in &missing {
-            self.remove_record(instance);
-        }
-        self.completed.notify_waiters();
-        missing
-    }
-
     /// The store answered about instances.
     pub fn store_heard(&self) {
         self.state().store_heard = Some(clock::now());
@@ -479,35 +392,6 @@
         self.completed.notify_waiters();
     }
 
-    /// Forgets instances that have been gone for `bound_ms`.
-    pub fn forget_gone(&self, bound_ms: u64) -> Vec<InstanceName> {
-        let now = clock::now();
-        let mut state = self.state();
-        let forgotten: Vec<_> = state
-            .instances
-            .values()
-            .filter(|known| known.is_gone)
-            .filter(|known| {
-                known
-                    .leaving_since
-                    .is_some_and(|since| now.millis_since(since) > bound_ms)
-            })
-            .map(|known| known.record.name.clone())
-            .collect();
-        for name in &forgotten {
-            let group = state.instances.get(name).map(|known| known.record.group.clone());
-            if let Some(group) = group {
-                state.group_changed(&group);
-            }
-            // It may come back under this name, and is not compared with this life then.
-            for group in state.groups.values_mut() {
-                group.end_life(name);
-            }
-            state.remove(name);
-        }
-        forgotten
-    }
-
     /// An instance with what is known of it.
     pub fn instance(&self, instance: &InstanceName) -> Option<Known> {
         let state = self.state();
@@ -538,23 +422,6 @@
             .collect()
     }
 
-    /// Whether some instance of every configured group is known that says that it
-    /// leads.
-    pub fn knows_claimed_leaders(&self) -> bool {
-        self.state().knows_claimed_leaders()
-    }
-
-    /// Groups that were used after `since`, over this node's own connections or others'.
-    pub fn groups_used_after(&self, since: Instant) -> Vec<GroupName> {
-        let is_after = |used: Option<Instant>| used.is_some_and(|used| used > since);
-        let state = self.state();
-        let used = state
-            .groups
-            .iter()
-            .filter(|(_, group)| is_after(group.last_use) || is_after(group.last_direct_use));
-        used.map(|(name, _)| name.clone()).collect()
-    }
-
     /// All instances.
     pub fn instances(&self) -> Vec<Known> {
         let state = self.state();
--- a/crates/millwind-engine/src/lib.rs
+++ b/crates/millwind-engine/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod quota;
 pub mod readiness;
 mod region_terms;
+mod registered_nodes;
 pub mod registration;
 pub mod registry;
 pub mod relays;
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -13,15 +13,14 @@
 use millwind_store::{Entry, Listing, StoreRevision};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock;
 use crate::directory::Directory;
+use crate::registered_nodes::{
+    Nodes, RegisteredNode, Weighted, hash_of, heaviest, relay_place, weigh, weight,
+};
 use crate::store_watch::Follower;
 
-/// Key under which the nodes of a zone are ranked as its relays.
-const RELAY_KEY: &str = "relay";
-
 /// What a node tells of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -102,145 +101,15 @@
     /// This node's rank by key, with the version that it follows from.
     ranks: Mutex<HashMap<String, (u64, usize)>>,
     version: AtomicU64,
+    /// When it last rose, in microseconds.
+    changed_at_us: AtomicU64,
     /// Nodes that were weighed for some key so far.
     weighed: AtomicU64,
-    /// When that was, in microseconds.
-    changed_at_us: AtomicU64,
     is_listed: watch::Sender<bool>,
     /// The nodes of the own zone are known, if not all others.
     is_zone_known: watch::Sender<bool>,
 }
 
-/// A registered node.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct RegisteredNode {
-    record: NodeRecord,
-    /// Store revision of its record.
-    revision: StoreRevision,
-    /// Hash of its name.
-    hash: u64,
-    /// Zone of the record.
-    zone: ZoneName,
-    /// When this record was first seen here; what counts is that of a node that
-    /// went.
-    left_since: Instant,
-}
-
-impl RegisteredNode {
-    fn new(name: &str, record: NodeRecord, revision: StoreRevision) -> Self {
-        RegisteredNode {
-            revision,
-            hash: hash_of(name),
-            zone: ZoneName::from(record.zone.as_str()),
-            left_since: clock::now(),
-            record,
-        }
-    }
-
-    /// Whether a node with this record stands in the place of this one.
-    fn is_placed_as(&self, other: &NodeRecord) -> bool {
-        self.record.zone == other.zone && self.record.peer_address == other.peer_address
-    }
-}
-
-/// The registered nodes, with the hashes that orders of nodes follow from side by side.
-#[derive(Debug, Default)]
-struct Nodes {
-    by_name: BTreeMap<String, RegisteredNode>,
-    hashes: Vec<u64>,
-    by_zone: HashMap<String, Vec<u64>>,
-}
-
-impl Nodes {
-    fn get(&self, name: &str) -> Option<&RegisteredNode> {
-        self.by_name.get(name)
-    }
-
-    /// Hashes of all nodes' names.
-    fn hashes(&self) -> &[u64] {
-        &self.hashes
-    }
-
-    /// Hashes of the names of a zone's nodes.
-    fn in_zone(&self, zone: &str) -> &[u64] {
-        self.by_zone.get(zone).map_or(&[], Vec::as_slice)
-    }
-
-    /// Takes a node in; true if that changes which nodes there are or where.
-    fn insert(&mut self, name: &str, node: RegisteredNode) -> bool {
-        if let Some(held) = self.by_name.get_mut(name) {
-            if held.is_placed_as(&node.record) {
-                *held = node;
-                return false;
-            }
-            self.remove(name);
-        }
-        self.hashes.push(node.hash);
-        let of_zone = self.by_zone.entry(node.record.zone.clone()).or_default();
-        of_zone.push(node.hash);
-        self.by_name.insert(name.to_owned(), node);
-        true
-    }
-
-    /// Forgets a node; true if it was known.
-    fn remove(&mut self, name: &str) -> bool {
-        let Some(node) = self.by_name.remove(name) else {
-            return false;
-        };
-        self.hashes.retain(|hash| *hash != node.hash);
-        if let Some(of_zone) = self.by_zone.get_mut(&node.record.zone) {
-            of_zone.retain(|hash| *hash != node.hash);
-        }
-        true
-    }
-}
-
-/// A node with its weight for some key.
-type Weighted<'a> = (u64, &'a String, &'a RegisteredNode);
-
-fn hash_of(text: &str) -> u64 {
-    xxh3_64(text.as_bytes())
-}
-
-/// Weight of a node for a key in rendezvous hashing, from the hashes of both:
-/// every instance is ranked over every node whenever the nodes change.
-fn weight(key: u64, node: u64) -> u64 {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&key.to_le_bytes());
-    bytes[8..].copy_from_slice(&node.to_le_bytes());
-    xxh3_64(&bytes)
-}
-
-/// All nodes with their weights for `key`.
-fn weigh<'a>(nodes: &'a Nodes, key: &str) -> impl Iterator<Item = Weighted<'a>> + use<'a> {
-    let key = hash_of(key);
-    nodes
-        .by_name
-        .iter()
-        .map(move |(name, node)| (weight(key, node.hash), name, node))
-}
-
-/// A node's place in the order of its zone's relays, the greatest first: by its link,
-/// then by its weight for [`RELAY_KEY`]. A relay sends the whole catalog, some 0.5 MB, to
-/// each of 36 nodes that start at the same moment: 7 s of a link of 20 Mbit/s, and 0.7 s of
-/// one of 200 (worked out for 3,000 instances).
-fn relay_place(name: &str, node: Option<&RegisteredNode>) -> (u32, u64) {
-    let link_mbps = node.map_or(0, |node| node.record.link_mbps);
-    (link_mbps, weight(hash_of(RELAY_KEY), hash_of(name)))
-}
-
-/// The `count` heaviest, heaviest first.
-fn heaviest(mut nodes: Vec<Weighted<'_>>, count: usize) -> Vec<Weighted<'_>> {
-    let order =
-        |left: &Weighted<'_>, right: &Weighted<'_>| right.0.cmp(&left.0).then_with(|| left.1.cmp(right.1));
-    if nodes.len() > count {
-        nodes.select_nth_unstable_by(count, order);
-        nodes.truncate(count);
-    }
-    nodes.sort_unstable_by(order);
-    nodes
-}
-
 fn candidate_of((weight, name, node): &Weighted<'_>, place: &OwnedPlace<'_>, own: &str) -> OwnerCandidate {
     OwnerCandidate {
         weight: *weight,
