Packed documents are packed anew when an older one is heard late

Cause, found by reading: answers are compressed once and kept by the newest revision. A document no newer than that, as a removal that a listing tells at its own revision, is not among what changed since: a node that knew nothing was told a removed instance or node as present. Change: such a document ends what is kept packed. The test failed first (a removed key told as present).

--- a/crates/millwind-engine/src/kept_documents.rs
+++ b/crates/millwind-engine/src/kept_documents.rs
@@ -52,8 +52,14 @@
         self.by_key.values()
     }
 
-    /// Keeps a document in place of what was kept under its key.
+    /// Keeps a document in place of what was kept under its key. One that is no newer than
+    /// what was packed is not found among what changed since: it was heard late, or removed
+    /// as of the newest revision.
     pub fn insert(&mut self, document: StoredDocument) {
+        let revision = document.revision;
+        self.packed.take_if(|packed| revision <= packed.newest);
+        self.difference
+            .take_if(|difference| revision <= difference.newest);
         self.newest = self.newest.max(document.revision);
         self.by_key.insert(document.key.clone(), document);
     }
--- a/crates/millwind-engine/tests/own_keys.rs
+++ b/crates/millwind-engine/tests/own_keys.rs
@@ -265,3 +265,25 @@
     let listings = witness.listings.lock().unwrap();
     assert_eq!(listings[1].entries, [kept]);
 }
+
+/// A listing tells removals at its own revision, which may be that of the newest document;
+/// and another node may tell of an older document late.
+#[test]
+fn a_document_that_is_no_newer_than_those_packed_is_told_as_well() {
+    let (teacher, _) = own_keys();
+    teacher.listed(listing(100, node_entries(100)));
+    let after = plain(40);
+    assert_eq!(documents_after(&teacher, StoreRevision::NONE).len(), 100);
+    assert_eq!(documents_after(&teacher, after).len(), 60);
+    // The store holds one less, as of the revision of the newest.
+    let mut present = node_entries(100);
+    let gone = present.remove(50);
+    teacher.listed(listing(100, present));
+    for known in [StoreRevision::NONE, after] {
+        let (pupil, witness) = own_keys();
+        pupil.learn(documents_after(&teacher, known), teacher.known_revision());
+        let listings = witness.listings.lock().unwrap();
+        let is_there = listings[0].entries.iter().any(|entry| entry.key == gone.key);
+        assert!(!is_there, "{} is told as present after {known}", gone.key);
+    }
+}
