--- a/crates/millwind-core/src/evacuation.rs
+++ b/crates/millwind-core/src/evacuation.rs
@@ -20,7 +20,7 @@
     since: BTreeMap<ZoneName, Instant>,
     /// By zone that may be used again, when this node heard that it may.
     returned: BTreeMap<ZoneName, Instant>,
-    /// Store revision up to which the requests are known; zero for none.
+    /// Store revision up to which the requests are known; none where they are not.
     revision: StoreRevision,
 }
 
@@ -170,7 +170,7 @@
         self.since.iter().map(|(zone, since)| (zone, *since))
     }
 
-    /// Store revision up to which the requests are known; zero for none.
+    /// Store revision up to which the requests are known; none where they are not.
     pub fn revision(&self) -> StoreRevision {
         self.revision
     }
--- a/crates/millwind-core/src/lead_permit.rs
+++ b/crates/millwind-core/src/lead_permit.rs
@@ -26,7 +26,7 @@
 
 /// A permit is good for so long after the node's last complete news of closed
 /// terms, in milliseconds. Longer than the outages of the store that are common
-/// (up to 6 s on the users' days, plus the time between two questions to it), since
+/// (up to 6 s, plus the time between two questions to it), since
 /// without news every node stops serving writes; it is waited out only where the
 /// old leader and some node can both not be reached.
 pub const PERMIT_MS: u64 = 10_000;
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -6,6 +6,7 @@
 use log::warn;
 use millwind_core::Instant;
 use millwind_core::ids::InstanceName;
+use millwind_store::StoreRevision;
 
 use crate::catalog::{ConfigSnapshot, InstanceRecord};
 use crate::clock;
@@ -13,7 +14,6 @@
 use crate::node::Engine;
 use crate::passed_over::shortened;
 use crate::ports::{CatalogCodec, CatalogError};
-use millwind_store::StoreRevision;
 
 /// Connections opened ahead of need to a new instance.
 const AHEAD_CONNECTIONS: usize = 1;
--- a/crates/millwind-engine/src/connection_shares.rs
+++ b/crates/millwind-engine/src/connection_shares.rs
@@ -200,11 +200,6 @@
         if last_use.is_some_and(|used| clock::now().millis_since(used) < USED_MS) {
             return true;
         }
-        self.watches_by_place(group)
-    }
-
-    /// Whether this node keeps an eye on a group though it does not use it itself.
-    pub(crate) fn watches_by_place(&self, group: &GroupName) -> bool {
         self.registry.is_among_first(group.as_str(), WATCHERS)
             || self
                 .watched_instances(group)
--- a/crates/millwind-engine/src/directory/evacuation.rs
+++ b/crates/millwind-engine/src/directory/evacuation.rs
@@ -4,11 +4,11 @@
 use millwind_core::Instant;
 use millwind_core::evacuation::{DatedEvacuation, EvacuationChange, EvacuationEvent, Evacuations};
 use millwind_core::ids::ZoneName;
+use millwind_store::StoreRevision;
 use tokio::sync::watch;
 
 use super::Directory;
 use crate::clock;
-use millwind_store::StoreRevision;
 
 impl Directory {
     /// Takes in all requests to evacuate a zone that the store held at `revision`.
