--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -22,6 +22,8 @@
     pub record: Arc<Record>,
     pub store: Arc<Store>,
     pub store_address: SocketAddr,
+    /// Address of the stand-ins.
+    pub ip: String,
     pub group: Arc<Group>,
     pub proxies: Vec<Proxy>,
     writers: Vec<JoinHandle<()>>,
@@ -83,6 +85,7 @@
             record,
             store,
             store_address,
+            ip,
             group,
             writers: Vec::new(),
             is_over: Arc::default(),
--- a/review/stand-ins/src/group.rs
+++ b/review/stand-ins/src/group.rs
@@ -17,13 +17,18 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Silence after which an instance's entry goes.
 const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
-/// Interval of replication, so that replicas are some milliseconds behind.
-const REPLICATION: Duration = Duration::from_millis(6);
+/// Interval at which replicas receive what has arrived.
+const REPLICATION: Duration = Duration::from_millis(1);
+/// Time from a commit to its arrival at a replica in the same zone, and in another region, where it
+/// varies by some milliseconds.
+const NEAR: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_millis(8);
 /// Time after which a former primary that reaches the new one ends, where nothing fences it.
 const UNFENCED_LEAD: Duration = Duration::from_millis(1_000);
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Commit {
+    pub at: Instant,
     pub term: u64,
     pub number: u64,
     pub id: String,
@@ -172,13 +177,28 @@
     /// Starts the instances, the first of them as primary, and their replication and heartbeats.
     pub fn start(self: &Arc<Self>, ip: &str, members: &[(&str, &str)]) {
         for (index, (name, zone)) in members.iter().enumerate() {
+            self.add(ip, name, zone, index == 0);
+        }
+        let group = self.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(REPLICATION);
+                group.replicate();
+                group.beat();
+            }
+        });
+    }
+
+    /// Starts one instance.
+    pub fn add(self: &Arc<Self>, ip: &str, name: &str, zone: &str, is_primary: bool) {
+        {
             let listener = TcpListener::bind((ip, 0)).expect("a free port");
             let address = listener.local_addr().expect("an address");
             let instance = Instance {
-                zone: (*zone).to_owned(),
+                zone: zone.to_owned(),
                 address,
                 is_alive: true,
-                is_primary: index == 0,
+                is_primary,
                 term: 1,
                 log: Vec::new(),
                 is_paused: false,
@@ -192,18 +212,10 @@
                 last_beat: None,
                 told_role: None,
             };
-            self.state().instances.insert((*name).to_owned(), instance);
-            let (group, name) = (self.clone(), (*name).to_owned());
+            self.state().instances.insert(name.to_owned(), instance);
+            let (group, name) = (self.clone(), name.to_owned());
             thread::spawn(move || group.listen(&name, address, listener));
         }
-        let group = self.clone();
-        thread::spawn(move || {
-            loop {
-                thread::sleep(REPLICATION);
-                group.replicate();
-                group.beat();
-            }
-        });
     }
 
     /// Accepts connections while the instance lives; its port resets while it does not.
@@ -248,13 +260,31 @@
         if !source.is_alive {
             return;
         }
-        let (log, term) = (source.log.clone(), source.term);
-        for (name, instance) in &mut state.instances {
+        let (term, zone) = (source.term, source.zone.clone());
+        let length = source.log.len();
+        let names: Vec<String> = state.instances.keys().cloned().collect();
+        for name in names.iter().filter(|name| **name != primary) {
+            let instance = &state.instances[name];
             let receives = instance.is_alive && !instance.is_paused && !instance.is_deaf;
-            if *name != primary && receives && !instance.is_primary && instance.log.len() != log.len() {
-                instance.log = log.clone();
-                instance.term = term;
+            let held = instance.log.len();
+            if !receives || instance.is_primary || held >= length {
+                continue;
             }
+            let time = if instance.zone == zone { NEAR } else { FAR };
+            let has_arrived = |commit: &&Commit| {
+                let varied = commit.number * 7 % 5;
+                let varied = if time == FAR { varied } else { 0 };
+                commit.at.elapsed() >= time + Duration::from_millis(varied)
+            };
+            let source = &state.instances[&primary];
+            let arrived: Vec<Commit> = source.log[held..]
+                .iter()
+                .take_while(has_arrived)
+                .cloned()
+                .collect();
+            let instance = state.instances.get_mut(name).expect("an instance");
+            instance.log.extend(arrived);
+            instance.term = term;
         }
         self.changed.notify_all();
     }
--- a/review/stand-ins/src/lost.rs
+++ b/review/stand-ins/src/lost.rs
@@ -58,7 +58,7 @@
 }
 
 /// Checks the log of each promoted instance against the commits acknowledged before.
-fn judge(deployment: &Deployment) -> Verdict {
+pub fn judge(deployment: &Deployment) -> Verdict {
     let acknowledged = deployment.acknowledged.lock().unwrap().clone();
     if acknowledged.len() < 50 {
         return Verdict::CouldNotRun(format!("only {} writes succeeded", acknowledged.len()));
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -13,6 +13,8 @@
 mod late_stop;
 mod line_feed;
 mod lost;
+mod newcomer;
+mod open_transaction;
 mod paused;
 mod process;
 mod proxy;
@@ -42,8 +44,10 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     let verdict = match case.as_str() {
         "lost" => lost::play(&folder, &trouble),
+        "newcomer" => newcomer::play(&folder, &trouble),
         "late-stop" => late_stop::play(&folder, &trouble),
         "stale-holder" => stale_holder::play(&folder, &trouble),
+        "open-transaction" => open_transaction::play(&folder, &trouble),
         "paused" => paused::play(&folder, &trouble),
         "values" => values::play(&folder, &trouble),
         "line-feed" => line_feed::play(&folder, &trouble),
--- a/review/stand-ins/src/session.rs
+++ b/review/stand-ins/src/session.rs
@@ -324,6 +324,7 @@
     let ids: Vec<String> = writes.iter().map(|write| write.0.clone()).collect();
     for (id, thing, data) in writes {
         instance.log.push(Commit {
+            at: Instant::now(),
             term,
             number,
             id,
