--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -38,7 +38,8 @@
     pub at_ms: u64,
 }
 
-fn configuration(sync_replicas: u64) -> String {
+/// Returns a configuration; later versions lack the route of `lookup`.
+pub fn configuration(version: u64, sync_replicas: u64) -> String {
     let route = |host: &str, kind: &str, timeout: u64, more: &str| {
         format!(
             "{{\"name\":\"r-{host}\",\"hostname\":\"{host}\",\"path-prefix\":\"/\",\"type\":\"{kind}\",\"timeout-ms\":{timeout},\"target-latency-ms\":600,\"priority\":1,\"backend\":\"ledger\",\"max-attempts\":2{more}}}"
@@ -49,9 +50,13 @@
         route("lookup", "bounded_staleness", 3_000, ",\"max-staleness-ms\":1500"),
         route("scan", "read_your_writes", 1_000, ",\"max-staleness-ms\":2500"),
     ];
+    let routes = match version {
+        7 => routes.join(","),
+        _ => [routes[0].clone(), routes[2].clone()].join(","),
+    };
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"backends\":[{{\"name\":\"ledger\",\"health-check-path\":\"/healthz\",\"max-connections\":50,\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":{sync_replicas}}}],\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}}}}",
-        routes.join(",")
+        "{{\"version\":{version},\"routes\":[{}],\"backends\":[{{\"name\":\"ledger\",\"health-check-path\":\"/healthz\",\"max-connections\":50,\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":{sync_replicas}}}],\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}}}}",
+        routes
     )
 }
 
@@ -65,9 +70,9 @@
         let network = format!("127.{}.{low}", 1 + high % 250);
         let ip = format!("{network}.1");
         let store = Arc::new(Store::default());
-        store.put("op/config", &configuration(rules.sync_replicas));
+        store.put("op/config", &configuration(7, rules.sync_replicas));
         let group = Group::new(rules, store.clone(), record.clone());
-        group.start(&ip, &[("i-p", "hall-a"), ("i-x", "hall-b"), ("i-y", "hall-c")]);
+        group.start(&ip, rules.members);
         thread::sleep(Duration::from_millis(100));
         let answering = store.clone();
         let store_address = http::serve(&ip, Arc::new(move |request| answering.answer(request)));
--- a/review/stand-ins/src/group.rs
+++ b/review/stand-ins/src/group.rs
@@ -49,6 +49,8 @@
     pub is_deaf: bool,
     /// Partitioned from the platform's store, not from the proxies.
     pub is_cut_from_store: bool,
+    /// Partitioned from the other instances.
+    pub is_apart: bool,
     pub is_draining: bool,
     /// Share of requests, in percent, that get `BUSY` though the instance is well.
     pub busy_percent: u64,
@@ -135,8 +137,13 @@
     }
 }
 
+/// The instances of most cases.
+pub const MEMBERS: &[(&str, &str)] = &[("i-p", "hall-a"), ("i-x", "hall-b"), ("i-y", "hall-c")];
+
 /// Figures of the site that a case is played on.
 pub struct SiteRules {
+    /// The instances with their zones, the primary first.
+    pub members: &'static [(&'static str, &'static str)],
     pub sync_replicas: u64,
     pub is_fenced: bool,
     pub promote_time: Duration,
@@ -204,6 +211,7 @@
                 is_paused: false,
                 is_deaf: false,
                 is_cut_from_store: false,
+                is_apart: false,
                 is_draining: false,
                 busy_percent: 0,
                 cut_from: Vec::new(),
@@ -257,7 +265,7 @@
             return;
         };
         let source = &state.instances[&primary];
-        if !source.is_alive {
+        if !source.is_alive || source.is_apart {
             return;
         }
         let (term, zone) = (source.term, source.zone.clone());
@@ -265,7 +273,8 @@
         let names: Vec<String> = state.instances.keys().cloned().collect();
         for name in names.iter().filter(|name| **name != primary) {
             let instance = &state.instances[name];
-            let receives = instance.is_alive && !instance.is_paused && !instance.is_deaf;
+            let receives =
+                instance.is_alive && !instance.is_paused && !instance.is_deaf && !instance.is_apart;
             let held = instance.log.len();
             if !receives || instance.is_primary || held >= length {
                 continue;
@@ -325,6 +334,13 @@
         }
     }
 
+    /// Makes all instances write their entries again at once.
+    pub fn tell_again(&self) {
+        for instance in self.state().instances.values_mut() {
+            instance.told_role = None;
+        }
+    }
+
     /// Ends the process of an instance: its connections and its port reset.
     pub fn crash(&self, name: &str) {
         self.record.line(&format!("instance {name} crashes"));
@@ -359,6 +375,7 @@
                 "failover called holder={holder} token={token} id={instance} answer=503"
             ));
             return Response {
+                era: 0,
                 status: 503,
                 body: "{}".to_owned(),
             };
@@ -381,6 +398,7 @@
             });
         }
         Response {
+            era: 0,
             status,
             body: "{}".to_owned(),
         }
@@ -432,7 +450,7 @@
                 let mut state = group.state();
                 let newest = state.newest_term;
                 let instance = state.instances.get_mut(&former).expect("an instance");
-                if instance.term < newest {
+                if instance.term < newest && !instance.is_apart {
                     instance.is_primary = false;
                 }
             });
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -21,6 +21,8 @@
 }
 
 pub struct Response {
+    /// Number of times that the store came back from a copy.
+    pub era: u32,
     pub status: u16,
     pub body: String,
 }
@@ -29,6 +31,7 @@
     /// Says that the answer is lost: the connection says nothing more.
     pub fn lost() -> Response {
         Response {
+            era: 0,
             status: 0,
             body: String::new(),
         }
@@ -63,8 +66,9 @@
             return None;
         }
         let head = format!(
-            "HTTP/1.1 {} Status\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            "HTTP/1.1 {} Status\r\ncontent-type: application/json\r\nstore-era: {}\r\ncontent-length: {}\r\n\r\n",
             response.status,
+            response.era,
             response.body.len()
         );
         writer.write_all((head + &response.body).as_bytes()).ok()?;
--- a/review/stand-ins/src/late_stop.rs
+++ b/review/stand-ins/src/late_stop.rs
@@ -10,7 +10,7 @@
 
 use crate::Verdict;
 use crate::deployment::Deployment;
-use crate::group::{SERVICE, SiteRules};
+use crate::group::{MEMBERS, SERVICE, SiteRules};
 use crate::process::process_of;
 
 const CALM: Duration = Duration::from_secs(4);
@@ -45,6 +45,7 @@
 
 fn play_round(folder: &Path, trouble: &str) -> Verdict {
     let rules = SiteRules {
+        members: MEMBERS,
         sync_replicas: 0,
         is_fenced: false,
         promote_time: Duration::from_millis(300),
--- a/review/stand-ins/src/line_feed.rs
+++ b/review/stand-ins/src/line_feed.rs
@@ -6,7 +6,7 @@
 use crate::Verdict;
 use crate::client::Client;
 use crate::deployment::Deployment;
-use crate::group::SiteRules;
+use crate::group::{MEMBERS, SiteRules};
 
 /// Data of the writes, with `{LF}` where a line feed stands.
 const NOTES: [&str; 3] = [
@@ -17,6 +17,7 @@
 
 pub fn play(folder: &Path, trouble: &str) -> Verdict {
     let rules = SiteRules {
+        members: MEMBERS,
         sync_replicas: 0,
         is_fenced: true,
         promote_time: Duration::from_millis(600),
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -19,7 +19,9 @@
 mod process;
 mod proxy;
 mod record;
+mod restored;
 mod session;
+mod silent_watch;
 mod stale_holder;
 mod store;
 mod values;
@@ -49,6 +51,8 @@
         "stale-holder" => stale_holder::play(&folder, &trouble),
         "open-transaction" => open_transaction::play(&folder, &trouble),
         "paused" => paused::play(&folder, &trouble),
+        "restored" => restored::play(&folder, &trouble),
+        "silent-watch" => silent_watch::play(&folder, &trouble),
         "values" => values::play(&folder, &trouble),
         "line-feed" => line_feed::play(&folder, &trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
--- a/review/stand-ins/src/newcomer.rs
+++ b/review/stand-ins/src/newcomer.rs
@@ -6,7 +6,7 @@
 
 use crate::Verdict;
 use crate::deployment::Deployment;
-use crate::group::SiteRules;
+use crate::group::{MEMBERS, SiteRules};
 use crate::lost;
 
 const CALM: Duration = Duration::from_secs(3);
@@ -49,6 +49,7 @@
 
 fn play_round(folder: &Path, trouble: &str, round: u32) -> Verdict {
     let rules = SiteRules {
+        members: MEMBERS,
         sync_replicas: 1,
         is_fenced: true,
         promote_time: Duration::from_millis(600),
--- a/review/stand-ins/src/paused.rs
+++ b/review/stand-ins/src/paused.rs
@@ -5,7 +5,7 @@
 
 use crate::Verdict;
 use crate::deployment::Deployment;
-use crate::group::SiteRules;
+use crate::group::{MEMBERS, SiteRules};
 
 const CALM: Duration = Duration::from_secs(4);
 /// Time for which the primary is down.
@@ -16,6 +16,7 @@
 
 pub fn play(folder: &Path, trouble: &str) -> Verdict {
     let rules = SiteRules {
+        members: MEMBERS,
         sync_replicas: 1,
         is_fenced: true,
         promote_time: Duration::from_millis(600),
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -24,6 +24,12 @@
 
 #[derive(Default)]
 struct State {
+    era: u32,
+    is_away: bool,
+    /// Watches on the operator's keys that began before this moment say nothing more.
+    silent_before: Option<Instant>,
+    /// Items and revision of the copy.
+    copy: Option<(BTreeMap<String, (Vec<u8>, u64, u64)>, u64)>,
     items: BTreeMap<String, (Vec<u8>, u64, u64)>,
     changes: Vec<Change>,
     revision: u64,
@@ -155,11 +161,50 @@
 
     pub fn answer(&self, request: &Request) -> Response {
         thread::sleep(ANSWER_TIME);
+        let is_away = self.state().is_away;
+        let mut response = match is_away {
+            true => Response {
+                era: 0,
+                status: 503,
+                body: "{}".to_owned(),
+            },
+            false => self.answer_call(request),
+        };
+        response.era = self.state().era;
+        response
+    }
+
+    pub fn take_copy(&self) {
+        let mut state = self.state();
+        state.copy = Some((state.items.clone(), state.revision));
+    }
+
+    /// Silences the open watches on the operator's keys; new calls work.
+    pub fn silence_configuration_watches(&self) {
+        self.state().silent_before = Some(Instant::now());
+        self.changed.notify_all();
+    }
+
+    /// Takes the store away, or lets it come back from the copy.
+    pub fn set_away(&self, is_away: bool) {
+        let mut state = self.state();
+        state.is_away = is_away;
+        if !is_away && let Some((items, revision)) = state.copy.take() {
+            state.items = items;
+            state.revision = revision;
+            state.changes.retain(|change| change.revision <= revision);
+            state.era += 1;
+        }
+        self.changed.notify_all();
+    }
+
+    fn answer_call(&self, request: &Request) -> Response {
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/kv-range") => self.range(request),
             ("GET", "/kv-watch") => self.watch(request),
             ("POST", "/kv-txn") => self.transact(&request.body),
             _ => Response {
+                era: 0,
                 status: 404,
                 body: "{}".to_owned(),
             },
@@ -178,6 +223,7 @@
             .map(|(key, (value, revision, created))| item(key, Some(value), *revision, *created))
             .collect();
         Response {
+            era: 0,
             status: 200,
             body: format!(
                 "{{\"items\":[{}],\"has-more\":false,\"timestamp\":{}}}",
@@ -197,7 +243,26 @@
             hook(&prefix, request.peer);
         }
         let mut state = self.state();
+        let era = state.era;
+        let began = Instant::now();
         loop {
+            if prefix == "op/" && state.silent_before.is_some_and(|silent| began < silent) {
+                return Response::lost();
+            }
+            if state.era != era || after > state.revision {
+                return Response {
+                    era: 0,
+                    status: 410,
+                    body: "{}".to_owned(),
+                };
+            }
+            if state.is_away {
+                return Response {
+                    era: 0,
+                    status: 503,
+                    body: "{}".to_owned(),
+                };
+            }
             let events: Vec<&Change> = state
                 .changes
                 .iter()
@@ -220,7 +285,11 @@
                     })
                     .collect();
                 let body = format!("{{\"events\":[{}],\"timestamp\":{timestamp}}}", events.join(","));
-                return Response { status: 200, body };
+                return Response {
+                    era: 0,
+                    status: 200,
+                    body,
+                };
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.unwrap_or_else(|poisoned| poisoned.into_inner()).0;
@@ -230,6 +299,7 @@
     fn transact(&self, body: &str) -> Response {
         let Some(call) = Json::parse(body) else {
             return Response {
+                era: 0,
                 status: 400,
                 body: "{}".to_owned(),
             };
@@ -253,6 +323,7 @@
             Ok(revision) => revision,
             Err(items) => {
                 return Response {
+                    era: 0,
                     status: 412,
                     body: format!("{{\"items\":[{}]}}", items.join(",")),
                 };
@@ -265,6 +336,7 @@
             }
         }
         Response {
+            era: 0,
             status: 200,
             body: format!("{{\"revision\":{revision}}}"),
         }
