--- a/review/stand-ins/src/late_stop.rs
+++ b/review/stand-ins/src/late_stop.rs
@@ -13,7 +13,9 @@
 use crate::group::{MEMBERS, SERVICE, SiteRules};
 use crate::process::process_of;
 
-const CALM: Duration = Duration::from_secs(4);
+const CALM: Duration = Duration::from_secs(3);
+/// Time for which the play goes on after the partition.
+const AFTERWARDS: Duration = Duration::from_secs(1);
 /// Pause between the end of a process and its start.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Time from the beginning of the restarted node's watch to the partition of the primary. The
@@ -24,11 +26,11 @@
 /// Clients that write through the restarted node, and their pause after each statement.
 const WRITERS: usize = 12;
 const PAUSE: Duration = Duration::from_millis(5);
-const CUT: Duration = Duration::from_secs(6);
+const CUT: Duration = Duration::from_secs(3);
 
 /// Rounds that are played, each with a new deployment, until the rule breaks. The restarted node may
 /// hear of the closed term from another node in time, about one time in three.
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 6;
 
 pub fn play(folder: &Path, trouble: &str) -> Verdict {
     let rounds = if trouble == "1" { ROUNDS } else { 1 };
@@ -92,7 +94,7 @@
             .cut_from
             .clear();
     }
-    deployment.pass(CALM);
+    deployment.pass(AFTERWARDS);
     deployment.stop();
     judge(&deployment, loses_notice, late_ms.load(Ordering::Relaxed))
 }
--- a/review/stand-ins/src/open_transaction.rs
+++ b/review/stand-ins/src/open_transaction.rs
@@ -46,7 +46,7 @@
     for at in STATEMENTS {
         wait(at);
         let answer = client.query(&new_id(), "WRITE thing-1 b");
-        if !answer.is_some_and(|answer| answer.result.is_ok()) {
+        if answer.is_none_or(|answer| answer.result.is_err()) {
             return Verdict::CouldNotRun("a statement failed before the commit".to_owned());
         }
     }
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -22,6 +22,9 @@
     value: Option<Vec<u8>>,
 }
 
+/// Value, revision of the last change and revision of the creation, by key.
+type Items = BTreeMap<String, (Vec<u8>, u64, u64)>;
+
 #[derive(Default)]
 struct State {
     era: u32,
@@ -29,8 +32,8 @@
     /// Watches on the operator's keys that began before this moment say nothing more.
     silent_before: Option<Instant>,
     /// Items and revision of the copy.
-    copy: Option<(BTreeMap<String, (Vec<u8>, u64, u64)>, u64)>,
-    items: BTreeMap<String, (Vec<u8>, u64, u64)>,
+    copy: Option<(Items, u64)>,
+    items: Items,
     changes: Vec<Change>,
     revision: u64,
 }
