Selection of a successor in modules of its own

Change: millwind-core has the rule in successor.rs, with its reasons for a refusal; the engine asks and compares in failover/selection.rs. No change of behaviour but the reason in the line event=no_successor. Measured: tests of core, platform's failover and incarnations pass as before.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -1,4 +1,4 @@
-//! Leader failure detection and successor selection for a replication group.
+//! Leader failure detection for a replication group.
 //!
 //! Groups do not elect a leader themselves: a proxy node orders the promotion of a
 //! replica. An unnecessary promotion interrupts writes briefly but violates no
@@ -6,8 +6,6 @@
 //! leader does not replace it while more of its peers still can.
 
 use crate::Instant;
-use crate::ids::InstanceName;
-use crate::position::Position;
 
 /// Timeouts of the failover decision, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -179,77 +177,3 @@
     }
     LeaderVerdict::Healthy
 }
-
-/// A replica that is a candidate for promotion.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Successor {
-    /// Name of the replica.
-    pub instance: InstanceName,
-    /// Position up to which the replica has received the log.
-    pub received: Position,
-    /// Whether the replica will shut down soon.
-    pub is_leaving: bool,
-    /// Whether the replica's zone is being evacuated, so that another move would follow.
-    pub is_evacuated: bool,
-    /// Share of the statements requiring the leader that may run in the replica's region,
-    /// in any unit; equal for all candidates if customers allow every region.
-    pub servable_share: u64,
-    /// Whether the replica has just started and accepts few statements.
-    pub is_cold: bool,
-    /// Whether an earlier promotion order, which may still be in progress, names the
-    /// replica; breaks ties.
-    pub is_named_in_order: bool,
-    /// Whether the replica runs in the zone of this node; breaks ties.
-    pub is_in_own_zone: bool,
-}
-
-/// Returns the replica to promote, or `None` if too few replicas have answered or none
-/// of them qualifies.
-///
-/// With synchronous replication a commit is acknowledged once `sync_replicas` of
-/// `replicas` replicas have received it, so any `replicas - sync_replicas + 1` replicas
-/// include one that holds the commit. At least that many must have answered, and they
-/// must not have received anything since.
-///
-/// If the leader is alive, `must_hold` is the position that it reported; promoting a
-/// replica behind that position would lose acknowledged commits. Replicas at or past it
-/// lose nothing, so they are ranked by the share of statements they can serve. Without
-/// `must_hold`, replicas are ranked by the log position they have received.
-pub fn choose_successor(
-    candidates: &[Successor],
-    replicas: usize,
-    sync_replicas: usize,
-    must_hold: Option<Position>,
-) -> Option<&Successor> {
-    let required_answers = match sync_replicas {
-        0 => 1,
-        required => (replicas + 1).saturating_sub(required).max(1),
-    };
-    if candidates.len() < required_answers {
-        return None;
-    }
-    let most_advanced = candidates.iter().map(|successor| successor.received).max()?;
-    candidates
-        .iter()
-        .filter(|successor| sync_replicas == 0 || successor.received == most_advanced)
-        .filter(|successor| must_hold.is_none_or(|minimum| successor.received >= minimum))
-        .max_by_key(|successor| {
-            let received_if_lossy = must_hold.is_none().then_some(successor.received);
-            let serving_order = (
-                !successor.is_evacuated,
-                successor.servable_share,
-                !successor.is_cold,
-            );
-            let tie_breakers = (
-                successor.received,
-                successor.is_named_in_order,
-                successor.is_in_own_zone,
-            );
-            (
-                !successor.is_leaving,
-                received_if_lossy,
-                serving_order,
-                tie_breakers,
-            )
-        })
-}
--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod routing;
 pub mod selection;
 pub mod session_state;
+pub mod successor;
 pub mod tenant;
 pub mod token;
 pub mod warm_up;
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -7,6 +7,7 @@
 mod relocation;
 mod replacement;
 mod revocation;
+mod selection;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/millwind-engine/src/failover/moves.rs
+++ b/crates/millwind-engine/src/failover/moves.rs
@@ -1,9 +1,10 @@
 //! Moves leadership away from a healthy leader: the required position, and when a move ends.
 
 use log::info;
-use millwind_core::failover::{ReplaceReason, Successor};
+use millwind_core::failover::ReplaceReason;
 use millwind_core::lead_relocation::LeaderDemand;
 use millwind_core::position::Position;
+use millwind_core::successor::Successor;
 use millwind_store::Store;
 
 use super::replacement::Replacement;
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -1,28 +1,24 @@
-//! Replaces the leader of a group: compares the positions of the replicas, claims failover
-//! ownership, and requests the promotion of the chosen replica until a new leader is confirmed.
+//! Replaces the leader of a group: claims failover ownership, and requests the promotion of the
+//! selected replica until a new leader is confirmed.
 
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
 use log::{info, warn};
 use millwind_core::Instant;
-use millwind_core::failover::{ReplaceReason, Successor, choose_successor};
+use millwind_core::failover::ReplaceReason;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::lead_permit::term_to_close;
-use millwind_core::position::{Position, Term};
+use millwind_core::position::Term;
 use millwind_store::Store;
 
-use super::pauses::PausedReplicas;
 use super::revocation::ClosedTerm;
+use super::selection::SuccessorChoice;
 use super::{FailoverMonitor, health};
 use crate::clock;
-use crate::directory::KnownInstance;
 use crate::failover_ownership::{Claim, FailoverOwnershipError};
 use crate::ports::{PromotionAnswer, PromotionOrder};
-use crate::statement::{Command, InstanceStatus};
-use crate::term_closing::ask_status_with_connection;
 
 /// Additional delay per rank before a node starts a replacement.
 const DELAY_PER_RANK: Duration = Duration::from_millis(500);
@@ -37,27 +33,6 @@
 /// Age after which a successor must be chosen again, in milliseconds.
 const CHOICE_MAX_AGE_MS: u64 = 250;
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Delay before the positions of replicas are read when a healthy leader is moved, so that they
-/// can receive its last reported position. Without the delay no replica of a busy group would
-/// ever hold that position.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
-
-/// The replica chosen for promotion, and the answers on which the choice is based.
-struct SuccessorChoice {
-    instance: InstanceName,
-    /// When the current incarnation of the instance was first seen, as known before the
-    /// instance reported its position. `None` for the first incarnation.
-    incarnation: Option<Instant>,
-    /// Whether more than half of the group's instances answered. Otherwise this node may be on
-    /// the minority side of a partition.
-    has_majority: bool,
-    /// The newest term reported by any instance.
-    newest_term: Term,
-    /// An instance that reported itself as the leader.
-    reported_leader: Option<InstanceName>,
-    /// The replicas that must remain paused for the compared positions to stay valid.
-    paused: PausedReplicas,
-}
 
 /// A replacement of the leader of one group.
 pub(super) struct Replacement {
@@ -400,169 +375,4 @@
         warn!("event=take_over_late group={group} instance={chosen}");
         OrderOutcome::Retry
     }
-
-    /// Chooses the replica to promote by the positions that the replicas have received.
-    async fn select_successor(
-        &self,
-        replacement: &Replacement,
-        excluded: &HashSet<InstanceName>,
-    ) -> Option<SuccessorChoice> {
-        let sync_replicas = self
-            .engine
-            .directory
-            .group_limits(&replacement.group)?
-            .sync_replicas;
-        let command = self.position_command(&replacement.group, sync_replicas);
-        if replacement.reason.is_planned_move() && sync_replicas > 0 {
-            // The leader is healthy and its commits wait for the replicas, so replicas are
-            // paused only once a suitable one is known.
-            self.select_successor_by(replacement, excluded, Command::Status)
-                .await?;
-        }
-        self.select_successor_by(replacement, excluded, command).await
-    }
-
-    /// Chooses the replica to promote by the answers to `command`.
-    async fn select_successor_by(
-        &self,
-        replacement: &Replacement,
-        excluded: &HashSet<InstanceName>,
-        command: Command<'static>,
-    ) -> Option<SuccessorChoice> {
-        let engine = &self.engine;
-        let group = &replacement.group;
-        let required_position = match replacement.reason.is_planned_move() {
-            true => Some(self.acknowledged_position(replacement).await?),
-            false => self.required_position(replacement),
-        };
-        let sync_replicas = engine.directory.group_limits(group)?.sync_replicas;
-        let known = engine.directory.instances_of(group);
-        let mut replicas: Vec<_> = known
-            .iter()
-            .filter(|known| !replacement.is_old_leader(&known.record.name))
-            .filter(|known| !excluded.contains(&known.record.name))
-            .filter(|known| !known.is_removed)
-            .collect();
-        // With synchronous replicas the comparison needs every answer.
-        if sync_replicas == 0 && replicas.iter().any(|known| !known.health.is_unhealthy()) {
-            replicas.retain(|known| !known.health.is_unhealthy());
-        }
-        let demand = engine.leader_demands.total_demand(group);
-        let served_demand = |known: &KnownInstance| demand.served_in(engine.region_of(known));
-        if replacement.reason.is_planned_move() {
-            tokio::time::sleep(CATCH_UP_DELAY).await;
-        }
-        let requests = replicas
-            .iter()
-            .map(|known| ask_status_with_connection(engine, &known.record, command));
-        let answers = join_all(requests).await;
-        let mut paused = PausedReplicas::default();
-        let mut answered = Vec::new();
-        for (known, answer) in replicas.iter().zip(answers) {
-            let Some((status, connection)) = answer else {
-                continue;
-            };
-            if matches!(command, Command::Pause { .. }) {
-                paused.add(known, connection);
-            }
-            answered.push((known, status));
-        }
-        let previously_chosen = self
-            .ownership
-            .get(group)
-            .and_then(|ownership| ownership.record.chosen);
-        let successors: Vec<_> = answered
-            .iter()
-            .map(|(known, status)| Successor {
-                instance: known.record.name.clone(),
-                received: status.received,
-                is_leaving: known.is_leaving,
-                is_evacuated: engine.directory.evacuated_since(&known.record.zone).is_some(),
-                servable_share: served_demand(known),
-                is_cold: known.warm_up_status.is_cold(clock::now()),
-                is_named_in_order: previously_chosen.as_ref() == Some(&known.record.name),
-                is_in_own_zone: known.record.zone.as_str() == engine.settings.zone,
-            })
-            .collect();
-        if replacement.reason == ReplaceReason::Evacuated {
-            info!(
-                "event=leader_leaves_zone group={group} instance={} answered={} must_hold={}",
-                replacement.old_leader_name(),
-                answered.len(),
-                required_position.unwrap_or_default()
-            );
-        }
-        let total = known
-            .iter()
-            .filter(|known| !replacement.is_old_leader(&known.record.name))
-            .count();
-        let chosen = choose_successor(&successors, total, sync_replicas, required_position)
-            // A healthy leader must not be replaced by a replica that has to leave its zone
-            // too.
-            .filter(|chosen| !replacement.reason.is_planned_move() || !chosen.is_evacuated)
-            .filter(|chosen| self.improves_placement(replacement, chosen, &demand));
-        let Some(chosen) = chosen else {
-            info!(
-                "event=no_successor group={group} lost={} answered={} replicas={total} must_hold={}",
-                replacement.old_leader_name(),
-                answered.len(),
-                required_position.unwrap_or_default()
-            );
-            return None;
-        };
-        info!(
-            "event=successor_chosen group={group} instance={} received={} answered={} replicas={total}",
-            chosen.instance,
-            chosen.received,
-            answered.len()
-        );
-        let members = known.iter().filter(|known| !known.is_removed).count();
-        let chosen_known = replicas.iter().find(|known| known.record.name == chosen.instance);
-        Some(SuccessorChoice {
-            instance: chosen.instance.clone(),
-            incarnation: chosen_known.and_then(|known| known.incarnation_seen_at),
-            has_majority: answered.len() * 2 > members,
-            newest_term: newest_term(answered.iter().map(|(_, status)| status)),
-            reported_leader: answered
-                .iter()
-                .find(|(_, status)| status.is_leader)
-                .map(|(known, _)| known.record.name.clone()),
-            paused,
-        })
-    }
-
-    /// Returns the position that a successor must have received: the last one reported by a
-    /// leader that still serves. For a leader that is shutting down the requirement is dropped
-    /// after half of the drain bound.
-    fn required_position(&self, replacement: &Replacement) -> Option<Position> {
-        if !replacement.reason.is_leader_alive() {
-            return None;
-        }
-        let directory = &self.engine.directory;
-        let known = directory.instance(replacement.old_leader.as_ref()?);
-        let leaving_since = known.and_then(|known| known.leaving_since);
-        let grace_ms = self.engine.settings.drain_bound_ms / 2;
-        if leaving_since.is_some_and(|since| clock::now().millis_since(since) >= grace_ms) {
-            return None;
-        }
-        let newest = directory.newest_observation(&replacement.group)?;
-        Some(newest.position)
-    }
-
-    /// Returns the command that queries the replicas. With synchronous replicas it pauses
-    /// replication, so that positions stay comparable.
-    fn position_command(&self, group: &GroupName, sync_replicas: usize) -> Command<'static> {
-        if sync_replicas == 0 {
-            return Command::Status;
-        }
-        let newest = self.engine.directory.newest_observation(group);
-        let term = newest.map_or(1, |newest| newest.position.term.0 + 1);
-        Command::Pause { term }
-    }
-}
-
-/// Returns the newest term in `statuses`.
-fn newest_term<'a>(statuses: impl Iterator<Item = &'a InstanceStatus>) -> Term {
-    let terms = statuses.map(|status| Term(status.term).max(status.received.term));
-    terms.max().unwrap_or_default()
 }
--- /dev/null
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -0,0 +1,250 @@
+//! Compares the replicas of a group and selects the one to promote.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use futures::future::join_all;
+use log::info;
+use millwind_core::Instant;
+use millwind_core::failover::ReplaceReason;
+use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::position::{Position, Term};
+use millwind_core::successor::{NoSuccessor, Successor, SuccessorRequirements, choose_successor};
+use millwind_store::Store;
+
+use super::FailoverMonitor;
+use super::pauses::PausedReplicas;
+use super::replacement::Replacement;
+use crate::clock;
+use crate::directory::KnownInstance;
+use crate::statement::{Command, InstanceStatus};
+use crate::term_closing::ask_status_with_connection;
+
+/// Delay before the positions of replicas are read when a healthy leader is moved, so that they
+/// can receive its last reported position. Without the delay no replica of a busy group would
+/// ever hold that position.
+const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
+
+/// The replica chosen for promotion, and the answers on which the choice is based.
+pub(super) struct SuccessorChoice {
+    /// The chosen replica.
+    pub instance: InstanceName,
+    /// When the current incarnation of the instance was first seen, as known before the
+    /// instance reported its position. `None` for the first incarnation.
+    pub incarnation: Option<Instant>,
+    /// Whether more than half of the group's instances answered. Otherwise this node may be on
+    /// the minority side of a partition.
+    pub has_majority: bool,
+    /// The newest term reported by any instance.
+    pub newest_term: Term,
+    /// An instance that reported itself as the leader.
+    pub reported_leader: Option<InstanceName>,
+    /// The replicas that must remain paused for the compared positions to stay valid.
+    pub paused: PausedReplicas,
+}
+
+/// Answers of the replicas that were compared.
+#[derive(Default)]
+struct ReplicaAnswers {
+    /// The replicas as known before they were asked, with their answers.
+    answered: Vec<(KnownInstance, InstanceStatus)>,
+    paused: PausedReplicas,
+}
+
+impl<S: Store + 'static> FailoverMonitor<S> {
+    /// Chooses the replica to promote by the positions that the replicas have received.
+    pub(super) async fn select_successor(
+        &self,
+        replacement: &Replacement,
+        excluded: &HashSet<InstanceName>,
+    ) -> Option<SuccessorChoice> {
+        let sync_replicas = self
+            .engine
+            .directory
+            .group_limits(&replacement.group)?
+            .sync_replicas;
+        let command = self.position_command(&replacement.group, sync_replicas);
+        if replacement.reason.is_planned_move() && sync_replicas > 0 {
+            // The leader is healthy and its commits wait for the replicas, so replicas are
+            // paused only once a suitable one is known.
+            self.select_successor_by(replacement, excluded, Command::Status)
+                .await?;
+        }
+        self.select_successor_by(replacement, excluded, command).await
+    }
+
+    /// Chooses the replica to promote by the answers to `command`.
+    async fn select_successor_by(
+        &self,
+        replacement: &Replacement,
+        excluded: &HashSet<InstanceName>,
+        command: Command<'static>,
+    ) -> Option<SuccessorChoice> {
+        let group = &replacement.group;
+        let required_position = match replacement.reason.is_planned_move() {
+            true => Some(self.acknowledged_position(replacement).await?),
+            false => self.required_position(replacement),
+        };
+        let sync_replicas = self.engine.directory.group_limits(group)?.sync_replicas;
+        if replacement.reason.is_planned_move() {
+            tokio::time::sleep(CATCH_UP_DELAY).await;
+        }
+        let replicas = self.replicas_to_ask(replacement, excluded, sync_replicas);
+        let answers = self.ask_replicas(replicas, command).await;
+        let requirements = SuccessorRequirements {
+            sync_replicas,
+            receivers: self.other_instances(replacement).len(),
+            must_hold: required_position,
+        };
+        self.choose_among(replacement, answers, &requirements)
+    }
+
+    /// Returns all known instances of the group except the old leader.
+    fn other_instances(&self, replacement: &Replacement) -> Vec<KnownInstance> {
+        let mut known = self.engine.directory.instances_of(&replacement.group);
+        known.retain(|known| !replacement.is_old_leader(&known.record.name));
+        known
+    }
+
+    fn replicas_to_ask(
+        &self,
+        replacement: &Replacement,
+        excluded: &HashSet<InstanceName>,
+        sync_replicas: usize,
+    ) -> Vec<KnownInstance> {
+        let mut replicas = self.other_instances(replacement);
+        replicas.retain(|known| !excluded.contains(&known.record.name) && !known.is_removed);
+        // With synchronous replicas the comparison needs every answer.
+        if sync_replicas == 0 && replicas.iter().any(|known| !known.health.is_unhealthy()) {
+            replicas.retain(|known| !known.health.is_unhealthy());
+        }
+        replicas
+    }
+
+    async fn ask_replicas(&self, replicas: Vec<KnownInstance>, command: Command<'static>) -> ReplicaAnswers {
+        let requests = replicas
+            .iter()
+            .map(|known| ask_status_with_connection(&self.engine, &known.record, command));
+        let replies = join_all(requests).await;
+        let mut answers = ReplicaAnswers::default();
+        for (known, reply) in replicas.into_iter().zip(replies) {
+            let Some((status, connection)) = reply else {
+                continue;
+            };
+            if matches!(command, Command::Pause { .. }) {
+                answers.paused.add(&known, connection);
+            }
+            answers.answered.push((known, status));
+        }
+        answers
+    }
+
+    /// Chooses the replica to promote by the answers of the replicas.
+    fn choose_among(
+        &self,
+        replacement: &Replacement,
+        answers: ReplicaAnswers,
+        requirements: &SuccessorRequirements,
+    ) -> Option<SuccessorChoice> {
+        let engine = &self.engine;
+        let group = &replacement.group;
+        let ReplicaAnswers { answered, paused } = answers;
+        let demand = engine.leader_demands.total_demand(group);
+        let ownership = self.ownership.get(group);
+        let previously_chosen = ownership.and_then(|ownership| ownership.record.chosen);
+        let successors: Vec<_> = answered
+            .iter()
+            .map(|(known, status)| Successor {
+                instance: known.record.name.clone(),
+                received: status.received,
+                is_leaving: known.is_leaving,
+                is_evacuated: engine.directory.evacuated_since(&known.record.zone).is_some(),
+                servable_share: demand.served_in(engine.region_of(known)),
+                is_cold: known.warm_up_status.is_cold(clock::now()),
+                is_named_in_order: previously_chosen.as_ref() == Some(&known.record.name),
+                is_in_own_zone: known.record.zone.as_str() == engine.settings.zone,
+            })
+            .collect();
+        let must_hold = requirements.must_hold.unwrap_or_default();
+        if replacement.reason == ReplaceReason::Evacuated {
+            info!(
+                "event=leader_leaves_zone group={group} instance={} answered={} must_hold={must_hold}",
+                replacement.old_leader_name(),
+                answered.len(),
+            );
+        }
+        let receivers = requirements.receivers;
+        let chosen = choose_successor(&successors, requirements);
+        let reason = chosen.err().map_or("placement", NoSuccessor::name);
+        let chosen = chosen
+            .ok()
+            // A healthy leader must not be replaced by a replica that has to leave its zone
+            // too.
+            .filter(|chosen| !replacement.reason.is_planned_move() || !chosen.is_evacuated)
+            .filter(|chosen| self.improves_placement(replacement, chosen, &demand));
+        let Some(chosen) = chosen else {
+            info!(
+                "event=no_successor group={group} lost={} reason={reason} answered={} replicas={receivers} must_hold={must_hold}",
+                replacement.old_leader_name(),
+                answered.len(),
+            );
+            return None;
+        };
+        info!(
+            "event=successor_chosen group={group} instance={} received={} answered={} replicas={receivers}",
+            chosen.instance,
+            chosen.received,
+            answered.len()
+        );
+        let known = engine.directory.instances_of(group);
+        let members = known.iter().filter(|known| !known.is_removed).count();
+        let mut chosen_known = answered.iter().map(|(known, _)| known);
+        let chosen_known = chosen_known.find(|known| known.record.name == chosen.instance);
+        Some(SuccessorChoice {
+            instance: chosen.instance.clone(),
+            incarnation: chosen_known.and_then(|known| known.incarnation_seen_at),
+            has_majority: answered.len() * 2 > members,
+            newest_term: newest_term(answered.iter().map(|(_, status)| status)),
+            reported_leader: answered
+                .iter()
+                .find(|(_, status)| status.is_leader)
+                .map(|(known, _)| known.record.name.clone()),
+            paused,
+        })
+    }
+
+    /// Returns the position that a successor must have received: the last one reported by a
+    /// leader that still serves. For a leader that is shutting down the requirement is dropped
+    /// after half of the drain bound.
+    fn required_position(&self, replacement: &Replacement) -> Option<Position> {
+        if !replacement.reason.is_leader_alive() {
+            return None;
+        }
+        let directory = &self.engine.directory;
+        let known = directory.instance(replacement.old_leader.as_ref()?);
+        let leaving_since = known.and_then(|known| known.leaving_since);
+        let grace_ms = self.engine.settings.drain_bound_ms / 2;
+        if leaving_since.is_some_and(|since| clock::now().millis_since(since) >= grace_ms) {
+            return None;
+        }
+        let newest = directory.newest_observation(&replacement.group)?;
+        Some(newest.position)
+    }
+
+    /// Returns the command that queries the replicas. With synchronous replicas it pauses
+    /// replication, so that positions stay comparable.
+    fn position_command(&self, group: &GroupName, sync_replicas: usize) -> Command<'static> {
+        if sync_replicas == 0 {
+            return Command::Status;
+        }
+        let newest = self.engine.directory.newest_observation(group);
+        let term = newest.map_or(1, |newest| newest.position.term.0 + 1);
+        Command::Pause { term }
+    }
+}
+
+/// Returns the newest term in `statuses`.
+fn newest_term<'a>(statuses: impl Iterator<Item = &'a InstanceStatus>) -> Term {
+    let terms = statuses.map(|status| Term(status.term).max(status.received.term));
+    terms.max().unwrap_or_default()
+}
--- a/crates/millwind-model/src/pausing.rs
+++ b/crates/millwind-model/src/pausing.rs
@@ -7,10 +7,10 @@
 //! knows the current incarnation of each replica when it orders. An order takes effect at
 //! once and fences the old leader.
 
-use millwind_core::failover::{Successor, choose_successor};
 use millwind_core::ids::InstanceName;
 use millwind_core::invariant::Invariant;
 use millwind_core::position::Position;
+use millwind_core::successor::{Successor, SuccessorRequirements, choose_successor};
 
 use crate::checker::Model;
 use crate::rule::Rule;
@@ -116,7 +116,12 @@
             .iter()
             .map(|(index, pause)| successor(*index, pause.received))
             .collect();
-        let chosen = choose_successor(&successors, REPLICAS, SYNC_REPLICAS, None)?;
+        let requirements = SuccessorRequirements {
+            sync_replicas: SYNC_REPLICAS,
+            receivers: REPLICAS,
+            must_hold: None,
+        };
+        let chosen = choose_successor(&successors, &requirements).ok()?;
         successors
             .iter()
             .position(|successor| successor == chosen)
