--- a/crates/millwind-core/src/successor.rs
+++ b/crates/millwind-core/src/successor.rs
@@ -6,8 +6,9 @@
 //! takes effect. [`choose_successor`] guarantees this under the following conditions:
 //!
 //! - *Receivers* are all instances except the leader whose receipt may have let the leader
-//!   acknowledge a commit. They include instances whose records were read after the other
-//!   receivers had paused.
+//!   acknowledge a commit. An instance writes its record before it receives anything, so the
+//!   records must be read after the other receivers have paused. An instance that registers
+//!   after that has received nothing that a failed leader acknowledged.
 //! - A receiver that has answered has paused replication and stays paused until the promotion
 //!   takes effect. If fewer than `sync_replicas` receivers have not answered, the leader can
 //!   acknowledge nothing more, and one of the answers covers each acknowledged commit.
--- a/crates/millwind-engine/src/failover/pauses.rs
+++ b/crates/millwind-engine/src/failover/pauses.rs
@@ -34,6 +34,11 @@
         });
     }
 
+    /// Adds the replicas in `other`.
+    pub fn extend(&mut self, other: PausedReplicas) {
+        self.0.extend(other.0);
+    }
+
     /// Returns whether all replicas are still paused: their connections are open and no new
     /// incarnation is known.
     pub fn are_all_paused(&self, directory: &Directory) -> bool {
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -268,8 +268,10 @@
         if !self.revoke_permits(&closed).await {
             return OrderOutcome::Abandon;
         }
+        // A replica that registered before the permits were revoked may hold commits that were
+        // acknowledged under them.
         let is_old = clock::now().millis_since(chosen_at) > CHOICE_MAX_AGE_MS;
-        let chosen = match is_old {
+        let chosen = match is_old || self.is_synchronous(group) {
             false => Some(choice),
             true => {
                 drop(choice);
@@ -307,9 +309,15 @@
         term_to_close(observed.max(choice.newest_term), closed, has_open_order)
     }
 
+    /// Returns whether commits in the group wait for replicas.
+    pub(super) fn is_synchronous(&self, group: &GroupName) -> bool {
+        let limits = self.engine.directory.group_limits(group);
+        limits.is_some_and(|limits| limits.sync_replicas > 0)
+    }
+
     /// Reads all instance records from the store; they show which instances consider themselves
     /// leaders. Returns false if the store did not answer.
-    async fn refresh_instance_records(&self) -> bool {
+    pub(super) async fn refresh_instance_records(&self) -> bool {
         let Ok(listing) = self.ownership.list(self.codec.instances_prefix()).await else {
             return false;
         };
--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -24,6 +24,9 @@
 /// can receive its last reported position. Without the delay no replica of a busy group would
 /// ever hold that position.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of times that receivers are paused and the instance records are read in one
+/// comparison.
+const MAX_PAUSE_ROUNDS: usize = 4;
 
 /// The replica chosen for promotion, and the answers on which the choice is based.
 pub(super) struct SuccessorChoice {
@@ -51,6 +54,13 @@
     paused: PausedReplicas,
 }
 
+impl ReplicaAnswers {
+    fn extend(&mut self, other: ReplicaAnswers) {
+        self.answered.extend(other.answered);
+        self.paused.extend(other.paused);
+    }
+}
+
 impl<S: Store + 'static> FailoverMonitor<S> {
     /// Chooses the replica to promote by the positions that the replicas have received.
     pub(super) async fn select_successor(
@@ -89,8 +99,13 @@
         if replacement.reason.is_planned_move() {
             tokio::time::sleep(CATCH_UP_DELAY).await;
         }
-        let replicas = self.replicas_to_ask(replacement, excluded, sync_replicas);
-        let answers = self.ask_replicas(replicas, command).await;
+        let answers = match command {
+            Command::Pause { .. } => self.pause_receivers(replacement, excluded, command).await?,
+            _ => {
+                let replicas = self.replicas_to_ask(replacement, excluded, sync_replicas);
+                self.ask_replicas(replicas, command).await
+            }
+        };
         let requirements = SuccessorRequirements {
             sync_replicas,
             receivers: self.other_instances(replacement).len(),
@@ -99,6 +114,36 @@
         self.choose_among(replacement, answers, &requirements)
     }
 
+    /// Pauses all receivers, and reads the instance records after that. Repeats both for
+    /// receivers that have registered in the meantime. Returns `None` if the store does not
+    /// answer or if receivers keep registering.
+    async fn pause_receivers(
+        &self,
+        replacement: &Replacement,
+        excluded: &HashSet<InstanceName>,
+        command: Command<'static>,
+    ) -> Option<ReplicaAnswers> {
+        let mut answers = ReplicaAnswers::default();
+        let mut asked = HashSet::new();
+        for _ in 0..MAX_PAUSE_ROUNDS {
+            let mut replicas = self.replicas_to_ask(replacement, excluded, 1);
+            replicas.retain(|known| asked.insert(known.record.name.clone()));
+            if replicas.is_empty() && !asked.is_empty() {
+                return Some(answers);
+            }
+            answers.extend(self.ask_replicas(replicas, command).await);
+            if !self.refresh_instance_records().await {
+                return None;
+            }
+        }
+        info!(
+            "event=receivers_keep_registering group={} asked={}",
+            replacement.group,
+            asked.len()
+        );
+        None
+    }
+
     /// Returns all known instances of the group except the old leader.
     fn other_instances(&self, replacement: &Replacement) -> Vec<KnownInstance> {
         let mut known = self.engine.directory.instances_of(&replacement.group);
