A message without an end is refused with an error

Callers saw: a message of more than 1 MiB closed the session without a word. Cause: the session returned at once when its input could not be decoded. Evidence: a_message_without_an_end_is_refused_with_an_error failed before (no line before the close). Measured: the test passes; a row without an end fails its statement (it did before), and the instance is used again afterwards.

--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -32,6 +32,7 @@
 use crate::clock;
 use crate::directory::SessionCommit;
 use crate::node::{Engine, Phase};
+use crate::ports::CodecError;
 use crate::statement::{CallerMessage, Command, Request, Statement, TransactionState};
 use attempt_log::AttemptLog;
 use caller::CallerContext;
@@ -45,6 +46,9 @@
 const ROUTINE_LOG_INTERVAL: u64 = 500;
 /// Idle time after which a session is closed during a graceful shutdown.
 const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(250);
+/// Maximum time for which input is discarded after a malformed message, so that the caller can
+/// read the error.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// The session of one client connection.
 pub struct Session {
@@ -68,7 +72,8 @@
 enum SessionEvent {
     Message(CallerMessage),
     Closed,
-    Malformed,
+    /// The caller has violated the protocol.
+    Malformed(CodecError),
     TransactionIdleTimeout,
     /// The evacuation of a zone has closed the open transaction's instance.
     InstanceEvacuated,
@@ -159,9 +164,13 @@
     /// accepted.
     async fn open(&mut self) -> bool {
         let limit = Duration::from_secs(10);
-        let message = tokio::time::timeout(limit, self.next_message()).await;
-        let Ok(SessionEvent::Message(CallerMessage::Startup { database, key })) = message else {
-            return false;
+        let (database, key) = match tokio::time::timeout(limit, self.next_message()).await {
+            Ok(SessionEvent::Message(CallerMessage::Startup { database, key })) => (database, key),
+            Ok(SessionEvent::Malformed(error)) => {
+                self.reject_malformed(&error).await;
+                return false;
+            }
+            _ => return false,
         };
         self.database = DatabaseName(database);
         self.key = key;
@@ -203,10 +212,8 @@
                         return;
                     }
                 }
-                SessionEvent::Message(_)
-                | SessionEvent::Closed
-                | SessionEvent::Malformed
-                | SessionEvent::Stop => return,
+                SessionEvent::Malformed(error) => return self.reject_malformed(&error).await,
+                SessionEvent::Message(_) | SessionEvent::Closed | SessionEvent::Stop => return,
             }
         }
     }
@@ -260,7 +267,7 @@
     async fn next_message(&mut self) -> SessionEvent {
         loop {
             match self.engine.caller_codec.decode(&mut self.input) {
-                Err(_) => return SessionEvent::Malformed,
+                Err(error) => return SessionEvent::Malformed(error),
                 Ok(Some(message)) => return SessionEvent::Message(message),
                 Ok(None) => {}
             }
@@ -271,6 +278,33 @@
         }
     }
 
+    /// Tells the caller why its input is rejected, ahead of closing the session.
+    async fn reject_malformed(&mut self, error: &CodecError) {
+        info!(
+            "event=session_malformed session={} database={} error={:?}",
+            self.session_id,
+            self.database,
+            error.to_string()
+        );
+        self.abandon_transaction("malformed message");
+        let refusal = Refusal::new(ErrorKind::Unsupported, error);
+        let mut output = BytesMut::new();
+        let answer = Err(Failure::Refused(refusal));
+        self.engine.caller_codec.encode_final_error(&mut output, &answer);
+        self.input = BytesMut::new();
+        let _ = tokio::time::timeout(LINGER_TIME, self.close_after(&output)).await;
+    }
+
+    /// Sends `output` and closes the sending direction, and then discards input until the caller
+    /// closes. Closing with unread input would reset the connection, which discards `output`.
+    async fn close_after(&mut self, output: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(output).await?;
+        self.stream.shutdown().await?;
+        let mut discarded = [0; READ_BUFFER_BYTES];
+        while self.stream.read(&mut discarded).await? > 0 {}
+        Ok(())
+    }
+
     async fn send(&mut self, answer: &Answer) -> std::io::Result<()> {
         let mut output = BytesMut::new();
         let state = self.transaction_state();
