Log lines escape control characters

Cause: ids and names of callers may hold line feeds now that only CR LF ends a line, and could have added lines to the log. Change: control characters in log lines are escaped.

--- a/crates/millwind-engine/src/logging.rs
+++ b/crates/millwind-engine/src/logging.rs
@@ -60,11 +60,27 @@
         .level_for("millwind_platform", level)
         .level_for("millwind_proxy", level)
         .chain(fern::Output::call(move |record| {
-            enqueue(&sender, record.args().to_string());
+            enqueue(&sender, escape_line(record.args().to_string()));
         }))
         .apply()
 }
 
+/// Escapes control characters, so that texts of callers and instances cannot add lines to the
+/// log.
+pub fn escape_line(line: String) -> String {
+    if !line.contains(char::is_control) {
+        return line;
+    }
+    let mut escaped = String::with_capacity(line.len());
+    for character in line.chars() {
+        match character.is_control() {
+            true => escaped.extend(character.escape_default()),
+            false => escaped.push(character),
+        }
+    }
+    escaped
+}
+
 fn enqueue(sender: &SyncSender<String>, line: String) {
     match sender.try_send(line) {
         Ok(()) => {
