--- a/crates/millwind-core/src/session_state.rs
+++ b/crates/millwind-core/src/session_state.rs
@@ -9,6 +9,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use sha2::{Digest, Sha256};
+
 /// Whether a prepared statement changes data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Access {
@@ -18,6 +20,10 @@
     Write,
 }
 
+/// Longest text that is part of a shared name, in bytes. Longer texts are represented by a
+/// digest.
+const MAX_NAMED_TEXT_BYTES: usize = 64;
+
 /// A prepared statement as defined by a session.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PreparedStatement {
@@ -28,15 +34,30 @@
 }
 
 impl PreparedStatement {
-    /// Returns the name of the statement on shared connections.
+    /// Returns the name of the statement on shared connections, which is a single field of a
+    /// message: it has no blanks and is short. Statements of different text or access have
+    /// different names.
     pub fn shared_name(&self) -> String {
-        match self.access {
-            Access::Read => format!("r_{}", self.text),
-            Access::Write => format!("w_{}", self.text),
+        let access = match self.access {
+            Access::Read => 'r',
+            Access::Write => 'w',
+        };
+        match is_short_word(&self.text) {
+            true => format!("{access}_{}", self.text),
+            false => format!("{access}#{}", hex_digest(&self.text)),
         }
     }
 }
 
+fn is_short_word(text: &str) -> bool {
+    text.len() <= MAX_NAMED_TEXT_BYTES && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn hex_digest(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 /// The values and prepared statements of a client session.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct SessionState {
--- a/crates/millwind-core/tests/session_state.rs
+++ b/crates/millwind-core/tests/session_state.rs
@@ -1,7 +1,7 @@
 //! Tests that a shared connection is brought to a session's state and keeps no values of
 //! other sessions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millwind_core::session_state::{
     Access, ConnectionState, PreparationStep, PreparedStatement, SessionState,
@@ -26,6 +26,21 @@
     assert_ne!(read.shared_name(), write.shared_name());
 }
 
+// Guards against names that an instance reads as several fields of a message.
+#[test]
+fn shared_names_are_short_words() {
+    let long = "x".repeat(10_000);
+    let texts = ["two words", "two\nlines", "", "q1", "k\u{f6}ln", &long, "#", "\r"];
+    let names: BTreeSet<_> = texts.iter().map(|text| statement(text).shared_name()).collect();
+    assert_eq!(names.len(), texts.len(), "{names:?}");
+    for name in names {
+        assert!(
+            name.len() <= 66 && name.bytes().all(|byte| byte.is_ascii_graphic()),
+            "{name:?}"
+        );
+    }
+}
+
 #[test]
 fn a_prepared_connection_needs_no_steps() {
     let mut connection = ConnectionState::default();
