--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -110,6 +110,7 @@
             sync_replicas,
             receivers: self.other_instances(replacement).len(),
             must_hold: required_position,
+            ..SuccessorRequirements::default()
         };
         self.choose_among(replacement, answers, &requirements)
     }
@@ -208,6 +209,7 @@
                 is_cold: known.warm_up_status.is_cold(clock::now()),
                 is_named_in_order: previously_chosen.as_ref() == Some(&known.record.name),
                 is_in_own_zone: known.record.zone.as_str() == engine.settings.zone,
+                is_rejected: false,
             })
             .collect();
         let must_hold = requirements.must_hold.unwrap_or_default();
--- a/crates/millwind-model/src/pausing.rs
+++ b/crates/millwind-model/src/pausing.rs
@@ -119,7 +119,7 @@
         let requirements = SuccessorRequirements {
             sync_replicas: SYNC_REPLICAS,
             receivers: REPLICAS,
-            must_hold: None,
+            ..SuccessorRequirements::default()
         };
         let chosen = choose_successor(&successors, &requirements).ok()?;
         successors
@@ -139,6 +139,7 @@
         is_cold: false,
         is_named_in_order: false,
         is_in_own_zone: false,
+        is_rejected: false,
     }
 }
 
