--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -7,14 +7,16 @@
 use log::info;
 use millwind_core::Instant;
 use millwind_core::failover::ReplaceReason;
-use millwind_core::ids::{GroupName, InstanceName};
+use millwind_core::ids::InstanceName;
 use millwind_core::position::{Position, Term};
-use millwind_core::successor::{NoSuccessor, Successor, SuccessorRequirements, choose_successor};
+use millwind_core::successor::{
+    NoSuccessor, Successor, SuccessorRequirements, choose_successor, confirms_pause,
+};
 use millwind_store::Store;
 
-use super::FailoverMonitor;
 use super::pauses::PausedReplicas;
 use super::replacement::Replacement;
+use super::{FailoverMonitor, health};
 use crate::clock;
 use crate::directory::KnownInstance;
 use crate::statement::{Command, InstanceStatus};
@@ -59,6 +61,13 @@
         self.answered.extend(other.answered);
         self.paused.extend(other.paused);
     }
+
+    /// Returns the newest term that an instance has reported.
+    fn newest_term(&self) -> Term {
+        let statuses = self.answered.iter().map(|(_, status)| status);
+        let terms = statuses.map(|status| Term(status.term).max(status.received.term));
+        terms.max().unwrap_or_default()
+    }
 }
 
 impl<S: Store + 'static> FailoverMonitor<S> {
@@ -73,22 +82,23 @@
             .directory
             .group_limits(&replacement.group)?
             .sync_replicas;
-        let command = self.position_command(&replacement.group, sync_replicas);
-        if replacement.reason.is_planned_move() && sync_replicas > 0 {
+        let is_synchronous = sync_replicas > 0;
+        if replacement.reason.is_planned_move() && is_synchronous {
             // The leader is healthy and its commits wait for the replicas, so replicas are
             // paused only once a suitable one is known.
-            self.select_successor_by(replacement, excluded, Command::Status)
-                .await?;
+            self.select_successor_by(replacement, excluded, false).await?;
         }
-        self.select_successor_by(replacement, excluded, command).await
+        self.select_successor_by(replacement, excluded, is_synchronous)
+            .await
     }
 
-    /// Chooses the replica to promote by the answers to `command`.
+    /// Chooses the replica to promote by the answers of the replicas, which stop receiving if
+    /// `pauses` is set.
     async fn select_successor_by(
         &self,
         replacement: &Replacement,
         excluded: &HashSet<InstanceName>,
-        command: Command<'static>,
+        pauses: bool,
     ) -> Option<SuccessorChoice> {
         let group = &replacement.group;
         let required_position = match replacement.reason.is_planned_move() {
@@ -99,11 +109,11 @@
         if replacement.reason.is_planned_move() {
             tokio::time::sleep(CATCH_UP_DELAY).await;
         }
-        let answers = match command {
-            Command::Pause { .. } => self.pause_receivers(replacement, excluded, command).await?,
-            _ => {
+        let answers = match pauses {
+            true => self.pause_receivers(replacement).await?,
+            false => {
                 let replicas = self.replicas_to_ask(replacement, excluded, sync_replicas);
-                self.ask_replicas(replicas, command).await
+                self.ask_replicas(replicas, Command::Status).await
             }
         };
         let requirements = SuccessorRequirements {
@@ -112,39 +122,63 @@
             must_hold: required_position,
             ..SuccessorRequirements::default()
         };
-        self.choose_among(replacement, answers, &requirements)
+        self.choose_among(replacement, answers, excluded, &requirements)
     }
 
     /// Pauses all receivers, and reads the instance records after that. Repeats both for
     /// receivers that have registered in the meantime. Returns `None` if the store does not
-    /// answer or if receivers keep registering.
-    async fn pause_receivers(
-        &self,
-        replacement: &Replacement,
-        excluded: &HashSet<InstanceName>,
-        command: Command<'static>,
-    ) -> Option<ReplicaAnswers> {
+    /// answer, if one of the instances leads, or if receivers keep registering.
+    async fn pause_receivers(&self, replacement: &Replacement) -> Option<ReplicaAnswers> {
+        let group = &replacement.group;
+        let newest = self.engine.directory.newest_observation(group);
+        let mut pause_term = newest.map_or(Term(1), |newest| Term(newest.position.term.0 + 1));
         let mut answers = ReplicaAnswers::default();
         let mut asked = HashSet::new();
-        for _ in 0..MAX_PAUSE_ROUNDS {
-            let mut replicas = self.replicas_to_ask(replacement, excluded, 1);
-            replicas.retain(|known| asked.insert(known.record.name.clone()));
-            if replicas.is_empty() && !asked.is_empty() {
+        for round in 0..MAX_PAUSE_ROUNDS {
+            let mut receivers = self.other_instances(replacement);
+            receivers.retain(|known| asked.insert(known.record.name.clone()));
+            if receivers.is_empty() && round > 0 {
                 return Some(answers);
             }
-            answers.extend(self.ask_replicas(replicas, command).await);
+            let command = Command::Pause { term: pause_term.0 };
+            answers.extend(self.ask_replicas(receivers, command).await);
+            if let Some(leader) = self.newer_leader(&answers) {
+                info!("event=other_instance_leads group={group} instance={leader}");
+                health::probe_group(&self.engine, group).await;
+                return None;
+            }
+            let newest = answers.newest_term();
+            if !confirms_pause(newest, pause_term) {
+                info!("event=pause_ignored group={group} term={pause_term} newest_term={newest}");
+                pause_term = Term(newest.0 + 1);
+                answers = ReplicaAnswers::default();
+                asked.clear();
+                continue;
+            }
             if !self.refresh_instance_records().await {
                 return None;
             }
         }
         info!(
-            "event=receivers_keep_registering group={} asked={}",
-            replacement.group,
+            "event=receivers_keep_registering group={group} asked={}",
             asked.len()
         );
         None
     }
 
+    /// Returns the instance that leads the newest term by its own answer, if any. Where
+    /// promotions do not fence, that may be the old leader of a closed term.
+    fn newer_leader(&self, answers: &ReplicaAnswers) -> Option<InstanceName> {
+        let newest = answers.newest_term();
+        let mut statuses = answers.answered.iter();
+        let leads = |status: &InstanceStatus| status.is_leader && Term(status.term) == newest;
+        let (known, _) = statuses.find(|(_, status)| leads(status))?;
+        self.engine
+            .directory
+            .is_fenced()
+            .then(|| known.record.name.clone())
+    }
+
     /// Returns all known instances of the group except the old leader.
     fn other_instances(&self, replacement: &Replacement) -> Vec<KnownInstance> {
         let mut known = self.engine.directory.instances_of(&replacement.group);
@@ -190,10 +224,12 @@
         &self,
         replacement: &Replacement,
         answers: ReplicaAnswers,
+        excluded: &HashSet<InstanceName>,
         requirements: &SuccessorRequirements,
     ) -> Option<SuccessorChoice> {
         let engine = &self.engine;
         let group = &replacement.group;
+        let newest_term = answers.newest_term();
         let ReplicaAnswers { answered, paused } = answers;
         let demand = engine.leader_demands.total_demand(group);
         let ownership = self.ownership.get(group);
@@ -209,7 +245,7 @@
                 is_cold: known.warm_up_status.is_cold(clock::now()),
                 is_named_in_order: previously_chosen.as_ref() == Some(&known.record.name),
                 is_in_own_zone: known.record.zone.as_str() == engine.settings.zone,
-                is_rejected: false,
+                is_rejected: excluded.contains(&known.record.name),
             })
             .collect();
         let must_hold = requirements.must_hold.unwrap_or_default();
@@ -251,7 +287,7 @@
             instance: chosen.instance.clone(),
             incarnation: chosen_known.and_then(|known| known.incarnation_seen_at),
             has_majority: answered.len() * 2 > members,
-            newest_term: newest_term(answered.iter().map(|(_, status)| status)),
+            newest_term,
             reported_leader: answered
                 .iter()
                 .find(|(_, status)| status.is_leader)
@@ -277,21 +313,4 @@
         let newest = directory.newest_observation(&replacement.group)?;
         Some(newest.position)
     }
-
-    /// Returns the command that queries the replicas. With synchronous replicas it pauses
-    /// replication, so that positions stay comparable.
-    fn position_command(&self, group: &GroupName, sync_replicas: usize) -> Command<'static> {
-        if sync_replicas == 0 {
-            return Command::Status;
-        }
-        let newest = self.engine.directory.newest_observation(group);
-        let term = newest.map_or(1, |newest| newest.position.term.0 + 1);
-        Command::Pause { term }
-    }
-}
-
-/// Returns the newest term in `statuses`.
-fn newest_term<'a>(statuses: impl Iterator<Item = &'a InstanceStatus>) -> Term {
-    let terms = statuses.map(|status| Term(status.term).max(status.received.term));
-    terms.max().unwrap_or_default()
 }
