A leaving leader that goes on committing is handed over

Cause: a successor had to hold the leader's newest observed position, but the replicas had paused for the comparison and the leader went on committing. After one order without an answer no replica ever held it, until half of the drain bound dropped the requirement. The test a_leaving_leader_that_goes_on_committing_is_ replaced failed before (not replaced within 20 s). Change: where the replicas have paused, the position is not required. Why it works: with all receivers paused the leader acknowledges nothing beyond the highest position among them, which the successor holds.

--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -101,9 +101,13 @@
         pauses: bool,
     ) -> Option<SuccessorChoice> {
         let group = &replacement.group;
-        let required_position = match replacement.reason.is_planned_move() {
-            true => Some(self.acknowledged_position(replacement).await?),
-            false => self.required_position(replacement),
+        let required_position = if replacement.reason.is_planned_move() {
+            Some(self.acknowledged_position(replacement).await?)
+        } else if pauses {
+            // The pauses keep the leader from acknowledging more, but not from committing more.
+            None
+        } else {
+            self.required_position(replacement)
         };
         let sync_replicas = self.engine.directory.group_limits(group)?.sync_replicas;
         if replacement.reason.is_planned_move() {
