--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod lives;
 mod permits;
+mod receivers;
 mod removals;
 mod usage;
 mod warmth;
@@ -34,6 +35,7 @@
 
 pub use contact::InstanceHealth;
 use lives::{PreviousLog, SteppedDown, start_incarnation};
+use receivers::FormerReceiver;
 
 /// Maximum number of log lines per second about the records of single instances. A starting
 /// node reads the records of all instances within seconds.
@@ -124,6 +126,8 @@
     /// proves a later term.
     retired: Option<InstanceName>,
     observations: LeaderObservations,
+    /// Receivers that have ended since the present leader took over.
+    former_receivers: BTreeMap<InstanceName, FormerReceiver>,
     last_use: Option<Instant>,
     last_direct_use: Option<Instant>,
     staleness_ms: Option<u64>,
@@ -306,6 +310,9 @@
         if has_changed {
             state.mark_group_changed(&record.group);
         }
+        if is_new {
+            state.restore_receiver(&record);
+        }
         if has_changed && self.instance_lines.admit() {
             info!(
                 "event=instance_seen instance={} group={} address={} zone={} leaving={} claims_lead={}",
@@ -482,6 +489,7 @@
         }
         let entry = state.groups.entry(group.clone()).or_default();
         entry.observations.record(asked, position);
+        entry.supersede_former_receivers(asked, position);
         self.observed.notify_waiters();
         let newest_term = entry.observations.newest().map(|newest| newest.position.term);
         if newest_term.is_some_and(|newest| term < newest) {
@@ -507,6 +515,9 @@
             "event=leader_proved group={group} instance={instance} term={term} position={}:{}",
             position.term, position.log_position.0
         );
+        if is_other {
+            entry.forget_former_receivers(asked);
+        }
         entry.leader = Some(leader);
         state.mark_group_changed(group);
         if is_other {
--- a/crates/millwind-engine/src/directory/removals.rs
+++ b/crates/millwind-engine/src/directory/removals.rs
@@ -59,14 +59,14 @@
     }
 
     /// Drops instances that have been leaving or removed for more than `bound_ms` and whose
-    /// record is absent. Returns their names.
+    /// record is absent, except receivers of synchronous groups. Returns their names.
     pub fn drop_removed(&self, bound_ms: u64) -> Vec<InstanceName> {
         let now = clock::now();
         let mut state = self.state();
         let dropped: Vec<_> = state
             .instances
             .values()
-            .filter(|known| known.is_removed)
+            .filter(|known| known.is_removed && !state.is_receiver(known))
             .filter(|known| {
                 known
                     .leaving_since
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod moves;
 mod pauses;
+mod receivers;
 mod relocation;
 mod replacement;
 mod revocation;
@@ -29,6 +30,7 @@
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
 use crate::watch_list::WatchList;
+pub(crate) use receivers::check_removed_receivers;
 use relocation::LeadershipHistories;
 use replacement::Replacement;
 
--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -123,6 +123,7 @@
         let requirements = SuccessorRequirements {
             sync_replicas,
             receivers: self.other_instances(replacement).len(),
+            former_receivers: self.engine.directory.former_receivers(group),
             must_hold: required_position,
             ..SuccessorRequirements::default()
         };
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -19,7 +19,7 @@
 use crate::catalog_watch::{ConfigFollower, InstanceFollower};
 use crate::counted_store::CountedStore;
 use crate::directory::{Directory, KnownInstance};
-use crate::failover::FailoverMonitor;
+use crate::failover::{self, FailoverMonitor};
 use crate::failover_ownership::FailoverOwnership;
 use crate::forward::OwnerRouter;
 use crate::in_progress_groups::InProgressGroups;
@@ -128,6 +128,8 @@
     pub unreachable_peers: UnreachablePeers,
     /// Groups whose old leader this node is asking to step down.
     pub stepping_down: Arc<InProgressGroups>,
+    /// Groups whose replicas without a record this node is checking.
+    pub receiver_checks: Arc<InProgressGroups>,
     /// The nodes that own connections to instances.
     pub owners: OwnerRouter,
     /// Pending demand for the leaders of groups.
@@ -520,6 +522,7 @@
         departure: watch::Sender::new(None),
         unreachable_peers: UnreachablePeers::default(),
         stepping_down: Arc::default(),
+        receiver_checks: Arc::default(),
         owners: OwnerRouter::new(settings.topology.clone()),
         leader_demands: LeaderDemandTracker::default(),
         quotas: Quotas::default(),
@@ -597,6 +600,7 @@
         for instance in engine.directory.drop_removed(engine.settings.drain_bound_ms) {
             engine.pools.retire(&instance);
         }
+        failover::check_removed_receivers(&engine);
         let version = engine.registry.version();
         if version != seen_version {
             seen_version = version;
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -103,7 +103,10 @@
 
 fn reachability(engine: &Engine, instance: &InstanceName) -> Reach {
     let Some(known) = engine.directory.instance(instance) else {
-        return Reach::Unknown;
+        return match engine.directory.is_former_receiver(instance) {
+            true => Reach::Failing,
+            false => Reach::Unknown,
+        };
     };
     if known.health.failing_since.is_some() {
         return Reach::Failing;
