LOST: an old leader that is alive steps down before an order

Cause: a leader that some nodes reach goes on serving until the promotion takes effect, 0.3 to 1 s after the order, or seconds later if the order is carried out late. The compared replicas are paused, but one that registers meanwhile receives, and lets the leader acknowledge commits that the successor lacks. Change: in such groups the order is recorded first, then all nodes are asked to make the old leader step down (300 ms at most; not where its host refuses connections), then the records are read again; a replica that has registered meanwhile repeats the comparison. The held token is not used without the store. Why it works: a leader that has stepped down acknowledges nothing. One that no node reaches cannot be heard by callers through the nodes that were asked.

--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -87,12 +87,15 @@
             if self.is_resolved(replacement) {
                 return;
             }
-            let outcome = match self.engine.directory.is_fenced() {
-                true => self.order_promotion(replacement, &excluded, attempt == 0).await,
-                false => {
-                    self.order_unfenced_promotion(replacement, &excluded, attempt == 0)
-                        .await
-                }
+            let is_first = attempt == 0;
+            let outcome = if !self.engine.directory.is_fenced() {
+                self.order_unfenced_promotion(replacement, &excluded, is_first)
+                    .await
+            } else if self.is_synchronous(group) {
+                self.order_synchronous_promotion(replacement, &excluded, is_first)
+                    .await
+            } else {
+                self.order_promotion(replacement, &excluded, is_first).await
             };
             match outcome {
                 OrderOutcome::Replaced => {
@@ -221,6 +224,50 @@
         }
     }
 
+    /// Attempts one promotion in a group whose commits wait for replicas. The order is recorded
+    /// in the store before it is sent, and the old leader is told to step down.
+    async fn order_synchronous_promotion(
+        self: &Arc<Self>,
+        replacement: &Replacement,
+        excluded: &HashSet<InstanceName>,
+        is_first: bool,
+    ) -> OrderOutcome {
+        let group = &replacement.group;
+        if !is_first {
+            // The previous promotion request may have taken effect.
+            health::probe_group(&self.engine, group).await;
+            if self.is_resolved(replacement) {
+                return OrderOutcome::Abandon;
+            }
+        }
+        let Some(choice) = self.select_successor(replacement, excluded).await else {
+            return OrderOutcome::Retry;
+        };
+        let claim = Claim::Promote(choice.instance.clone());
+        let token = match self.ownership.take(group, claim).await {
+            Ok(token) => token,
+            Err(FailoverOwnershipError::Taken) => return OrderOutcome::Abandon,
+            Err(FailoverOwnershipError::Store(_)) => return OrderOutcome::Retry,
+        };
+        if replacement.old_leader.is_some() && replacement.reason != ReplaceReason::ConnectionRefused {
+            let newest = self.engine.directory.newest_observation(group);
+            let observed_term = newest.map_or(Term(0), |newest| newest.position.term);
+            let closed = ClosedTerm {
+                group: group.clone(),
+                term: choice.newest_term.max(observed_term),
+                leader: replacement.old_leader.clone(),
+                successor: choice.instance.clone(),
+                is_leader_serving: false,
+                token,
+            };
+            self.step_down_old_leader(&closed).await;
+        }
+        if self.has_other_receivers(replacement, &choice).await {
+            return OrderOutcome::Retry;
+        }
+        self.promote(group, choice, token).await
+    }
+
     /// Attempts one promotion if promotions do not fence the old leader: first closes its term
     /// and revokes all permits for that term. Both need the store.
     async fn order_unfenced_promotion(
--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -28,6 +28,11 @@
 /// Time for a successor to catch up with a leader that gets no new statements, in milliseconds;
 /// several round trips between regions.
 const CATCH_UP_TIMEOUT_MS: u64 = 800;
+/// Time for the nodes to make an old leader step down where promotions fence it, in
+/// milliseconds; a few round trips between regions.
+const STEP_DOWN_LIMIT_MS: u64 = 300;
+/// Interval between requests to make an old leader step down.
+const STEP_DOWN_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval between position queries to the successor.
 const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -149,6 +154,19 @@
         closed: &ClosedTerm,
         steps_down: bool,
         answered: &mut BTreeSet<SocketAddr>,
+    ) -> bool {
+        let limit = Duration::from_millis(RESPONSE_TIMEOUT_MS);
+        self.request_term_closing_within(limit, closed, steps_down, answered)
+            .await
+    }
+
+    /// Like [`Self::request_term_closing`], with `limit` as the timeout for each answer.
+    async fn request_term_closing_within(
+        &self,
+        limit: Duration,
+        closed: &ClosedTerm,
+        steps_down: bool,
+        answered: &mut BTreeSet<SocketAddr>,
     ) -> bool {
         let Some(record) = self.ownership.document(&closed.group) else {
             return false;
@@ -168,7 +186,6 @@
         if steps_down {
             targets.extend(self.answered_watchers(&closed.group, answered));
         }
-        let limit = Duration::from_millis(RESPONSE_TIMEOUT_MS);
         let requests = targets.iter().map(|address| async {
             let reply = self.engine.peers.ask_uncached(*address, &request, limit).await;
             (*address, reply)
@@ -187,6 +204,35 @@
         has_stepped_down
     }
 
+    /// Asks all nodes to make the old leader step down, for a short time. A node that reaches it
+    /// could otherwise pass on acknowledgements of commits that only a replica has received which
+    /// registered after the comparison. Returns whether the leader has stepped down; no node may
+    /// reach it.
+    pub(super) async fn step_down_old_leader(&self, closed: &ClosedTerm) -> bool {
+        let started = clock::now();
+        let deadline = started.plus_millis(STEP_DOWN_LIMIT_MS);
+        let limit = Duration::from_millis(STEP_DOWN_LIMIT_MS / 2);
+        let mut has_stepped_down = false;
+        while !has_stepped_down && clock::now() < deadline {
+            // Nodes tell the result of an earlier request, so all are asked again.
+            let mut answered = BTreeSet::new();
+            has_stepped_down = self
+                .request_term_closing_within(limit, closed, true, &mut answered)
+                .await;
+            if !has_stepped_down {
+                tokio::time::sleep(STEP_DOWN_INTERVAL).await;
+            }
+        }
+        info!(
+            "event=old_leader_told group={} term={} leader={} stepped_down={has_stepped_down} ms={}",
+            closed.group,
+            closed.term,
+            closed.leader.as_ref().map_or("none", InstanceName::as_str),
+            clock::now().millis_since(started)
+        );
+        has_stepped_down
+    }
+
     /// Hands the leadership over without losing commits: nodes stop sending statements to the
     /// leader, running statements end, the successor catches up, and the leader steps down.
     /// Returns whether the leader stepped down.
--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -46,6 +46,8 @@
     pub reported_leader: Option<InstanceName>,
     /// The replicas that must remain paused for the compared positions to stay valid.
     pub paused: PausedReplicas,
+    /// All replicas that were asked to pause.
+    pub asked: HashSet<InstanceName>,
 }
 
 /// Answers of the replicas that were compared.
@@ -54,12 +56,15 @@
     /// The replicas as known before they were asked, with their answers.
     answered: Vec<(KnownInstance, InstanceStatus)>,
     paused: PausedReplicas,
+    /// All replicas that were asked.
+    asked: HashSet<InstanceName>,
 }
 
 impl ReplicaAnswers {
     fn extend(&mut self, other: ReplicaAnswers) {
         self.answered.extend(other.answered);
         self.paused.extend(other.paused);
+        self.asked.extend(other.asked);
     }
 
     /// Returns the newest term that an instance has reported.
@@ -138,10 +143,9 @@
         let newest = self.engine.directory.newest_observation(group);
         let mut pause_term = newest.map_or(Term(1), |newest| Term(newest.position.term.0 + 1));
         let mut answers = ReplicaAnswers::default();
-        let mut asked = HashSet::new();
         for round in 0..MAX_PAUSE_ROUNDS {
             let mut receivers = self.other_instances(replacement);
-            receivers.retain(|known| asked.insert(known.record.name.clone()));
+            receivers.retain(|known| !answers.asked.contains(&known.record.name));
             if receivers.is_empty() && round > 0 {
                 return Some(answers);
             }
@@ -157,7 +161,6 @@
                 info!("event=pause_ignored group={group} term={pause_term} newest_term={newest}");
                 pause_term = Term(newest.0 + 1);
                 answers = ReplicaAnswers::default();
-                asked.clear();
                 continue;
             }
             if !self.refresh_instance_records().await {
@@ -166,11 +169,32 @@
         }
         info!(
             "event=receivers_keep_registering group={group} asked={}",
-            asked.len()
+            answers.asked.len()
         );
         None
     }
 
+    /// Reads the instance records, and returns whether there may be receivers that were not
+    /// compared for `choice`.
+    pub(super) async fn has_other_receivers(
+        &self,
+        replacement: &Replacement,
+        choice: &SuccessorChoice,
+    ) -> bool {
+        if !self.refresh_instance_records().await {
+            return true;
+        }
+        let mut receivers = self.other_instances(replacement).into_iter();
+        let other = receivers.find(|known| !choice.asked.contains(&known.record.name));
+        if let Some(known) = &other {
+            info!(
+                "event=receiver_registered group={} instance={}",
+                replacement.group, known.record.name
+            );
+        }
+        other.is_some()
+    }
+
     /// Returns the instance that leads the newest term by its own answer, if any. Where
     /// promotions do not fence, that may be the old leader of a closed term.
     fn newer_leader(&self, answers: &ReplicaAnswers) -> Option<InstanceName> {
@@ -212,6 +236,9 @@
             .map(|known| ask_status_with_connection(&self.engine, &known.record, command));
         let replies = join_all(requests).await;
         let mut answers = ReplicaAnswers::default();
+        answers
+            .asked
+            .extend(replicas.iter().map(|known| known.record.name.clone()));
         for (known, reply) in replicas.into_iter().zip(replies) {
             let Some((status, connection)) = reply else {
                 continue;
@@ -235,7 +262,11 @@
         let engine = &self.engine;
         let group = &replacement.group;
         let newest_term = answers.newest_term();
-        let ReplicaAnswers { answered, paused } = answers;
+        let ReplicaAnswers {
+            answered,
+            paused,
+            asked,
+        } = answers;
         let demand = engine.leader_demands.total_demand(group);
         let ownership = self.ownership.get(group);
         let previously_chosen = ownership.and_then(|ownership| ownership.record.chosen);
@@ -298,6 +329,7 @@
                 .find(|(_, status)| status.is_leader)
                 .map(|(known, _)| known.record.name.clone()),
             paused,
+            asked,
         })
     }
 
