LOST: further orders name the replica of an order that may still be carried out

Cause: each attempt chose anew. The fence refuses an earlier order only once a later one has been accepted; before that, the earlier replica may take the lead, resume the others and acknowledge commits. Change: the last order without an answer is kept, or read from the record of another node, and binds the choice for 15 s or until its replica leads. A refused order does not. Restarted nodes take only records that they saw change. Why it works: orders for one replica change nothing once it leads.

--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -3,6 +3,7 @@
 
 mod health;
 mod moves;
+mod open_orders;
 mod pauses;
 mod receivers;
 mod relocation;
@@ -30,6 +31,7 @@
 use crate::peers;
 use crate::ports::{CatalogCodec, Promoter};
 use crate::watch_list::WatchList;
+use open_orders::OpenOrders;
 pub(crate) use receivers::check_removed_receivers;
 use relocation::LeadershipHistories;
 use replacement::Replacement;
@@ -90,6 +92,7 @@
     /// Start of the cooldown after a replacement attempt because of hanging or failing statements.
     statement_failover_times: Mutex<HashMap<GroupName, Instant>>,
     leadership_histories: LeadershipHistories,
+    open_orders: OpenOrders,
     running_reports: Arc<InProgressGroups>,
     /// Time of the last attempt to hand over a leader that is still in an evacuated zone after
     /// the evacuation bound.
@@ -118,6 +121,7 @@
             leaderless: Mutex::new(HashMap::new()),
             statement_failover_times: Mutex::new(HashMap::new()),
             leadership_histories: LeadershipHistories::default(),
+            open_orders: OpenOrders::default(),
             running_reports: Arc::default(),
             evacuation_attempt_times: Mutex::new(HashMap::new()),
         })
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -263,11 +263,18 @@
             self.step_down_old_leader(&closed).await;
         }
         if self.has_other_receivers(replacement, &choice).await {
+            self.withdraw_order(group, &choice.instance, token);
             return OrderOutcome::Retry;
         }
         self.promote(group, choice, token).await
     }
 
+    /// Records that the order under `token` is not sent.
+    fn withdraw_order(&self, group: &GroupName, chosen: &InstanceName, token: u64) {
+        let earlier = self.open_orders.record(group, chosen, token);
+        self.open_orders.refuse(group, earlier);
+    }
+
     /// Attempts one promotion if promotions do not fence the old leader: first closes its term
     /// and revokes all permits for that term. Both need the store.
     async fn order_unfenced_promotion(
@@ -388,6 +395,7 @@
     /// Requests the promotion of the chosen replica and waits until the replica leads.
     async fn promote(&self, group: &GroupName, choice: SuccessorChoice, token: u64) -> OrderOutcome {
         if !choice.paused.are_all_paused(&self.engine.directory) {
+            self.withdraw_order(group, &choice.instance, token);
             return OrderOutcome::Retry;
         }
         if self.incarnation_of(Some(&choice.instance)) != choice.incarnation {
@@ -396,6 +404,7 @@
                 "event=choice_began_anew group={group} instance={}",
                 choice.instance
             );
+            self.withdraw_order(group, &choice.instance, token);
             return OrderOutcome::Retry;
         }
         let chosen = choice.instance;
@@ -405,23 +414,43 @@
             holder: self.engine.settings.name.clone(),
             fencing_token: token,
         };
+        let earlier = self.open_orders.record(group, &chosen, token);
         self.engine.metrics.promotions.inc();
         let answer = self.promoter.promote(order, PROMOTION_TIMEOUT).await;
         self.engine.metrics.calls.count("promote", answer.name());
         info!("event=promotion_ordered group={group} instance={chosen} token={token} answer={answer:?}");
         match answer {
             PromotionAnswer::Accepted => self.await_takeover(group, &chosen).await,
-            PromotionAnswer::Rejected => OrderOutcome::RetryWithout(chosen),
-            PromotionAnswer::Throttled | PromotionAnswer::Unknown => OrderOutcome::Retry,
+            PromotionAnswer::Rejected => {
+                self.open_orders.refuse(group, earlier);
+                OrderOutcome::RetryWithout(chosen)
+            }
+            PromotionAnswer::Throttled => {
+                self.open_orders.refuse(group, earlier);
+                OrderOutcome::Retry
+            }
+            PromotionAnswer::Unknown => OrderOutcome::Retry,
         }
     }
 
+    /// Returns the replica that an earlier order names which may still be carried out. An order
+    /// for the leader that is replaced changes nothing while that leads, and where promotions
+    /// fence it is refused afterwards.
+    pub(super) fn open_order(&self, replacement: &Replacement) -> Option<InstanceName> {
+        let recorded = self.ownership.get(&replacement.group);
+        let named = self
+            .open_orders
+            .open_order(&replacement.group, recorded.as_ref())?;
+        (!replacement.is_old_leader(&named)).then_some(named)
+    }
+
     /// Waits until the chosen replica has proved that it leads.
     async fn await_takeover(&self, group: &GroupName, chosen: &InstanceName) -> OrderOutcome {
         let deadline = clock::now().plus_millis(TAKEOVER_TIMEOUT_MS);
         while clock::now() < deadline {
             let leader = self.engine.directory.leader(group);
             if leader.is_some_and(|leader| leader.instance == *chosen) {
+                self.open_orders.close(group);
                 return OrderOutcome::Replaced;
             }
             let step = clock::now().plus_millis(100).min(deadline);
--- a/crates/millwind-engine/src/failover/selection.rs
+++ b/crates/millwind-engine/src/failover/selection.rs
@@ -130,7 +130,7 @@
             receivers: self.other_instances(replacement).len(),
             former_receivers: self.engine.directory.former_receivers(group),
             must_hold: required_position,
-            ..SuccessorRequirements::default()
+            open_order: self.open_order(replacement).filter(|_| pauses),
         };
         self.choose_among(replacement, answers, excluded, &requirements)
     }
--- a/crates/millwind-engine/src/failover_ownership.rs
+++ b/crates/millwind-engine/src/failover_ownership.rs
@@ -129,6 +129,9 @@
     pub revision: StoreRevision,
     /// When this node first observed this revision.
     pub observed_at: Instant,
+    /// Whether this node had observed an earlier revision, so that this one was written shortly
+    /// before `observed_at`.
+    pub is_change: bool,
 }
 
 /// Why failover ownership was not taken.
@@ -345,6 +348,7 @@
             record,
             revision,
             observed_at: clock::now(),
+            is_change: observed.contains_key(&group),
         };
         observed.insert(group, ownership);
     }
