LOST: an order that may still be carried out is finished

Cause: a replacement ended when the old leader answered again, whatever had been ordered; the order stayed open, its replica paused. Evidence: an_open_order_is_finished_although_the_leader_recovers failed before (nothing was ordered after the recovery, the leader went on). Change: the node that sent the order goes on with the replacement, or begins it anew (reason=unfinished_order), until the replica leads, the order is refused or 15 s are over, or another node holds the duty. Why it works: the leader steps down and a replica with all that it acknowledged takes over; late orders for that replica change nothing, or are refused.

--- a/crates/millwind-core/src/failover.rs
+++ b/crates/millwind-core/src/failover.rs
@@ -78,6 +78,8 @@
     Outlier,
     /// The leader runs in a region that customers do not allow.
     Relocating,
+    /// An earlier order to promote a replica may still be carried out.
+    UnfinishedOrder,
 }
 
 impl ReplaceReason {
@@ -92,7 +94,10 @@
         self.is_detected_by_statements()
             || matches!(
                 self,
-                ReplaceReason::Leaving | ReplaceReason::Evacuated | ReplaceReason::Relocating
+                ReplaceReason::Leaving
+                    | ReplaceReason::Evacuated
+                    | ReplaceReason::Relocating
+                    | ReplaceReason::UnfinishedOrder
             )
     }
 
@@ -113,6 +118,7 @@
             ReplaceReason::Unresponsive => "unresponsive",
             ReplaceReason::Outlier => "outlier",
             ReplaceReason::Relocating => "relocating",
+            ReplaceReason::UnfinishedOrder => "unfinished_order",
         }
     }
 }
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -225,6 +225,9 @@
         let evidence = self.collect_evidence(group, leader.as_ref());
         let verdict = evaluate_leader(clock::now(), &evidence, &self.failover_times());
         let reason = match verdict {
+            LeaderVerdict::Healthy if self.has_unfinished_order(group, leader.as_ref()) => {
+                ReplaceReason::UnfinishedOrder
+            }
             LeaderVerdict::Healthy => return,
             LeaderVerdict::Suspected => {
                 self.engine.expedite_instance_batch();
@@ -256,6 +259,17 @@
         });
     }
 
+    /// Returns whether an order of this node may still replace a healthy leader. Its replica has
+    /// paused, and would lack what the leader acknowledges through others until then.
+    pub(super) fn has_unfinished_order(&self, group: &GroupName, leader: Option<&InstanceName>) -> bool {
+        // The order of a later holder takes the place of this node's.
+        if !self.is_synchronous(group) || self.ownership.held_token(group).is_none() {
+            return false;
+        }
+        let named = self.open_orders.own_open_order(group);
+        leader.is_some() && named.is_some() && named.as_ref() != leader
+    }
+
     /// Returns whether the cooldown for replacements because of failing statements is over, and
     /// restarts it if so. If the new leader shows the same errors, the cause is probably not
     /// the leader.
--- a/crates/millwind-engine/src/failover/open_orders.rs
+++ b/crates/millwind-engine/src/failover/open_orders.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Returns the instance that an open order of this node names.
+    pub fn own_open_order(&self, group: &GroupName) -> Option<InstanceName> {
+        let own = self.orders().get(group).cloned()?;
+        (own.is_open && is_recent(own.sent_at)).then_some(own.instance)
+    }
+
     /// Returns the instance that an open order names, either one of this node or the last one
     /// of another node as recorded in the store.
     pub fn open_order(
@@ -70,16 +76,16 @@
         group: &GroupName,
         recorded: Option<&ObservedOwnership>,
     ) -> Option<InstanceName> {
-        let is_recent = |since: Instant| clock::now().millis_since(since) < ORDER_LIFETIME_MS;
-        let own = self.orders().get(group).cloned();
-        let own_token = own.as_ref().map_or(0, |order| order.token);
+        let own_token = self.orders().get(group).map_or(0, |order| order.token);
         let recorded = recorded.filter(|ownership| ownership.revision.fencing_token() > own_token);
         let recorded = recorded.filter(|ownership| ownership.record.is_ordered && ownership.is_change);
         match recorded {
             Some(ownership) if is_recent(ownership.observed_at) => ownership.record.chosen.clone(),
-            _ => own
-                .filter(|order| order.is_open && is_recent(order.sent_at))
-                .map(|order| order.instance),
+            _ => self.own_open_order(group),
         }
     }
 }
+
+fn is_recent(since: Instant) -> bool {
+    clock::now().millis_since(since) < ORDER_LIFETIME_MS
+}
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -166,6 +166,9 @@
         if !replacement.is_old_leader(&leader.instance) {
             return true;
         }
+        if self.has_unfinished_order(&replacement.group, Some(&leader.instance)) {
+            return false;
+        }
         directory.instance(&leader.instance).is_some_and(|known| {
             let health = &known.health;
             health.failing_since.is_none()
