--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -204,10 +204,10 @@
         has_stepped_down
     }
 
-    /// Asks all nodes to make the old leader step down, for a short time. A node that reaches it
-    /// could otherwise pass on acknowledgements of commits that only a replica has received which
-    /// registered after the comparison. Returns whether the leader has stepped down; no node may
-    /// reach it.
+    /// Asks all nodes to make the old leader step down, for at most [`STEP_DOWN_LIMIT_MS`].
+    /// Otherwise it could acknowledge further commits through a replica that registers after the
+    /// comparison. Returns whether a node confirms that it has stepped down; false if no node
+    /// reaches it.
     pub(super) async fn step_down_old_leader(&self, closed: &ClosedTerm) -> bool {
         let started = clock::now();
         let deadline = started.plus_millis(STEP_DOWN_LIMIT_MS);
