Comments that the wording deleted are back

Cause: the rewording of the code dropped the number or the reason behind some constants and choices. Ruled out: what the newer comment says in other words, and figures that no maintainer needs for a change. Measured: the diff has comment lines only.

--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -21,6 +21,8 @@
 const START_WAIT_MS: u64 = 500;
 /// Time after which such a node reads the store even if relays answer, in milliseconds,
 /// since the relays may be unable to read the store.
+/// A relay of a fleet that starts as a whole has read 3.4 MB by then, over a link of 1 Gbit/s
+/// for 33 of them.
 const MAX_START_WAIT_MS: u64 = 3_000;
 /// Time for which a starting node that can already serve waits for a relay, which may be
 /// starting as well, in milliseconds.
--- a/crates/millwind-core/src/connection_queue.rs
+++ b/crates/millwind-core/src/connection_queue.rs
@@ -8,6 +8,8 @@
 
 /// Number of later requests that may overtake the head of the queue. Requests behind the
 /// head may be overtaken more often, because they also wait for the head.
+/// The statements that overtake take less time together than the target latency of the head
+/// leaves: 4 times some 15 ms, of 600 ms and more.
 const MAX_OVERTAKES: u8 = 4;
 
 /// A request that waits for a connection.
--- a/crates/millwind-core/src/warm_up.rs
+++ b/crates/millwind-core/src/warm_up.rs
@@ -196,6 +196,7 @@
 /// Length of the window over which statements are counted, in milliseconds.
 const COUNTING_WINDOW_MS: u64 = 1_000;
 /// Delay before a node whose request was denied asks again, in milliseconds.
+/// With the limits on the users' sites (12 a second) the lender has some two credits by then.
 const DENIED_RETRY_DELAY_MS: u64 = 100;
 /// Credits that may be saved up, in percent of a window's credits.
 const SAVED_CREDITS_PERCENT: f64 = 10.0;
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -88,6 +88,7 @@
     /// Opens connections in advance to an instance of a configured group if this node runs
     /// statements on it. Backup owners connect on demand, which limits the number of
     /// connections and the cost of ranking nodes at each configuration change.
+    /// Opening them ahead would mean five more for each of 3,000 instances, 12 ms of a slot each.
     fn open_ahead(&self, record: &InstanceRecord) {
         let is_configured = self.directory.group_limits(&record.group).is_some();
         if !is_configured || record.is_leaving || !self.registry.is_listed() {
--- a/crates/millwind-engine/src/connection_shares.rs
+++ b/crates/millwind-engine/src/connection_shares.rs
@@ -166,6 +166,7 @@
     /// Returns the number of idle connections that this node keeps to an instance beyond
     /// the recent demand. Connections that belong to tenants are all kept, because a new
     /// handshake costs the instance as much as a statement.
+    /// It takes 12 ms of a slot on the users' sites.
     pub(crate) fn spare_connections(&self, record: &InstanceRecord) -> usize {
         if !self.runs_statements_on(record) {
             return 0;
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -39,6 +39,7 @@
 
 /// Maximum number of log lines per second about the records of single instances. A starting
 /// node reads the records of all instances within seconds.
+/// Some 4,000 lines from each of 985 nodes would tell no more than their count.
 const INSTANCE_LINES_PER_SECOND: u64 = 20;
 
 /// What this node knows about one instance.
--- a/crates/millwind-engine/src/failover/revocation.rs
+++ b/crates/millwind-engine/src/failover/revocation.rs
@@ -141,6 +141,7 @@
     /// Returns the watchers of the group that have returned their permits. A watcher tells the
     /// leader to step down after its answer, so it must be asked again for the result. If this
     /// node cannot reach the leader itself, it would otherwise wait until all permits expire.
+    /// In one run that left a group without a leader for 3 s after the end of a partition.
     fn answered_watchers(&self, group: &GroupName, answered: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
         let mut watchers = self.engine.watcher_addresses(group);
         watchers.retain(|address| answered.contains(address));
--- a/crates/millwind-engine/src/forward/link_task.rs
+++ b/crates/millwind-engine/src/forward/link_task.rs
@@ -23,6 +23,7 @@
 /// Interval between liveness checks while answers are pending.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Silence in milliseconds after which the owner is pinged.
+/// A statement usually takes that long.
 const PING_AFTER_MS: u64 = 100;
 /// Silence in milliseconds after which all links become suspect. The value exceeds a few
 /// round trips between regions, so a live owner has answered the ping by then.
--- a/crates/millwind-engine/src/leader_demand.rs
+++ b/crates/millwind-engine/src/leader_demand.rs
@@ -15,6 +15,8 @@
 
 /// Length of a counting window, in milliseconds. The demand covers the current window and
 /// the one before.
+/// Long enough for a few statements of each customer, short enough to follow a change of the
+/// region restrictions.
 const WINDOW_LENGTH_MS: u64 = 5_000;
 /// Lifetime of a report from another node, in milliseconds: three report intervals.
 const REPORT_TTL_MS: u64 = 6_000;
--- a/crates/millwind-engine/src/peer_reach.rs
+++ b/crates/millwind-engine/src/peer_reach.rs
@@ -18,6 +18,8 @@
 use crate::peers::PeerRequestError;
 
 /// Number of nodes to probe for the estimate.
+/// The estimate is within some 12 percent, of which half counts, where the users tolerate a
+/// tenth of a quota.
 const SAMPLE_SIZE: usize = 16;
 /// Interval between two probe rounds.
 const PROBE_INTERVAL: Duration = Duration::from_millis(800);
@@ -26,7 +28,8 @@
 /// A node that sent anything over its link within this time is not probed, in
 /// milliseconds.
 const RECENT_TRAFFIC_MS: u64 = 400;
-/// Timeout of a probe: a few round trips between regions.
+/// Timeout of a probe: a few round trips between regions
+/// (20 ms one way on the users' sites), on a busy machine.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Result of probing a node.
--- a/crates/millwind-engine/src/quota.rs
+++ b/crates/millwind-engine/src/quota.rs
@@ -21,7 +21,8 @@
 use crate::lending::Borrower;
 use crate::node::Engine;
 
-/// Timeout of a loan request to another node: a few round trips between regions.
+/// Timeout of a loan request to another node: a few round trips between regions
+/// (20 ms one way on the users' sites), on a busy machine.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Number of lenders of a tenant: the primary lender, which is the first node by rendezvous
 /// hashing, and the backup lender.
--- a/crates/millwind-engine/src/registered_nodes.rs
+++ b/crates/millwind-engine/src/registered_nodes.rs
@@ -131,6 +131,8 @@
 /// Returns the sort key of a node in the order of its zone's relays, greatest first: the
 /// link bandwidth, then the weight for [`RELAY_KEY`]. Bandwidth comes first because a
 /// relay sends the whole catalog to each of its nodes when they start together.
+/// A relay sends the whole catalog, some 0.5 MB, to each of 36 nodes that start together: 7 s
+/// of a link of 20 Mbit/s, and 0.7 s of one of 200.
 pub(crate) fn relay_rank(name: &str, node: Option<&RegisteredNode>) -> (u32, u64) {
     let link_mbps = node.map_or(0, |node| node.record.link_mbps);
     (link_mbps, rendezvous_weight(hash_of(RELAY_KEY), hash_of(name)))
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -29,6 +29,7 @@
 const MAX_PROBE_CALLS: usize = 5;
 /// The store may truncate watch responses with at least this many changes; a shorter
 /// response is complete.
+/// The users' platform cuts listings at some 500 entries.
 const MIN_TRUNCATED_CHANGES: usize = 100;
 /// Maximum time that a starting node waits for the decision whether it reads the store or
 /// relies on relays.
--- a/crates/millwind-engine/src/unreadable_documents.rs
+++ b/crates/millwind-engine/src/unreadable_documents.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Maximum number of remembered documents, which bounds memory and log lines.
+/// A document takes some 300 bytes.
 const MAX_DOCUMENTS: usize = 256;
 /// Maximum length of a reported key or reason, in characters. Both may quote text written
 /// by others.
--- a/crates/millwind-engine/src/warm_up_credits.rs
+++ b/crates/millwind-engine/src/warm_up_credits.rs
@@ -32,10 +32,11 @@
 use crate::registry::Owner;
 
 /// Timeout of a request to an owner for credits or a vote: a few round trips between
-/// regions.
+/// regions (20 ms one way on the users' sites).
 const OWNER_TIMEOUT: Duration = Duration::from_millis(120);
 /// Range of the random pause between two attempts to acquire a credit, in milliseconds;
 /// the jitter spreads the requests of waiting statements.
+/// With the limits on the users' sites two credits become free within it.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 60..140;
 /// Upper bound of the retry delay reported to callers, in milliseconds.
 const MAX_RETRY_AFTER_MS: f64 = 5_000.0;
--- a/crates/millwind-store/src/lib.rs
+++ b/crates/millwind-store/src/lib.rs
@@ -109,6 +109,7 @@
 }
 
 /// Default idle timeout of a listing.
+/// A few answers of a slow store arrive within it (0.4 s each, a hundred times the usual 4 ms).
 pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// A key-value store with revisions, watches and conditional writes.
--- a/crates/millwind-wire/src/store_revision.rs
+++ b/crates/millwind-wire/src/store_revision.rs
@@ -21,6 +21,8 @@
 
 /// Bits of a fencing token that hold the revision number. With at most 8,191 eras, tokens
 /// fit in 53 bits and are exact in readers that use 64-bit floating point.
+/// They last for ten years at 3,200 writes a second, the most that a store of the users' platform
+/// takes.
 const TOKEN_NUMBER_BITS: u32 = 40;
 
 impl StoreRevision {
