One piece for what two promotions and two removals share

Cause: the promotion of a synchronous group repeated the probe before a further attempt and the newest term from its neighbour, and the end of a receiver repeated how an instance is dropped. Change: is_resolved_after_probe, newest_term and State::forget_instance serve both sides. No change of behaviour.

--- a/crates/millwind-engine/src/directory/receivers.rs
+++ b/crates/millwind-engine/src/directory/receivers.rs
@@ -84,18 +84,14 @@
         };
         let (group, incarnation) = (record.group.clone(), record.incarnation);
         info!("event=receiver_ended instance={instance} group={group}");
-        state.mark_group_changed(&group);
         let former = FormerReceiver {
             ended_by: clock::now(),
             reported_after: None,
             incarnation,
         };
-        for group in state.groups.values_mut() {
-            group.discard_lead_state(instance);
-        }
+        state.forget_instance(instance);
         let entry = state.groups.entry(group).or_default();
         entry.former_receivers.insert(instance.clone(), former);
-        state.remove(instance);
         true
     }
 
--- a/crates/millwind-engine/src/directory/removals.rs
+++ b/crates/millwind-engine/src/directory/removals.rs
@@ -5,7 +5,7 @@
 use log::info;
 use millwind_core::ids::InstanceName;
 
-use super::Directory;
+use super::{Directory, State};
 use crate::clock;
 
 impl Directory {
@@ -75,17 +75,24 @@
             .map(|known| known.record.name.clone())
             .collect();
         for name in &dropped {
-            let group = state.instances.get(name).map(|known| known.record.group.clone());
-            if let Some(group) = group {
-                state.mark_group_changed(&group);
-            }
-            // Without the record, an instance that returns under this name is not recognized
-            // as restarted, so its leadership state is discarded here.
-            for group in state.groups.values_mut() {
-                group.discard_lead_state(name);
-            }
-            state.remove(name);
+            state.forget_instance(name);
         }
         dropped
     }
 }
+
+impl State {
+    /// Removes an instance and its leadership state.
+    pub(super) fn forget_instance(&mut self, name: &InstanceName) {
+        let group = self.instances.get(name).map(|known| known.record.group.clone());
+        if let Some(group) = group {
+            self.mark_group_changed(&group);
+        }
+        // Without the record, an instance that returns under this name is not recognized
+        // as restarted, so its leadership state is discarded here.
+        for group in self.groups.values_mut() {
+            group.discard_lead_state(name);
+        }
+        self.remove(name);
+    }
+}
--- a/crates/millwind-engine/src/failover/replacement.rs
+++ b/crates/millwind-engine/src/failover/replacement.rs
@@ -178,6 +178,13 @@
         })
     }
 
+    /// Probes the group, since an earlier promotion may have taken effect, and returns whether
+    /// the replacement is complete or no longer needed.
+    async fn is_resolved_after_probe(&self, replacement: &Replacement) -> bool {
+        health::probe_group(&self.engine, &replacement.group).await;
+        self.is_resolved(replacement)
+    }
+
     /// Attempts one promotion. The first attempt of the failover owner uses its held token, so
     /// that it works while the store is unavailable. Later attempts need a higher token, so that a
     /// delayed earlier request is rejected.
@@ -217,8 +224,7 @@
         if !self.refresh_instance_records().await {
             return OrderOutcome::Retry;
         }
-        health::probe_group(&self.engine, group).await;
-        if self.is_resolved(replacement) {
+        if self.is_resolved_after_probe(replacement).await {
             return OrderOutcome::Abandon;
         }
         match self.select_successor(replacement, excluded).await {
@@ -236,12 +242,8 @@
         is_first: bool,
     ) -> OrderOutcome {
         let group = &replacement.group;
-        if !is_first {
-            // The previous promotion request may have taken effect.
-            health::probe_group(&self.engine, group).await;
-            if self.is_resolved(replacement) {
-                return OrderOutcome::Abandon;
-            }
+        if !is_first && self.is_resolved_after_probe(replacement).await {
+            return OrderOutcome::Abandon;
         }
         let Some(choice) = self.select_successor(replacement, excluded).await else {
             return OrderOutcome::Retry;
@@ -253,11 +255,9 @@
             Err(FailoverOwnershipError::Store(_)) => return OrderOutcome::Retry,
         };
         if replacement.old_leader.is_some() && replacement.reason != ReplaceReason::ConnectionRefused {
-            let newest = self.engine.directory.newest_observation(group);
-            let observed_term = newest.map_or(Term(0), |newest| newest.position.term);
             let closed = ClosedTerm {
                 group: group.clone(),
-                term: choice.newest_term.max(observed_term),
+                term: self.newest_term(group, &choice),
                 leader: replacement.old_leader.clone(),
                 successor: choice.instance.clone(),
                 is_leader_serving: false,
@@ -287,12 +287,8 @@
         is_first: bool,
     ) -> OrderOutcome {
         let group = &replacement.group;
-        if !is_first {
-            // The previous promotion request may have taken effect.
-            health::probe_group(&self.engine, group).await;
-            if self.is_resolved(replacement) {
-                return OrderOutcome::Abandon;
-            }
+        if !is_first && self.is_resolved_after_probe(replacement).await {
+            return OrderOutcome::Abandon;
         }
         let Some(choice) = self.select_successor(replacement, excluded).await else {
             return OrderOutcome::Retry;
@@ -355,15 +351,19 @@
 
     /// Returns the term that must be closed before `choice` is promoted.
     fn term_to_close(&self, group: &GroupName, choice: &SuccessorChoice) -> Term {
-        let directory = &self.engine.directory;
-        let observed = directory.newest_observation(group);
-        let observed = observed.map_or(Term(0), |newest| newest.position.term);
         let ownership = self.ownership.get(group);
         let has_open_order = ownership.is_some_and(|ownership| {
             ownership.record.is_ordered && ownership.record.chosen.as_ref() != Some(&choice.instance)
         });
-        let closed = directory.closed_terms(group).closed();
-        term_to_close(observed.max(choice.newest_term), closed, has_open_order)
+        let closed = self.engine.directory.closed_terms(group).closed();
+        term_to_close(self.newest_term(group, choice), closed, has_open_order)
+    }
+
+    /// Returns the newest term that this node has observed or an instance has reported.
+    fn newest_term(&self, group: &GroupName, choice: &SuccessorChoice) -> Term {
+        let observed = self.engine.directory.newest_observation(group);
+        let observed = observed.map_or(Term(0), |newest| newest.position.term);
+        observed.max(choice.newest_term)
     }
 
     /// Returns whether commits in the group wait for replicas.
