--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -12,6 +12,7 @@
 mod process;
 mod record;
 mod route_back;
+mod stopped_transaction;
 mod store;
 
 use std::path::PathBuf;
@@ -42,6 +43,7 @@
                 "order-after-freeze" => order_after_freeze::run(&record, has_trouble).await,
                 "route-back" => route_back::run(&record, has_trouble).await,
                 "draining-primary" => draining_primary::run(&record, has_trouble).await,
+                "stopped-transaction" => stopped_transaction::run(&record, has_trouble).await,
                 _ => Outcome::NotRun,
             }
         };
