Review case 5: a configuration is read late when idle connections go silent

Cause: the watch of the operator's keys waits up to 18 s on a connection without a keep-alive, and the watch that finds a lost store has another.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -12,6 +12,7 @@
 mod process;
 mod record;
 mod route_back;
+mod silent_watch;
 mod stopped_transaction;
 mod store;
 
@@ -44,6 +45,7 @@
                 "route-back" => route_back::run(&record, has_trouble).await,
                 "draining-primary" => draining_primary::run(&record, has_trouble).await,
                 "stopped-transaction" => stopped_transaction::run(&record, has_trouble).await,
+                "silent-watch" => silent_watch::run(&record, has_trouble).await,
                 _ => Outcome::NotRun,
             }
         };
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -3,7 +3,7 @@
 //! Serves the calls of PROTOCOL.md that the proxy uses: `kv-range`, `kv-watch`, `kv-txn` and
 //! `failover`. It answers every call, in order, after 4 ms.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -57,6 +57,11 @@
     hold: Option<(HoldRule, mpsc::UnboundedSender<HeldWrite>)>,
     /// When a watch on `servers/` was last answered with changes.
     instances_told: Option<Instant>,
+    /// When each open connection last carried something.
+    last_traffic: HashMap<u64, Instant>,
+    /// Connections that carry nothing any more, without a reset.
+    silent: HashSet<u64>,
+    opened_connections: u64,
 }
 
 #[derive(Clone)]
@@ -111,6 +116,17 @@
         receiver
     }
 
+    /// Lets all connections go silent that have carried nothing for `idle`. New ones work. Returns
+    /// how many went silent and how many stay.
+    pub fn silence_idle(&self, idle: Duration) -> (usize, usize) {
+        let mut state = self.state();
+        let is_idle = |at: &Instant| at.elapsed() >= idle;
+        let found = state.last_traffic.iter().filter(|(_, at)| is_idle(at));
+        let found: Vec<u64> = found.map(|(connection, _)| *connection).collect();
+        state.silent.extend(&found);
+        (found.len(), state.last_traffic.len() - found.len())
+    }
+
     pub fn orders(&self) -> Vec<Order> {
         self.state().orders.clone()
     }
@@ -133,13 +149,27 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let connection = {
+            let mut state = self.state();
+            state.opened_connections += 1;
+            state.opened_connections
+        };
         let mut input = Vec::new();
         loop {
+            self.state().last_traffic.insert(connection, Instant::now());
             let Some(request) = read_request(&mut stream, &mut input).await else {
+                self.state().last_traffic.remove(&connection);
                 return;
             };
+            if self.is_silent(connection) {
+                return hold_open(stream).await;
+            }
+            self.state().last_traffic.insert(connection, Instant::now());
             tokio::time::sleep(ANSWER_TIME).await;
             let (status, body) = self.answer(&request).await;
+            if self.is_silent(connection) {
+                return hold_open(stream).await;
+            }
             let text = body.to_string();
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -151,6 +181,10 @@
         }
     }
 
+    fn is_silent(&self, connection: u64) -> bool {
+        self.state().silent.contains(&connection)
+    }
+
     async fn answer(&self, request: &Request) -> (u16, Value) {
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/kv-range") => (200, self.range(&request.query)),
@@ -288,6 +322,12 @@
     }
 }
 
+/// Keeps a silent connection open: nothing is read from it or written to it.
+async fn hold_open(stream: TcpStream) {
+    std::future::pending::<()>().await;
+    drop(stream);
+}
+
 fn item_json(key: &str, item: &Item) -> Value {
     match &item.value {
         Some(value) => {
