--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -41,7 +41,10 @@
     pub async fn open(address: SocketAddr, database: &str) -> Option<Client> {
         let opening = async {
             let (read, mut write) = TcpStream::connect(address).await.ok()?.into_split();
-            write.write_all(format!("STARTUP {database} u3f1\r\n").as_bytes()).await.ok()?;
+            write
+                .write_all(format!("STARTUP {database} u3f1\r\n").as_bytes())
+                .await
+                .ok()?;
             let mut lines = LineReader::new(read);
             let line = lines.next_line().await.ok()??;
             line.starts_with("READY").then_some(Client { lines, write })
@@ -51,10 +54,16 @@
 
     /// Sends a statement and reads its whole answer; none if the connection ends first.
     pub async fn query(&mut self, text: &str) -> Option<Answer> {
-        let id = format!("{:016x}", 0x5c0e_0000_0000_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let id = format!(
+            "{:016x}",
+            0x5c0e_0000_0000_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
+        );
         let sent = Instant::now();
         let asking = async {
-            self.write.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).await.ok()?;
+            self.write
+                .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
+                .await
+                .ok()?;
             let (mut rows, mut result) = (Vec::new(), String::new());
             loop {
                 let line = self.lines.next_line().await.ok()??;
@@ -63,7 +72,14 @@
                 } else if let Some(ready) = line.strip_prefix("READY ") {
                     let state = ready.split(' ').next().unwrap_or("").to_owned();
                     let answered = Instant::now();
-                    return Some(Answer { id, sent, answered, rows, result, state });
+                    return Some(Answer {
+                        id,
+                        sent,
+                        answered,
+                        rows,
+                        result,
+                        state,
+                    });
                 } else {
                     result = line;
                 }
--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -54,7 +54,9 @@
         let store = Store::start(groups.clone(), checks_fences, Duration::from_millis(300)).await;
         let folder = std::env::temp_dir().join(format!("millwind-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let bounds = Bounds { fencing_required: checks_fences };
+        let bounds = Bounds {
+            fencing_required: checks_fences,
+        };
         let proxies = (0..count).map(|number| Proxy::new(&folder, number, count, store.address, &bounds));
         let mut deployment = Deployment {
             proxies: proxies.collect(),
@@ -137,13 +139,23 @@
     let (name, members): (String, Vec<_>) = {
         let state = group.state();
         let members = state.members.iter().map(|(name, member)| {
-            (name.clone(), member.address.clone(), member.faults.dead, state.led_term(name).is_some())
+            (
+                name.clone(),
+                member.address.clone(),
+                member.faults.dead,
+                state.led_term(name).is_some(),
+            )
         });
         (state.name.clone(), members.collect())
     };
     for (index, (instance, address, is_dead, leads)) in members.into_iter().enumerate() {
         if is_dead {
-            let since = *stated.lock().unwrap().dead_since.entry(instance.clone()).or_insert_with(Instant::now);
+            let since = *stated
+                .lock()
+                .unwrap()
+                .dead_since
+                .entry(instance.clone())
+                .or_insert_with(Instant::now);
             // The entry goes after three heartbeats of silence.
             if since.elapsed() >= HEARTBEAT * 3 && stated.lock().unwrap().removed.insert(instance.clone()) {
                 store.remove(&format!("servers/{instance}"));
--- a/review/stand-ins-2/src/draining_primary.rs
+++ b/review/stand-ins-2/src/draining_primary.rs
@@ -18,7 +18,8 @@
 pub async fn run(record: &Record, has_trouble: bool) -> Outcome {
     let group = Group::new(GROUP, &["i-a", "i-b", "i-c"]);
     let config = config(7, &[route("rates", "primary", GROUP, 0)], &[GROUP], 23);
-    let Some(deployment) = Deployment::start(record, vec![group.clone()], true, &config, PROXIES).await else {
+    let Some(deployment) = Deployment::start(record, vec![group.clone()], true, &config, PROXIES).await
+    else {
         return Outcome::NotRun;
     };
     for proxy in &deployment.proxies {
@@ -45,14 +46,38 @@
     record.note("i-b and i-c are back");
     tokio::time::sleep(Duration::from_secs(4)).await;
     let arrivals = group.state().members["i-a"].arrivals.clone();
-    let late: Vec<Instant> = arrivals.iter().map(|arrival| arrival.arrived).filter(|at| *at > drained + DRAIN_TIMEOUT).collect();
+    let late: Vec<Instant> = arrivals
+        .iter()
+        .map(|arrival| arrival.arrived)
+        .filter(|at| *at > drained + DRAIN_TIMEOUT)
+        .collect();
     for at in &late {
         let after = at.duration_since(drained).as_millis();
-        record.note_at(*at, &format!("a client's statement reached i-a {after} ms after the acknowledgement"));
+        record.note_at(
+            *at,
+            &format!("a client's statement reached i-a {after} ms after the acknowledgement"),
+        );
+    }
+    deployment.note_logs(
+        record,
+        &[
+            "leader_",
+            "instance_seen",
+            "promotion_ordered",
+            "instance_failing",
+            "no_successor",
+        ],
+    );
+    record.note(&format!(
+        "statements at i-a={} late={}",
+        arrivals.len(),
+        late.len()
+    ));
+    if late.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
     }
-    deployment.note_logs(record, &["leader_", "instance_seen", "promotion_ordered", "instance_failing", "no_successor"]);
-    record.note(&format!("statements at i-a={} late={}", arrivals.len(), late.len()));
-    if late.is_empty() { Outcome::Held } else { Outcome::Broken }
 }
 
 fn set_dead(group: &Group, is_dead: bool) {
@@ -71,9 +96,14 @@
         };
         loop {
             number += 1;
-            let Some(answer) = client.query(&format!("WRITE {name} v{number}")).await else { break };
+            let Some(answer) = client.query(&format!("WRITE {name} v{number}")).await else {
+                break;
+            };
             if !answer.is_success() {
-                record.note_at(answer.answered, &format!("{name} write {number}: {}", answer.result));
+                record.note_at(
+                    answer.answered,
+                    &format!("{name} write {number}: {}", answer.result),
+                );
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -36,8 +36,14 @@
         let zone = ZONES[usize::from(number) % ZONES.len()];
         let region = REGIONS[usize::from(number) % REGIONS.len()];
         let name = format!("front-{zone}-{number}");
-        let seeds: Vec<_> = (0..count.min(3)).map(|seed| format!("\"{}:8782\"", host(seed))).collect();
-        let zones: Vec<_> = ZONES.iter().zip(REGIONS).map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
+        let seeds: Vec<_> = (0..count.min(3))
+            .map(|seed| format!("\"{}:8782\"", host(seed)))
+            .collect();
+        let zones: Vec<_> = ZONES
+            .iter()
+            .zip(REGIONS)
+            .map(|(zone, region)| format!("{zone} = \"{region}\"\n"))
+            .collect();
         let text = format!(
             "node-name = \"{name}\"\nrole = \"proxy\"\nmachine-class = \"front\"\nserves = [\"front\",\"control_plane\"]\n\
              ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"{region}\"\ninternal-port-range = [7440,7455]\nseeds = [{}]\n\
@@ -85,7 +91,10 @@
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(signal)
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -93,7 +102,10 @@
     pub async fn is_ready(&self) -> bool {
         let asking = async {
             let mut stream = TcpStream::connect(self.ready).await.ok()?;
-            stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await.ok()?;
+            stream
+                .write_all(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .await
+                .ok()?;
             let mut answer = Vec::new();
             stream.read_buf(&mut answer).await.ok()?;
             Some(String::from_utf8_lossy(&answer).contains(" 200 "))
@@ -106,7 +118,10 @@
     pub fn log_lines(&self, parts: &[&str]) -> Vec<String> {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
         let is_wanted = |line: &&str| parts.iter().any(|part| line.contains(part));
-        text.lines().filter(is_wanted).map(|line| format!("{} {line}", self.name)).collect()
+        text.lines()
+            .filter(is_wanted)
+            .map(|line| format!("{} {line}", self.name))
+            .collect()
     }
 
     pub fn kill(&mut self) {
--- a/review/stand-ins-2/src/route_back.rs
+++ b/review/stand-ins-2/src/route_back.rs
@@ -33,7 +33,9 @@
     let second = Group::new(SECOND, &["j-a", "j-b", "j-c"]);
     let groups = vec![first.clone(), second];
     let started = Deployment::start(record, groups, true, &config_with(7, FIRST), PROXIES).await;
-    let Some(deployment) = started else { return Outcome::NotRun };
+    let Some(deployment) = started else {
+        return Outcome::NotRun;
+    };
     tokio::time::sleep(Duration::from_secs(10)).await;
     let mut stale = 0;
     let mut judged = 0;
@@ -41,7 +43,9 @@
         let version = 10 + round * 10;
         // The replica is in the zone of the proxy that has the same place in the order.
         let proxy = &deployment.proxies[1 + round as usize % REPLICAS.len()];
-        let Some(mut client) = Client::open(proxy.front, HOST).await else { return Outcome::NotRun };
+        let Some(mut client) = Client::open(proxy.front, HOST).await else {
+            return Outcome::NotRun;
+        };
         // The replica in the zone of the proxy receives nothing until the round ends.
         let lagging = REPLICAS[round as usize % REPLICAS.len()];
         first.set_ignores_replication(lagging, has_trouble);
@@ -59,7 +63,9 @@
             if !write_in_second(record, &mut client, &deployment.groups[1], &thing).await {
                 return Outcome::NotRun;
             }
-            let taken = deployment.store.put("op/config", &config_with(version + 3, FIRST));
+            let taken = deployment
+                .store
+                .put("op/config", &config_with(version + 3, FIRST));
             record.note_at(taken, "configuration: the route goes to the first service again");
         }
         while written.answered.elapsed() < STALENESS - Duration::from_millis(50) {
@@ -67,7 +73,10 @@
             let Some(read) = ask(record, &mut client, &format!("READ {thing}")).await else {
                 return Outcome::NotRun;
             };
-            let ran_in_first = first.executions()[ran_before..].iter().find(|run| run.request == read.id).cloned();
+            let ran_in_first = first.executions()[ran_before..]
+                .iter()
+                .find(|run| run.request == read.id)
+                .cloned();
             if let (Some(run), true) = (ran_in_first, read.is_success()) {
                 judged += 1;
                 let lacks = read.rows != ["mine"];
@@ -84,7 +93,9 @@
         first.set_ignores_replication(lagging, false);
         tokio::time::sleep(Duration::from_millis(3_000)).await;
     }
-    record.note(&format!("reads in the first service={judged} of them stale={stale}"));
+    record.note(&format!(
+        "reads in the first service={judged} of them stale={stale}"
+    ));
     match (judged, stale) {
         (0, _) => Outcome::NotRun,
         (_, 0) => Outcome::Held,
@@ -96,7 +107,9 @@
 async fn write_in_second(record: &Record, client: &mut Client, second: &Group, thing: &str) -> bool {
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(2) {
-        let Some(read) = ask(record, client, &format!("READ {thing}")).await else { return false };
+        let Some(read) = ask(record, client, &format!("READ {thing}")).await else {
+            return false;
+        };
         let has_moved = second.executions().iter().any(|run| run.request == read.id);
         if has_moved {
             let written = ask(record, client, &format!("WRITE {thing} other")).await;
@@ -110,6 +123,9 @@
 async fn ask(record: &Record, client: &mut Client, text: &str) -> Option<Answer> {
     let answer = client.query(text).await?;
     record.note_at(answer.sent, &format!("sent {} {text}", answer.id));
-    record.note_at(answer.answered, &format!("answered {} rows={:?} {}", answer.id, answer.rows, answer.result));
+    record.note_at(
+        answer.answered,
+        &format!("answered {} rows={:?} {}", answer.id, answer.rows, answer.result),
+    );
     Some(answer)
 }
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -259,7 +259,10 @@
         *highest = token.max(*highest);
         let is_running = group.is_some_and(|group| {
             let group = group.state();
-            group.members.get(&instance).is_some_and(|member| !member.faults.dead)
+            group
+                .members
+                .get(&instance)
+                .is_some_and(|member| !member.faults.dead)
         });
         let status = if is_refused || !is_running { 409 } else { 200 };
         state.orders.push(Order {
@@ -338,7 +341,9 @@
     input.drain(..head_end + 4 + length);
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = query.map(|(name, value)| (name.to_owned(), decode(value))).collect();
+    let query = query
+        .map(|(name, value)| (name.to_owned(), decode(value)))
+        .collect();
     Some(Request {
         method,
         path: path.to_owned(),
