A configuration is read in time when the watches of it go silent on all nodes

For 8.0 s after the acknowledgement of a configuration all six nodes ran writes in the service that a route had left and on a route that was dropped: 296 writes were sent later than the 3 s allowed.

Cause: a watch of the operators' keys waits up to 18 s, and on a silent connection only its own time-out shows that it is lost. The frequent watch of the instances uses another connection. All nodes are struck alike; relays even counted a watched configuration as fresh as the instances, so that nodes behind them did not ask elsewhere.

Ruled out: a slow store, a refused configuration.

Change: instances and configuration are dated apart, by the time at which answered calls were sent, also on the wire (exchange version 11). The node that ranks first, the monitor, checks the configuration beside its watch at a fifth of the bound; the others that read the store compare with it, and check the store themselves at 60% of the bound. The first node's watch of the system's own keys is bounded as well.

Why it works: no node keeps a configuration for longer than 60% of the bound without an answer that vouches for it, whatever happened to its connections; checks do not grow with the number of nodes.

Tests changed: `fresh_instances_do_not_refresh_the_configuration` and `unwatched_configuration_ages` had the fault written into them (a watched configuration took the date of the instances); the new ones demand the exact date of each part.

Tried first: short watches on every reader.

--- a/crates/millwind-core/src/catalog_freshness.rs
+++ b/crates/millwind-core/src/catalog_freshness.rs
@@ -1,59 +1,44 @@
 //! Freshness of a node's copy of the catalog.
 //!
 //! The instances and the configuration are read by separate calls. Reading one does not
-//! refresh the other, so the catalog is only as fresh as the older of the two. Only this
-//! combined age is reported to other nodes.
+//! refresh the other, so each has an age of its own, which is also reported to other nodes.
 
 use crate::Instant;
 
-/// Times at which a node's copy of the catalog last matched the store.
+/// Times at which a node's copy of the catalog last matched the store, as far as is known
+/// directly or through other nodes.
+///
+/// An answer of the store vouches for the time at which the call was sent, not for the time
+/// at which it arrived. A call without an answer vouches for nothing: its connection may have
+/// gone silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct CatalogFreshness {
     /// Time at which the instances were last known to match the store.
     instances: Option<Instant>,
-    /// Time at which the configuration was last known to match the store; not updated while
-    /// the node watches the configuration.
+    /// Time at which the configuration was last known to match the store.
     configuration: Option<Instant>,
-    /// Whether this node has read the configuration and watches it. Configuration changes
-    /// then arrive as soon as changes to instances.
-    is_configuration_watched: bool,
 }
 
 impl CatalogFreshness {
-    /// Records that the store reported its instances to this node at `reported_at`.
-    pub fn record_instances(&mut self, reported_at: Instant) {
-        self.instances = self.instances.max(Some(reported_at));
+    /// Records that the store answered a call about its instances that was sent at `asked`.
+    pub fn record_instances(&mut self, asked: Instant) {
+        self.instances = self.instances.max(Some(asked));
     }
 
-    /// Records that this node has read the configuration with a call sent at `asked` and
-    /// watches it from now on.
-    pub fn record_configuration_read(&mut self, asked: Instant) {
+    /// Records that the store answered a call about its configuration that was sent at `asked`.
+    pub fn record_configuration(&mut self, asked: Instant) {
         self.configuration = self.configuration.max(Some(asked));
-        self.is_configuration_watched = true;
     }
 
-    /// Records that this node no longer watches the configuration, which ages from now on.
-    pub fn configuration_watch_ended(&mut self) {
-        if self.is_configuration_watched {
-            self.configuration = self.configuration.max(self.current_as_of());
-            self.is_configuration_watched = false;
-        }
+    /// Returns the time at which the instances were last known to match the store; `None` if
+    /// they are unknown.
+    pub fn instances_as_of(&self) -> Option<Instant> {
+        self.instances
     }
 
-    /// Records that another node has transferred its whole catalog, which matched the store
-    /// at `matched_at`.
-    pub fn record_peer_catalog(&mut self, matched_at: Instant) {
-        self.instances = self.instances.max(Some(matched_at));
-        self.configuration = self.configuration.max(Some(matched_at));
-    }
-
-    /// Returns the time at which the catalog was last known to match the store; `None` if
-    /// the instances or the configuration are unknown.
-    pub fn current_as_of(&self) -> Option<Instant> {
-        let instances = self.instances?;
-        if self.is_configuration_watched {
-            return Some(instances);
-        }
-        Some(instances.min(self.configuration?))
+    /// Returns the time at which the configuration was last known to match the store; `None` if
+    /// it is unknown.
+    pub fn configuration_as_of(&self) -> Option<Instant> {
+        self.configuration
     }
 }
--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -6,6 +6,7 @@
 //! node that receives no fresh catalog reads the store itself.
 
 use crate::Instant;
+use crate::catalog_freshness::CatalogFreshness;
 
 /// Minimum number of nodes at which a deployment uses relays.
 const MIN_NODES_FOR_RELAYS: usize = 24;
@@ -32,6 +33,12 @@
 /// Interval at which a relay reads the store, as a percentage of the time within which a
 /// configuration must be in force.
 const READ_INTERVAL_PERCENT: u64 = 25;
+/// Interval at which the monitor checks the configuration, as a percentage of the time within
+/// which a configuration must be in force.
+const MONITOR_INTERVAL_PERCENT: u64 = 20;
+/// Time for which a node acts as the monitor after another node contacted it as that, in
+/// milliseconds.
+const MONITOR_ROLE_MS: u64 = 6_000;
 /// Upper limit of the time for which a catalog counts as fresh, as a percentage of the time
 /// within which a configuration must be in force.
 const MAX_FRESH_PERCENT: u64 = 60;
@@ -53,6 +60,11 @@
 pub struct RelayTimes {
     /// Interval at which a relay reads the store, in milliseconds.
     pub read_interval_ms: u64,
+    /// Age of the configuration at which the monitor checks it in the store, in milliseconds.
+    pub monitor_interval_ms: u64,
+    /// Age of the configuration at which any node that watches it checks it in the store, in
+    /// milliseconds. Other nodes then no longer count it as fresh.
+    pub max_configuration_age_ms: u64,
     /// Age from which a catalog no longer counts as fresh, in milliseconds.
     pub max_fresh_age_ms: u64,
     /// Whether relays are fast enough for the time limit on configuration changes.
@@ -67,6 +79,8 @@
         let max_fresh_ms = config_bound_ms * MAX_FRESH_PERCENT / 100;
         RelayTimes {
             read_interval_ms,
+            monitor_interval_ms: config_bound_ms * MONITOR_INTERVAL_PERCENT / 100,
+            max_configuration_age_ms: max_fresh_ms,
             max_fresh_age_ms: (read_interval_ms + FRESHNESS_ALLOWANCE_MS).min(max_fresh_ms),
             allow_relays: config_bound_ms >= MIN_CONFIG_BOUND_MS,
         }
@@ -84,9 +98,8 @@
     pub is_complete: bool,
     /// Time since which the node knows the other nodes and therefore the relays.
     pub members_known_since: Instant,
-    /// Time at which the node's catalog, read directly or through other nodes, was last
-    /// known to match the store.
-    pub matched_store_at: Option<Instant>,
+    /// Times at which the node's catalog was last known to match the store.
+    pub freshness: CatalogFreshness,
     /// Time of the last answer from a relay.
     pub relay_answered: Option<Instant>,
 }
@@ -119,9 +132,45 @@
         silence >= START_WAIT_MS || waited >= MAX_START_WAIT_MS
     }
 
-    /// Whether the catalog recently matched the store.
+    /// Whether both parts of the catalog recently matched the store.
     fn is_fresh(&self, now: Instant, times: &RelayTimes) -> bool {
-        self.matched_store_at
-            .is_some_and(|matched_at| now.millis_since(matched_at) < times.max_fresh_age_ms)
+        let is_recent = |as_of: Option<Instant>, max_age_ms: u64| {
+            as_of.is_some_and(|as_of| now.millis_since(as_of) < max_age_ms)
+        };
+        is_recent(self.freshness.instances_as_of(), times.max_fresh_age_ms)
+            && is_recent(
+                self.freshness.configuration_as_of(),
+                times.max_configuration_age_ms,
+            )
+    }
+}
+
+/// The state from which a node that watches the configuration decides when to check it.
+///
+/// A watch may wait on a connection that went silent, on all nodes at the same time. One node,
+/// the monitor, therefore checks the configuration often, and the others learn from it how old
+/// theirs is. A node that learns nothing in time checks the configuration itself, so that the
+/// bound holds without a monitor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MonitorState {
+    /// Whether the node ranks first among all nodes.
+    pub is_first: bool,
+    /// Time at which another node last contacted this node as the monitor.
+    pub contacted_as_monitor_at: Option<Instant>,
+}
+
+impl MonitorState {
+    /// Whether the node acts as the monitor at `now`.
+    pub fn is_monitor(&self, now: Instant) -> bool {
+        let is_recent = |contacted_at: Instant| now.millis_since(contacted_at) < MONITOR_ROLE_MS;
+        self.is_first || self.contacted_as_monitor_at.is_some_and(is_recent)
+    }
+
+    /// Age of the configuration at which the node checks it in the store, in milliseconds.
+    pub fn check_age_ms(&self, now: Instant, times: &RelayTimes) -> u64 {
+        match self.is_monitor(now) {
+            true => times.monitor_interval_ms,
+            false => times.max_configuration_age_ms,
+        }
     }
 }
--- a/crates/millwind-core/tests/catalog_freshness.rs
+++ b/crates/millwind-core/tests/catalog_freshness.rs
@@ -1,5 +1,4 @@
-//! Tests of catalog freshness: the catalog never counts as newer than its instances or its
-//! configuration.
+//! Tests of catalog freshness: each part of the catalog is dated by answers about itself alone.
 
 use millwind_core::Instant;
 use millwind_core::catalog_freshness::CatalogFreshness;
@@ -9,85 +8,64 @@
     Instant::from_millis(millis)
 }
 
+/// Guards against a configuration that counts as fresh while its watch waits on a silent
+/// connection and the instances are still read.
 #[test]
 fn fresh_instances_do_not_refresh_the_configuration() {
-    let mut freshness = CatalogFreshness::default();
-    freshness.record_peer_catalog(at(1_000));
-    freshness.record_instances(at(5_000));
-    assert_eq!(freshness.current_as_of(), Some(at(1_000)));
-    freshness.record_configuration_read(at(4_900));
-    assert_eq!(freshness.current_as_of(), Some(at(5_000)));
-}
-
-#[test]
-fn unwatched_configuration_ages() {
     let mut freshness = CatalogFreshness::default();
     freshness.record_instances(at(1_000));
-    freshness.record_configuration_read(at(1_000));
-    freshness.record_instances(at(3_000));
-    freshness.configuration_watch_ended();
-    freshness.record_instances(at(9_000));
-    assert_eq!(freshness.current_as_of(), Some(at(3_000)));
+    freshness.record_configuration(at(1_000));
+    freshness.record_instances(at(5_000));
+    assert_eq!(freshness.instances_as_of(), Some(at(5_000)));
+    assert_eq!(freshness.configuration_as_of(), Some(at(1_000)));
+    freshness.record_configuration(at(4_900));
+    assert_eq!(freshness.configuration_as_of(), Some(at(4_900)));
 }
 
 #[test]
-fn freshness_requires_instances_and_configuration() {
+fn an_unknown_part_has_no_date() {
     let mut freshness = CatalogFreshness::default();
-    assert_eq!(freshness.current_as_of(), None);
+    assert_eq!(freshness.instances_as_of(), None);
     freshness.record_instances(at(1_000));
-    assert_eq!(freshness.current_as_of(), None);
+    assert_eq!(freshness.configuration_as_of(), None);
 }
 
 #[derive(Debug, Clone)]
 enum Event {
-    Instances,
-    Read,
-    Unwatched,
-    FromPeer(u64),
+    Instances(u64),
+    Configuration(u64),
 }
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        Just(Event::Instances),
-        Just(Event::Read),
-        Just(Event::Unwatched),
-        (0_u64..5_000).prop_map(Event::FromPeer),
+        (0_u64..5_000).prop_map(Event::Instances),
+        (0_u64..5_000).prop_map(Event::Configuration),
     ]
 }
 
 proptest! {
-    /// While the configuration is not watched, the catalog never counts as newer than the
-    /// end of the last watch or the last catalog received from another node.
+    /// Each part is dated by the newest answer about it, in whatever order answers of different
+    /// ages arrive from the store and from other nodes.
     #[test]
-    fn catalog_is_never_newer_than_last_known_configuration(
+    fn each_part_is_dated_by_its_own_newest_answer(
         events in prop::collection::vec((event(), 1_u64..2_000), 1..60),
     ) {
         let mut freshness = CatalogFreshness::default();
-        let (mut now, mut last_known, mut is_watched) = (10_000, 0, false);
+        let (mut now, mut instances, mut configuration) = (10_000, None, None);
         for (event, elapsed) in events {
             now += elapsed;
             match event {
-                Event::Instances => freshness.record_instances(at(now)),
-                Event::Read => {
-                    freshness.record_configuration_read(at(now));
-                    is_watched = true;
-                    last_known = now;
-                }
-                Event::Unwatched => {
-                    freshness.configuration_watch_ended();
-                    is_watched = false;
+                Event::Instances(age) => {
+                    freshness.record_instances(at(now - age));
+                    instances = instances.max(Some(at(now - age)));
                 }
-                Event::FromPeer(age) => {
-                    freshness.record_peer_catalog(at(now - age));
-                    last_known = last_known.max(now - age);
+                Event::Configuration(age) => {
+                    freshness.record_configuration(at(now - age));
+                    configuration = configuration.max(Some(at(now - age)));
                 }
             }
-            if is_watched {
-                last_known = now;
-            }
-            if let Some(as_of) = freshness.current_as_of() {
-                prop_assert!(as_of <= at(last_known), "{as_of:?} after {last_known}");
-            }
+            prop_assert_eq!(freshness.instances_as_of(), instances);
+            prop_assert_eq!(freshness.configuration_as_of(), configuration);
         }
     }
 }
--- a/crates/millwind-core/tests/catalog_relay.rs
+++ b/crates/millwind-core/tests/catalog_relay.rs
@@ -1,18 +1,29 @@
 //! Tests of the choice of nodes that read the catalog from the store.
 
 use millwind_core::Instant;
-use millwind_core::catalog_relay::{CatalogState, RelayTimes, relay_count};
+use millwind_core::catalog_freshness::CatalogFreshness;
+use millwind_core::catalog_relay::{CatalogState, MonitorState, RelayTimes, relay_count};
 use proptest::prelude::*;
 
 const NOW: Instant = Instant::from_millis(100_000);
 
+/// A catalog that matched the store as of one time.
+fn matched_at(as_of: Option<Instant>) -> CatalogFreshness {
+    let mut freshness = CatalogFreshness::default();
+    if let Some(as_of) = as_of {
+        freshness.record_instances(as_of);
+        freshness.record_configuration(as_of);
+    }
+    freshness
+}
+
 fn state() -> CatalogState {
     CatalogState {
         is_relay: false,
         contacted_as_relay_at: None,
         is_complete: true,
         members_known_since: Instant::from_millis(1_000),
-        matched_store_at: Some(NOW),
+        freshness: matched_at(Some(NOW)),
         relay_answered: None,
     }
 }
@@ -61,20 +72,56 @@
 
 #[test]
 fn node_with_stale_catalog_reads_store() {
-    for matched_at in [None, Some(Instant::from_millis(97_000))] {
+    for as_of in [None, Some(Instant::from_millis(97_000))] {
         let stale = CatalogState {
-            matched_store_at: matched_at,
+            freshness: matched_at(as_of),
             ..state()
         };
-        assert!(stale.must_read_store(NOW, &times()), "{matched_at:?}");
+        assert!(stale.must_read_store(NOW, &times()), "{as_of:?}");
     }
 }
 
+/// Guards against a node that relies on relays whose instances are fresh while their
+/// configuration is not.
+#[test]
+fn node_with_stale_configuration_reads_store() {
+    let mut freshness = matched_at(Some(NOW));
+    assert!(!CatalogState { freshness, ..state() }.must_read_store(NOW, &times()));
+    let later = NOW.plus_millis(times().max_configuration_age_ms);
+    freshness.record_instances(later);
+    let stale = CatalogState { freshness, ..state() };
+    assert!(stale.must_read_store(later, &times()));
+}
+
+#[test]
+fn the_monitor_checks_the_configuration_more_often_than_others() {
+    let other = MonitorState {
+        is_first: false,
+        contacted_as_monitor_at: None,
+    };
+    let first = MonitorState {
+        is_first: true,
+        ..other
+    };
+    let contacted = MonitorState {
+        contacted_as_monitor_at: Some(NOW),
+        ..other
+    };
+    let (times, later) = (times(), NOW.plus_millis(10_000));
+    assert_eq!(first.check_age_ms(NOW, &times), times.monitor_interval_ms);
+    assert_eq!(contacted.check_age_ms(NOW, &times), times.monitor_interval_ms);
+    assert_eq!(other.check_age_ms(NOW, &times), times.max_configuration_age_ms);
+    assert_eq!(
+        contacted.check_age_ms(later, &times),
+        times.max_configuration_age_ms
+    );
+}
+
 #[test]
 fn node_with_incomplete_catalog_waits_briefly_for_relays() {
     let starting = CatalogState {
         is_complete: false,
-        matched_store_at: None,
+        freshness: matched_at(None),
         members_known_since: Instant::from_millis(99_600),
         ..state()
     };
@@ -82,7 +129,7 @@
     assert!(starting.must_read_store(NOW.plus_millis(150), &times()));
     // A fresh catalog contains everything in the store, even if it is incomplete.
     let with_fresh_catalog = CatalogState {
-        matched_store_at: Some(NOW),
+        freshness: matched_at(Some(NOW)),
         ..starting
     };
     assert!(!with_fresh_catalog.must_read_store(NOW.plus_millis(150), &times()));
@@ -94,7 +141,7 @@
 fn node_with_incomplete_catalog_waits_longer_for_answering_relays() {
     let starting = CatalogState {
         is_complete: false,
-        matched_store_at: None,
+        freshness: matched_at(None),
         members_known_since: Instant::from_millis(98_000),
         relay_answered: Some(Instant::from_millis(99_900)),
         ..state()
@@ -112,7 +159,7 @@
 #[test]
 fn starting_node_waits_for_first_relay_answer() {
     let starting = CatalogState {
-        matched_store_at: None,
+        freshness: matched_at(None),
         members_known_since: Instant::from_millis(99_500),
         ..state()
     };
@@ -135,6 +182,8 @@
         prop_assume!(times.allow_relays);
         let comparison_ms = 800;
         prop_assert!(times.max_fresh_age_ms + comparison_ms <= config_bound_ms);
+        prop_assert!(times.max_configuration_age_ms + comparison_ms <= config_bound_ms);
         prop_assert!(times.read_interval_ms < times.max_fresh_age_ms);
+        prop_assert!(times.monitor_interval_ms < times.max_configuration_age_ms);
     }
 }
--- a/crates/millwind-engine/src/catalog_cache.rs
+++ b/crates/millwind-engine/src/catalog_cache.rs
@@ -161,7 +161,8 @@
         engine: &Engine,
     ) -> ExchangeReply {
         // Taken before the documents are read, since it does not cover later changes.
-        let store_age_ms = encode_age_ms(engine.relays.store_age_ms());
+        let instances_age_ms = encode_age_ms(engine.relays.instances_age_ms());
+        let config_age_ms = encode_age_ms(engine.relays.configuration_age_ms());
         let mut state = self.state();
         let missing_config = state
             .config
@@ -177,7 +178,8 @@
             own: engine.own_keys.documents_after(own_revision),
             own_revision: engine.own_keys.known_revision(),
             complete: u8::from(engine.directory.is_complete()),
-            store_age_ms,
+            instances_age_ms,
+            config_age_ms,
             own_age_ms: encode_age_ms(engine.directory.closed_terms_age_ms()),
         }
     }
--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -52,16 +52,10 @@
 }
 
 impl Engine {
-    /// Records that this node has current instance data from the store.
-    pub fn record_store_contact(&self) {
-        self.directory.record_store_contact();
-        self.relays.instances_heard();
-    }
-
-    /// Records that a peer had current data from the store at `current_as_of`. If that
+    /// Records that a peer transferred its instances, which matched the store at `as_of`. If that
     /// ends an outage, all followers read again, since this node's watches may have been lost.
-    pub fn record_peer_store_contact(&self, current_as_of: Instant) {
-        let ends_outage = self.relays.record_peer_freshness(current_as_of);
+    pub fn record_peer_instances(&self, as_of: Instant) {
+        let ends_outage = self.relays.record_peer_instances(as_of);
         if ends_outage && !self.relays.is_reading_store() {
             self.store_contact.request_reread();
         }
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -17,6 +17,13 @@
 use crate::ports::CatalogCodec;
 use crate::store_watch::{CatalogSource, Follower, MAX_RETRY_DELAY, MAX_RETRY_DELAY_BEHIND_RELAYS};
 
+/// Longest wait of one watch call on the instances. They change often, so a short wait detects an
+/// outage of the store early.
+const INSTANCES_WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// The same wait on relays, which pause between two calls and vouch for the time at which the
+/// last answered one was sent.
+const RELAY_INSTANCES_WATCH_WAIT: Duration = Duration::from_millis(250);
+
 /// Returns the maximum delay of this node between two retries while the store is
 /// unavailable.
 fn retry_delay_limit(engine: &Engine) -> Duration {
@@ -71,8 +78,9 @@
         self.engine.relays.configuration_read(asked);
     }
 
-    fn watch_stopped(&self) {
-        self.engine.relays.configuration_watch_ended();
+    fn outdated(&self) -> BoxFuture<'_, ()> {
+        let relays = &self.engine.relays;
+        Box::pin(relays.configuration_outdated(&self.engine.registry))
     }
 
     fn catalog_source(&self) -> Option<watch::Receiver<CatalogSource>> {
@@ -127,7 +135,7 @@
             .unreadable_documents
             .retain_listed(self.codec.instances_prefix(), |key| keys.contains(key));
         self.engine.catalog_cache.advance_instances_revision(revision);
-        self.engine.record_store_contact();
+        self.engine.directory.record_store_contact();
     }
 
     fn store_answers(&self) {
@@ -141,11 +149,22 @@
         let newest = entries.iter().map(|entry| entry.revision).max();
         let cache = &self.engine.catalog_cache;
         cache.advance_instances_revision(newest.unwrap_or_default());
-        self.engine.record_store_contact();
+        self.engine.directory.record_store_contact();
     }
 
     fn watch_answered(&self) {
-        self.engine.record_store_contact();
+        self.engine.directory.record_store_contact();
+    }
+
+    fn complete(&self, asked: Instant) {
+        self.engine.relays.instances_read(asked);
+    }
+
+    fn max_watch_wait(&self) -> Duration {
+        match self.engine.relays.are_used(&self.engine.registry) {
+            true => RELAY_INSTANCES_WATCH_WAIT,
+            false => INSTANCES_WATCH_WAIT,
+        }
     }
 
     fn catalog_source(&self) -> Option<watch::Receiver<CatalogSource>> {
--- a/crates/millwind-engine/src/counted_store.rs
+++ b/crates/millwind-engine/src/counted_store.rs
@@ -50,6 +50,10 @@
         self.counts.count("watch", outcome(&report));
         report
     }
+
+    fn limit_wait(&mut self, wait: Duration) {
+        self.watch.limit_wait(wait);
+    }
 }
 
 impl<S: Store> Store for CountedStore<S> {
--- a/crates/millwind-engine/src/evacuation.rs
+++ b/crates/millwind-engine/src/evacuation.rs
@@ -38,7 +38,11 @@
     pub fn handle_evacuation_listing(&self, codec: &dyn CatalogCodec, listing: &Listing) {
         let now = clock::now();
         let oldest_ms = self.settings.evacuation_bound_ms;
-        let age_ms = self.relays.store_age_ms().unwrap_or(oldest_ms).min(oldest_ms);
+        let age_ms = self
+            .relays
+            .configuration_age_ms()
+            .unwrap_or(oldest_ms)
+            .min(oldest_ms);
         let since = clock::minus_millis(now, age_ms);
         let present = listing.entries.iter().filter(|entry| entry.value.is_some());
         let requests: Vec<_> = present
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -522,7 +522,10 @@
     let zones = settings.topology.zone_count();
     let relays = Relays::new(&settings.zone, zones, settings.config_bound_ms);
     let own_followers: Vec<Arc<dyn Follower>> = vec![registry.clone(), ownership];
-    let mut own_keys = SystemKeys::new(own_followers, relays.reading()).with_zone_first(registry.clone());
+    let own_keys_watch_wait = Duration::from_millis(relays.times().max_configuration_age_ms);
+    let mut own_keys = SystemKeys::new(own_followers, relays.reading())
+        .with_zone_first(registry.clone())
+        .with_max_watch_wait_of_first(own_keys_watch_wait);
     if !settings.promotion_fences {
         own_keys = own_keys.with_quick_start();
     }
--- a/crates/millwind-engine/src/own_keys.rs
+++ b/crates/millwind-engine/src/own_keys.rs
@@ -41,6 +41,8 @@
     catalog_source: watch::Receiver<CatalogSource>,
     /// Number of further watch responses that follow each other quickly.
     starting_batches: AtomicUsize,
+    /// Longest wait of one watch call of a node that ranks first in the registry.
+    max_watch_wait_of_first: Duration,
     state: Mutex<State>,
 }
 
@@ -59,6 +61,7 @@
             registry: None,
             catalog_source,
             starting_batches: AtomicUsize::new(0),
+            max_watch_wait_of_first: Duration::MAX,
             state: Mutex::default(),
         }
     }
@@ -72,6 +75,15 @@
         }
     }
 
+    /// Limits the wait of one watch call of the node that ranks first in the registry, and with
+    /// it the time for which silent connections hide changes: the others compare with that node.
+    pub fn with_max_watch_wait_of_first(self, max_watch_wait_of_first: Duration) -> Self {
+        SystemKeys {
+            max_watch_wait_of_first,
+            ..self
+        }
+    }
+
     /// Makes the first watch responses follow each other quickly, for nodes that start together
     /// and need permits.
     pub fn with_quick_start(self) -> Self {
@@ -233,6 +245,14 @@
         Some(self.catalog_source.clone())
     }
 
+    fn max_watch_wait(&self) -> Duration {
+        let is_first = self.registry.as_ref().is_some_and(|registry| registry.is_first());
+        match is_first {
+            true => self.max_watch_wait_of_first,
+            false => Duration::MAX,
+        }
+    }
+
     fn await_next_batch(&self) -> BoxFuture<'_, ()> {
         let left = self.starting_batches.load(Ordering::Relaxed);
         self.starting_batches
--- a/crates/millwind-engine/src/peers/exchange.rs
+++ b/crates/millwind-engine/src/peers/exchange.rs
@@ -84,7 +84,7 @@
 
     fn interval(&self) -> Duration {
         let (directory, relays) = (&self.engine.directory, &self.engine.relays);
-        if !directory.is_complete() || relays.store_age_ms().is_none() || !directory.has_had_permits() {
+        if !directory.is_complete() || relays.instances_as_of().is_none() || !directory.has_had_permits() {
             return STARTING_INTERVAL;
         }
         match relays.is_polling_urgent(directory) {
@@ -94,7 +94,8 @@
     }
 
     /// Returns the node to compare with: a relay if this node relies on relays and at least one
-    /// is usable, otherwise a neighbour.
+    /// is usable, otherwise the monitor if this node's configuration is not recent, otherwise a
+    /// neighbour.
     fn choose_source(&self) -> Option<ComparisonPeer> {
         let relays = &self.engine.relays;
         let is_relay = relays.is_relay(&self.engine.registry);
@@ -108,17 +109,27 @@
         match relay {
             Some(address) if !prefers_neighbour => Some(ComparisonPeer {
                 address,
-                is_relay: true,
-            }),
-            _ => self.choose_neighbour().map(|address| ComparisonPeer {
-                address,
-                is_relay: false,
+                role: PeerRole::Relay,
             }),
+            _ => self.choose_monitor().or_else(|| self.choose_neighbour()),
         }
     }
 
+    /// Returns the monitor if this node reads the store and should ask it.
+    fn choose_monitor(&self) -> Option<ComparisonPeer> {
+        let relays = &self.engine.relays;
+        if !relays.is_reading_store() {
+            return None;
+        }
+        let address = relays.monitor_to_ask(&self.engine.registry)?;
+        Some(ComparisonPeer {
+            address,
+            role: PeerRole::Monitor,
+        })
+    }
+
     /// Returns a random neighbour, or a seed node while no peer is known.
-    fn choose_neighbour(&self) -> Option<SocketAddr> {
+    fn choose_neighbour(&self) -> Option<ComparisonPeer> {
         let zone = &self.engine.settings.zone;
         let neighbours = self
             .engine
@@ -128,7 +139,11 @@
             true => self.engine.peer_addresses(),
             false => neighbours,
         };
-        choose_random(&addresses)
+        let address = choose_random(&addresses)?;
+        Some(ComparisonPeer {
+            address,
+            role: PeerRole::Neighbour,
+        })
     }
 
     async fn compare_catalog(&self, source: ComparisonPeer) {
@@ -138,7 +153,8 @@
             instances_revision: self.engine.catalog_cache.instances_revision(),
             own_revision: self.engine.own_keys.known_revision(),
             evacuations_revision: self.engine.directory.evacuations().revision(),
-            as_relay: u8::from(source.is_relay),
+            as_relay: u8::from(source.role == PeerRole::Relay),
+            as_monitor: u8::from(source.role == PeerRole::Monitor),
         };
         let sent = clock::now();
         let reply = self.engine.peers.ask(address, &request).await;
@@ -154,7 +170,8 @@
             own,
             own_revision,
             complete,
-            store_age_ms,
+            instances_age_ms,
+            config_age_ms,
             own_age_ms,
         } = reply
         else {
@@ -218,13 +235,20 @@
             let known_at = clock::minus_millis(sent, u64::from(own_age_ms));
             self.engine.directory.confirm_closed_terms(known_at);
         }
-        let store_age_ms = (store_age_ms < u32::MAX).then_some(u64::from(store_age_ms));
-        if let Some(age_ms) = store_age_ms {
+        let instances_age_ms = decode_age_ms(instances_age_ms);
+        let config_age_ms = decode_age_ms(config_age_ms);
+        let relays = &self.engine.relays;
+        if let Some(age_ms) = config_age_ms {
+            relays.configuration_read(clock::minus_millis(sent, age_ms));
+        }
+        if let Some(age_ms) = instances_age_ms {
             self.engine
-                .record_peer_store_contact(clock::minus_millis(sent, age_ms));
+                .record_peer_instances(clock::minus_millis(sent, age_ms));
         }
-        if source.is_relay {
-            self.engine.relays.record_relay_answer(address, store_age_ms);
+        match source.role {
+            PeerRole::Relay => relays.record_relay_answer(address, instances_age_ms),
+            PeerRole::Monitor => relays.record_monitor_answer(address, config_age_ms),
+            PeerRole::Neighbour => {}
         }
     }
 
@@ -248,7 +272,7 @@
         let address = source.address;
         info!(
             "event=comparison_failed peer={address} relay={} waited_ms={} error={:?}",
-            source.is_relay,
+            source.role == PeerRole::Relay,
             clock::now().millis_since(sent),
             error.to_string()
         );
@@ -257,7 +281,10 @@
         if self.engine.directory.is_complete() {
             self.engine.owners.suspect_links();
         }
-        if source.is_relay {
+        if source.role == PeerRole::Monitor {
+            self.engine.relays.avoid(address);
+        }
+        if source.role == PeerRole::Relay {
             info!("event=relay_unreachable relay={address}");
             match self.engine.directory.is_complete() {
                 true => self.engine.relays.avoid(address),
@@ -271,8 +298,22 @@
 #[derive(Debug, Clone, Copy)]
 struct ComparisonPeer {
     address: SocketAddr,
-    /// Whether the node is asked as a relay, which reads the store for this node.
-    is_relay: bool,
+    role: PeerRole,
+}
+
+/// What a node is asked as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PeerRole {
+    /// Reads the store for this node.
+    Relay,
+    /// Checks the configuration for the nodes that watch it.
+    Monitor,
+    Neighbour,
+}
+
+/// Decodes an age that [`crate::catalog_cache::encode_age_ms`] has encoded.
+fn decode_age_ms(age_ms: u32) -> Option<u64> {
+    (age_ms < u32::MAX).then_some(u64::from(age_ms))
 }
 
 fn choose_random(addresses: &[SocketAddr]) -> Option<SocketAddr> {
--- a/crates/millwind-engine/src/peers/server.rs
+++ b/crates/millwind-engine/src/peers/server.rs
@@ -67,10 +67,14 @@
             own_revision,
             evacuations_revision,
             as_relay,
+            as_monitor,
         } => {
             if *as_relay == 1 {
                 engine.relays.record_relay_request();
             }
+            if *as_monitor == 1 {
+                engine.relays.record_monitor_request();
+            }
             engine.catalog_cache.changes_for_peer(
                 *config_version,
                 *instances_revision,
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -353,6 +353,24 @@
         ranked.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns whether no other node ranks before this one in the order of relays.
+    pub fn is_first(&self) -> bool {
+        let nodes = self.nodes();
+        let own_rank = relay_rank(&self.node, nodes.get(&self.node));
+        let mut others = nodes.by_name.iter().filter(|(name, _)| **name != self.node);
+        others.all(|(name, node)| relay_rank(name, Some(node)) < own_rank)
+    }
+
+    /// Returns the address of the other node that ranks first in the order of relays among
+    /// those that are usable.
+    pub fn highest_ranked_peer(&self, is_usable: impl Fn(&SocketAddr) -> bool) -> Option<SocketAddr> {
+        let nodes = self.nodes();
+        let others = nodes.by_name.iter().filter(|(name, _)| **name != self.node);
+        let usable = others.filter(|(_, node)| is_usable(&node.record.peer_address));
+        let first = usable.max_by_key(|(name, node)| relay_rank(name, Some(node)));
+        first.map(|(_, node)| node.record.peer_address)
+    }
+
     fn nodes(&self) -> MutexGuard<'_, Nodes> {
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -4,11 +4,13 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use log::info;
 use millwind_core::Instant;
 use millwind_core::catalog_freshness::CatalogFreshness;
-use millwind_core::catalog_relay::{CatalogState, RelayTimes, relay_count};
+use millwind_core::catalog_relay::{CatalogState, MonitorState, RelayTimes, relay_count};
+use rand::RngExt;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -26,6 +28,11 @@
 const RELAY_WAIT_INTERVAL_MS: u64 = 10_000;
 /// Time for which a relay without an answer or fresh data is not asked, in milliseconds.
 const AVOID_MS: u64 = 8_000;
+/// A node asks the monitor this many times before its configuration is so old that the node
+/// checks it itself.
+const MONITOR_QUESTIONS: u64 = 3;
+/// Smallest part of the age of the configuration at which it is checked, in percent.
+const MIN_CHECK_AGE_PERCENT: u64 = 90;
 /// Time for which a node that cannot serve yet does not ask a relay that did not answer,
 /// in milliseconds. It is short because the relay may be starting too, and each skipped
 /// relay makes another node read the store.
@@ -38,7 +45,9 @@
     relays_known_since: Option<Instant>,
     /// Time at which another node last asked this one as a relay.
     asked_at: Option<Instant>,
-    /// Time up to which the catalog is known, directly or through other nodes.
+    /// Time at which another node last asked this one as the monitor.
+    asked_as_monitor_at: Option<Instant>,
+    /// Times up to which the catalog is known, directly or through other nodes.
     freshness: CatalogFreshness,
     /// Time at which this node last waited for relays after a store outage.
     relay_wait_began: Option<Instant>,
@@ -98,39 +107,109 @@
         self.state().asked_at = Some(clock::now());
     }
 
-    /// Records that the store delivered instance records.
-    pub fn instances_heard(&self) {
-        self.state().freshness.record_instances(clock::now());
+    /// Records that another node asked this one as the monitor.
+    pub fn record_monitor_request(&self) {
+        self.state().asked_as_monitor_at = Some(clock::now());
     }
 
-    /// Records that the configuration was read by a call sent at `asked`, and is being
-    /// watched.
+    /// Records that the store answered a call about the instances that was sent at `asked`.
+    pub fn instances_read(&self, asked: Instant) {
+        self.state().freshness.record_instances(asked);
+    }
+
+    /// Records that the store answered a call about the configuration that was sent at `asked`.
     pub fn configuration_read(&self, asked: Instant) {
-        self.state().freshness.record_configuration_read(asked);
+        self.state().freshness.record_configuration(asked);
     }
 
-    /// Records that the configuration is no longer watched.
-    pub fn configuration_watch_ended(&self) {
-        self.state().freshness.configuration_watch_ended();
+    /// Returns whether the nodes of this deployment use relays.
+    pub fn are_used(&self, registry: &Registry) -> bool {
+        self.relay_count(registry).is_some()
     }
 
-    /// Records that a peer knew the catalog as of `current_as_of`. Returns whether this
-    /// ends a gap so long that the store must have been down.
-    pub fn record_peer_freshness(&self, current_as_of: Instant) -> bool {
+    /// Records that a peer transferred its instances, which matched the store at `as_of`.
+    /// Returns whether this ends a gap so long that the store must have been down.
+    pub fn record_peer_instances(&self, as_of: Instant) -> bool {
         let mut state = self.state();
-        let silence_ms = state
-            .freshness
-            .current_as_of()
-            .map(|last| current_as_of.millis_since(last));
-        state.freshness.record_peer_catalog(current_as_of);
+        let last = state.freshness.instances_as_of();
+        state.freshness.record_instances(as_of);
+        let silence_ms = last.map(|last| as_of.millis_since(last));
         silence_ms.is_some_and(|silence| silence >= self.times.max_fresh_age_ms)
     }
 
-    /// Returns the age of the known catalog in milliseconds, or `None` if the
-    /// configuration or the instances were never received.
-    pub fn store_age_ms(&self) -> Option<u64> {
-        let current_as_of = self.state().freshness.current_as_of()?;
-        Some(clock::now().millis_since(current_as_of))
+    /// Returns when the known instances last matched the store; `None` if they were never
+    /// received.
+    pub fn instances_as_of(&self) -> Option<Instant> {
+        self.state().freshness.instances_as_of()
+    }
+
+    /// Returns when the known configuration last matched the store; `None` if it was never
+    /// received.
+    pub fn configuration_as_of(&self) -> Option<Instant> {
+        self.state().freshness.configuration_as_of()
+    }
+
+    /// Returns the age of the known instances in milliseconds.
+    pub fn instances_age_ms(&self) -> Option<u64> {
+        Some(clock::now().millis_since(self.instances_as_of()?))
+    }
+
+    /// Returns the age of the known configuration in milliseconds.
+    pub fn configuration_age_ms(&self) -> Option<u64> {
+        Some(clock::now().millis_since(self.configuration_as_of()?))
+    }
+
+    fn monitor_state(&self, registry: &Registry) -> MonitorState {
+        MonitorState {
+            is_first: registry.is_first(),
+            contacted_as_monitor_at: self.state().asked_as_monitor_at,
+        }
+    }
+
+    /// Returns whether this node checks the configuration on behalf of the others.
+    pub fn is_monitor(&self, registry: &Registry) -> bool {
+        self.monitor_state(registry).is_monitor(clock::now())
+    }
+
+    /// Returns the monitor, if this node should ask it how old its own configuration is.
+    pub fn monitor_to_ask(&self, registry: &Registry) -> Option<SocketAddr> {
+        let is_due = |age_ms: u64| age_ms >= self.times.max_configuration_age_ms / MONITOR_QUESTIONS;
+        if self.is_monitor(registry) || !self.configuration_age_ms().is_some_and(is_due) {
+            return None;
+        }
+        let now = clock::now();
+        let state = self.state();
+        let is_usable =
+            |address: &SocketAddr| state.avoided_until.get(address).is_none_or(|until| *until <= now);
+        registry.highest_ranked_peer(is_usable)
+    }
+
+    /// Records the answer of the monitor, whose configuration matched the store
+    /// `config_age_ms` ago. It is avoided if it cannot vouch for its configuration.
+    pub fn record_monitor_answer(&self, monitor: SocketAddr, config_age_ms: Option<u64>) {
+        let max_age_ms = self.times.max_configuration_age_ms;
+        if config_age_ms.is_none_or(|age| age >= max_age_ms) {
+            self.avoid(monitor);
+        }
+    }
+
+    /// Waits until the configuration is so old that its watch may have been lost.
+    pub async fn configuration_outdated(&self, registry: &Registry) {
+        // Spreads the checks of nodes whose configurations are equally old.
+        let part = rand::rng().random_range(MIN_CHECK_AGE_PERCENT..=100);
+        let max_pause = Duration::from_millis(self.times.monitor_interval_ms);
+        let started = clock::now();
+        loop {
+            let now = clock::now();
+            let age_ms = now.millis_since(self.configuration_as_of().unwrap_or(started));
+            let check_age_ms = self.monitor_state(registry).check_age_ms(now, &self.times) * part / 100;
+            if age_ms >= check_age_ms {
+                return;
+            }
+            // The node may become the monitor meanwhile.
+            let left = Duration::from_millis(check_age_ms - age_ms);
+            tokio::time::sleep(left.min(max_pause)).await;
+        }
     }
 
     /// Stops asking a relay for a while because it gave no answer or no fresh data.
@@ -151,19 +230,19 @@
         state.avoided_until.insert(relay, now.plus_millis(duration_ms));
     }
 
-    /// Records the answer of a relay whose catalog was current `store_age_ms` ago.
+    /// Records the answer of a relay whose instances matched the store `instances_age_ms` ago.
     ///
     /// A relay with old data is avoided if this node has fresh data. If neither has fresh
     /// data, the store is down, and asking other nodes as relays would only add load when
     /// it recovers.
-    pub fn record_relay_answer(&self, relay: SocketAddr, store_age_ms: Option<u64>) {
+    pub fn record_relay_answer(&self, relay: SocketAddr, instances_age_ms: Option<u64>) {
         self.state().relay_answered_at = Some(clock::now());
         let is_old = |age: Option<u64>| age.is_none_or(|age| age >= self.times.max_fresh_age_ms);
-        if !is_old(store_age_ms) || is_old(self.store_age_ms()) {
+        if !is_old(instances_age_ms) || is_old(self.instances_age_ms()) {
             return;
         }
-        let age = store_age_ms.map_or("none".to_owned(), |age| age.to_string());
-        info!("event=relay_behind relay={relay} store_age_ms={age}");
+        let age = format_age(instances_age_ms);
+        info!("event=relay_behind relay={relay} instances_age_ms={age}");
         self.avoid(relay);
     }
 
@@ -245,14 +324,13 @@
             return;
         }
         let is_relay = self.is_relay(&engine.registry);
-        let (known_since, asked, current_as_of, relay_answered) = {
+        let (known_since, asked, freshness, relay_answered) = {
             let mut state = self.state();
             let known_since = *state.relays_known_since.get_or_insert_with(clock::now);
-            let current_as_of = state.freshness.current_as_of();
             (
                 known_since,
                 state.asked_at,
-                current_as_of,
+                state.freshness,
                 state.relay_answered_at,
             )
         };
@@ -261,7 +339,7 @@
             contacted_as_relay_at: asked,
             is_complete: engine.directory.is_complete(),
             members_known_since: known_since,
-            matched_store_at: current_as_of,
+            freshness,
             relay_answered,
         };
         let must_read = catalog.must_read_store(clock::now(), &self.times);
@@ -276,14 +354,20 @@
         }
         if before != source {
             self.source.send_replace(source);
-            let age = self
-                .store_age_ms()
-                .map_or("none".to_owned(), |age| age.to_string());
-            info!("event=catalog_source reads_store={must_read} relay={is_relay} store_age_ms={age}");
+            info!(
+                "event=catalog_source reads_store={must_read} relay={is_relay} instances_age_ms={} config_age_ms={}",
+                format_age(self.instances_age_ms()),
+                format_age(self.configuration_age_ms())
+            );
         }
     }
 }
 
+/// Formats an age for the log.
+fn format_age(age_ms: Option<u64>) -> String {
+    age_ms.map_or("none".to_owned(), |age| age.to_string())
+}
+
 /// Decides whether this node reads the store as soon as the nodes of its zone are known.
 pub async fn decide_source_at_start(engine: Arc<Engine>) {
     engine.registry.await_zone_known().await;
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -9,7 +9,9 @@
 use futures::stream::FuturesUnordered;
 use log::{debug, info, warn};
 use millwind_core::Instant;
-use millwind_store::{DEFAULT_IDLE_TIMEOUT, Entry, Listing, Store, StoreError, StoreRevision, Watch};
+use millwind_store::{
+    DEFAULT_IDLE_TIMEOUT, Entry, Listing, Store, StoreError, StoreRevision, Watch, WatchReport,
+};
 use rand::RngExt;
 use tokio::sync::watch;
 
@@ -27,6 +29,8 @@
 const PROBE_CALL_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of probe calls in flight.
 const MAX_PROBE_CALLS: usize = 5;
+/// Wait of a watch call that only checks whether there are changes.
+const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// The store may truncate watch responses with at least this many changes; a shorter
 /// response is complete.
 /// The users' platform cuts listings at some 500 entries.
@@ -133,6 +137,15 @@
     fn max_retry_delay(&self) -> Duration {
         MAX_RETRY_DELAY
     }
+    /// Completes when the data is so old that the watch may have been lost without an error.
+    fn outdated(&self) -> BoxFuture<'_, ()> {
+        Box::pin(std::future::pending())
+    }
+    /// Returns the longest time that the next watch call may wait for a change. A watch that
+    /// was lost without an error goes unnoticed for little more than that.
+    fn max_watch_wait(&self) -> Duration {
+        Duration::MAX
+    }
     /// Waits between two watch responses, so that changes arrive in batches.
     fn await_next_batch(&self) -> BoxFuture<'_, ()> {
         Box::pin(std::future::ready(()))
@@ -340,12 +353,22 @@
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
-    revision: StoreRevision,
+    mut revision: StoreRevision,
 ) -> Result<(), StoreError> {
     let mut watch = store.watch(prefix, revision).await?;
     loop {
         let asked = clock::now();
-        let report = watch.next().await?;
+        watch.limit_wait(follower.max_watch_wait());
+        let (report, asked) = tokio::select! {
+            report = watch.next() => (report?, asked),
+            missed = await_missed_changes(store, prefix, follower, revision) => {
+                let (report, asked) = missed?;
+                info!("event=watch_silent watch={} revision={}", follower.name(), report.revision);
+                watch = store.watch(prefix, report.revision).await?;
+                (report, asked)
+            }
+        };
+        revision = report.revision;
         let is_complete = report.changes.len() < MIN_TRUNCATED_CHANGES;
         if report.changes.is_empty() {
             follower.watch_answered();
@@ -362,6 +385,28 @@
     }
 }
 
+/// Checks the prefix beside a waiting watch whenever the follower's data is outdated, since the
+/// connection of the watch may have gone silent. Returns changes after `revision` that the watch
+/// has not reported, and when they were asked for.
+async fn await_missed_changes<S: Store>(
+    store: &S,
+    prefix: &str,
+    follower: &dyn Follower,
+    revision: StoreRevision,
+) -> Result<(WatchReport, Instant), StoreError> {
+    loop {
+        follower.outdated().await;
+        let asked = clock::now();
+        let mut check = store.watch(prefix, revision).await?;
+        check.limit_wait(CHECK_WAIT);
+        let report = check.next().await?;
+        if !report.changes.is_empty() {
+            return Ok((report, asked));
+        }
+        follower.complete(asked);
+    }
+}
+
 /// Probes the store on behalf of a node without data. Returns when any call succeeds;
 /// fails when a call fails and no other is in flight.
 async fn probe_store<S: Store>(store: &S, prefix: &str) -> Result<(), StoreError> {
--- a/crates/millwind-engine/tests/own_keys.rs
+++ b/crates/millwind-engine/tests/own_keys.rs
@@ -151,7 +151,8 @@
         own: documents,
         own_revision: StoreRevision::NONE,
         complete: 0,
-        store_age_ms: 0,
+        instances_age_ms: 0,
+        config_age_ms: 0,
         own_age_ms: 0,
     };
     encode_exchange(&answer).unwrap().len()
--- a/crates/millwind-engine/tests/restored_duties.rs
+++ b/crates/millwind-engine/tests/restored_duties.rs
@@ -125,6 +125,8 @@
     async fn next(&mut self) -> Result<WatchReport, StoreError> {
         std::future::pending().await
     }
+
+    fn limit_wait(&mut self, _wait: Duration) {}
 }
 
 impl Store for RestorableStore {
--- a/crates/millwind-engine/tests/slow_answers.rs
+++ b/crates/millwind-engine/tests/slow_answers.rs
@@ -30,6 +30,7 @@
         own_revision: StoreRevision::new(0, 0),
         evacuations_revision: StoreRevision::new(0, 0),
         as_relay: 1,
+        as_monitor: 0,
     }
 }
 
@@ -48,7 +49,8 @@
         own: DocumentList::default(),
         own_revision: StoreRevision::new(0, 0),
         complete: 1,
-        store_age_ms: 0,
+        instances_age_ms: 0,
+        config_age_ms: 0,
         own_age_ms: 0,
     }
 }
--- a/crates/millwind-engine/tests/stale_relays.rs
+++ b/crates/millwind-engine/tests/stale_relays.rs
@@ -56,7 +56,7 @@
     let registry = registry();
     let relays = Relays::new(ZONE, 1, CONFIG_BOUND_MS);
     let first = relays.relays_to_ask(&registry);
-    relays.record_peer_freshness(clock::now());
+    relays.record_peer_instances(clock::now());
     relays.record_relay_answer(first[0], Some(STALE_AGE_MS));
     let after = relays.relays_to_ask(&registry);
     assert!(!after.contains(&first[0]), "{after:?}");
@@ -77,7 +77,7 @@
     let registry = registry();
     let relays = Relays::new(ZONE, 1, CONFIG_BOUND_MS);
     let first = relays.relays_to_ask(&registry);
-    relays.record_peer_freshness(clock::now());
+    relays.record_peer_instances(clock::now());
     relays.record_relay_answer(first[0], Some(100));
     assert_eq!(relays.relays_to_ask(&registry), first);
 }
--- a/crates/millwind-engine/tests/store_watch.rs
+++ b/crates/millwind-engine/tests/store_watch.rs
@@ -28,6 +28,8 @@
         self.0.fetch_add(1, Ordering::SeqCst);
         std::future::pending().await
     }
+
+    fn limit_wait(&mut self, _wait: Duration) {}
 }
 
 impl Store for SlowStore {
--- a/crates/millwind-node/tests/changes.rs
+++ b/crates/millwind-node/tests/changes.rs
@@ -38,6 +38,8 @@
     async fn next(&mut self) -> Result<WatchReport, StoreError> {
         Err(StoreError::WatchEnded("not watched".into()))
     }
+
+    fn limit_wait(&mut self, _wait: Duration) {}
 }
 
 impl MemoryStore {
--- a/crates/millwind-store/src/etcd.rs
+++ b/crates/millwind-store/src/etcd.rs
@@ -23,7 +23,7 @@
 
 /// Longest wait for the response to one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Interval between progress requests on a watch.
+/// Longest interval between progress requests on a watch.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 /// A watch ends if a progress request gets no response within this time.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(4);
@@ -176,6 +176,7 @@
             responses: response.into_inner(),
             progress_requested_at: None,
             next_progress_request: Instant::now(),
+            progress_interval: PROGRESS_INTERVAL,
         })
     }
 
@@ -246,6 +247,7 @@
     /// When the outstanding progress request was sent; none if there is none.
     progress_requested_at: Option<Instant>,
     next_progress_request: Instant,
+    progress_interval: Duration,
 }
 
 impl Watch for EtcdWatch {
@@ -268,13 +270,17 @@
             }
         }
     }
+
+    fn limit_wait(&mut self, wait: Duration) {
+        self.progress_interval = wait.min(PROGRESS_INTERVAL);
+    }
 }
 
 impl EtcdWatch {
     async fn request_progress(&mut self) -> Result<(), StoreError> {
         let now = Instant::now();
         self.progress_requested_at = Some(now);
-        self.next_progress_request = now + PROGRESS_INTERVAL;
+        self.next_progress_request = now + self.progress_interval;
         send(
             &self.requests,
             WatchRequestKind::Progress(WatchProgressRequest {}),
--- a/crates/millwind-store/src/lib.rs
+++ b/crates/millwind-store/src/lib.rs
@@ -106,6 +106,11 @@
 pub trait Watch: Send {
     /// Waits for the next report. Requests a progress report when there are no changes.
     fn next(&mut self) -> impl Future<Output = Result<WatchReport, StoreError>> + Send;
+
+    /// Limits how long the following calls of [`Watch::next`] wait for a change before they
+    /// request a progress report. This bounds the time for which the loss of the watch can
+    /// go unnoticed, since a connection may go silent without an error.
+    fn limit_wait(&mut self, wait: Duration);
 }
 
 /// Default idle timeout of a listing.
--- a/crates/millwind-wire/src/exchange.rs
+++ b/crates/millwind-wire/src/exchange.rs
@@ -12,7 +12,7 @@
 use crate::text;
 
 /// Version of the exchange protocol; the first byte of every message.
-pub const EXCHANGE_VERSION: u8 = 10;
+pub const EXCHANGE_VERSION: u8 = 11;
 
 /// One document of the store, or its removal.
 #[binrw]
@@ -167,6 +167,9 @@
         /// 1 if the receiver is asked as a relay, which reads the store on behalf of other
         /// nodes; else 0.
         as_relay: u8,
+        /// 1 if the receiver is asked as the monitor, which checks the configuration on behalf
+        /// of other nodes; else 0.
+        as_monitor: u8,
     },
     /// Asks whether the receiver can reach an instance.
     #[brw(magic = 2u8)]
@@ -299,9 +302,11 @@
         own_revision: StoreRevision,
         /// 1 if the replying node knows all instances, else 0.
         complete: u8,
-        /// Time since the replying node last received data from the store, directly or
-        /// through other nodes, in milliseconds; `u32::MAX` for never.
-        store_age_ms: u32,
+        /// Time since the replying node's instances last matched the store, as it knows
+        /// directly or through other nodes, in milliseconds; `u32::MAX` for never.
+        instances_age_ms: u32,
+        /// The same for its configuration and zone evacuation requests.
+        config_age_ms: u32,
         /// Time since the replying node last knew all of the proxy's own keys, in
         /// milliseconds; `u32::MAX` for never.
         own_age_ms: u32,
