A silent connection to etcd is replaced

Seen: with the PostgreSQL daemon's store behind a proxy, a connection that goes silent (still acknowledged at TCP level) is used for all later calls. Each of them times out after 2 s; the node never reads a configuration again.

Cause: the gRPC channel opens a connection once and keeps it until the far end closes it. Progress requests end the watch after 4 s, but the next listing goes over the same connection.

Change: HTTP/2 pings after 1 s without data, also on an idle connection; one that is not answered within 2 s closes it, and the channel connects anew.

--- a/crates/millwind-store/src/etcd.rs
+++ b/crates/millwind-store/src/etcd.rs
@@ -23,6 +23,12 @@
 
 /// Longest wait for the response to one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without data after which a connection is checked with an HTTP/2 ping. Without pings, a
+/// connection that goes silent while its peer still acknowledges at TCP level would be used for
+/// all later calls.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// A connection is closed if a ping gets no response within this time.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest interval between progress requests on a watch.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 /// A watch ends if a progress request gets no response within this time.
@@ -41,7 +47,10 @@
         for address in endpoints {
             let endpoint = Endpoint::from_shared(format!("http://{address}"))
                 .map_err(|error| StoreError::Refused(error.to_string()))?
-                .connect_timeout(CALL_TIMEOUT);
+                .connect_timeout(CALL_TIMEOUT)
+                .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+                .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+                .keep_alive_while_idle(true);
             endpoint_list.push(endpoint);
         }
         let channel = match endpoint_list.len() {
