A silent link between nodes is replaced also without calls

Callers notice once configurations come late and the node stops to serve.

Cause: keep-alives were sent only while a call waited for its reply, so silence was noticed on links with calls alone.

Change: anything sent since the peer was last heard starts the keep-alives, whose reply shows that the link works. Without one the link is closed after 2 s, as with calls.

Test: a_silent_link_without_calls_is_replaced.

--- a/crates/millwind-node/src/peer/link.rs
+++ b/crates/millwind-node/src/peer/link.rs
@@ -18,12 +18,12 @@
 use super::frame_codec;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval of keep-alive messages while calls are in flight.
+/// Interval of keep-alive messages while something that was sent is unanswered.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(250);
 /// Silence after which a link with calls in flight accepts no new calls. New calls
 /// fail as not sent, so that another owner can run them.
 const SILENT_AFTER: Duration = Duration::from_millis(600);
-/// Silence after which a link with calls in flight is closed.
+/// Silence after which a link is closed if something was sent since.
 const DISCONNECT_AFTER: Duration = Duration::from_secs(2);
 const COMMAND_QUEUE_LENGTH: usize = 1_024;
 
@@ -190,6 +190,9 @@
     }
     let mut pending: HashMap<u64, PendingCall> = HashMap::new();
     let mut last_received = tokio::time::Instant::now();
+    // Whether anything was sent since the peer was last heard. Most messages have no reply, so
+    // a keep-alive asks for one.
+    let mut is_unanswered = false;
     // Size of the partly received message at the previous keep-alive.
     let mut received_bytes = 0;
     let mut keep_alive_timer = tokio::time::interval(KEEP_ALIVE_INTERVAL);
@@ -198,9 +201,10 @@
         tokio::select! {
             command = commands.recv() => {
                 let Some(command) = command else { return };
-                if pending.is_empty() {
+                if pending.is_empty() && !is_unanswered {
                     last_received = tokio::time::Instant::now();
                 }
+                is_unanswered = true;
                 if run_commands(command, &mut commands, &mut framed, &mut pending).await.is_err() {
                     return;
                 }
@@ -208,13 +212,14 @@
             frame = framed.next() => {
                 let Some(Ok(frame)) = frame else { return };
                 last_received = tokio::time::Instant::now();
+                is_unanswered = false;
                 silent.store(false, Ordering::Relaxed);
                 let Ok(message) = millwind_wire::decode(&frame) else { return };
                 if let Some(call) = reply_request_id(&message).and_then(|id| pending.remove(&id)) {
                     let _ = call.reply.send(Ok(message));
                 }
             }
-            _ = keep_alive_timer.tick(), if !pending.is_empty() => {
+            _ = keep_alive_timer.tick(), if is_unanswered || !pending.is_empty() => {
                 pending.retain(|_, call| !call.reply.is_closed());
                 // A peer that is still sending a large message is not silent.
                 let received_before = received_bytes;
--- a/crates/millwind-node/tests/links.rs
+++ b/crates/millwind-node/tests/links.rs
@@ -166,3 +166,27 @@
         "the link was closed while the result arrived"
     );
 }
+
+/// Interval between two messages without a reply.
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time within which a silent link is replaced.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(5);
+
+/// Guards against a link that went silent and carries only messages without replies, such as
+/// digests: it was never replaced, and all of them were lost.
+#[tokio::test]
+async fn a_silent_link_without_calls_is_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let links = PeerLinks::new(hello(), Box::new(IdentityMap));
+    let sender = tokio::spawn(async move {
+        loop {
+            links.send(address, request(1));
+            tokio::time::sleep(MESSAGE_INTERVAL).await;
+        }
+    });
+    let _silent = listener.accept().await.expect("the link opens");
+    let replaced = tokio::time::timeout(REPLACEMENT_TIME, listener.accept()).await;
+    sender.abort();
+    assert!(replaced.is_ok(), "no other link was opened");
+}
