Fewer checks of the configuration for the same bound

Cause: the monitor checked the configuration every fifth of the bound, other nodes repeated overdue calls while the store answered nothing at all, and several nodes acted as the monitor after restarts. Each check is a call to the store.

Change: the monitor checks as late as still spares the other nodes their own checks; a call is repeated only while the store answers over new connections; only a listed node is the monitor; a failed check is repeated and does not end the watch; evacuations, which are read with the configuration, keep their own bound.

--- a/crates/millwind-core/src/catalog_relay.rs
+++ b/crates/millwind-core/src/catalog_relay.rs
@@ -33,12 +33,15 @@
 /// Interval at which a relay reads the store, as a percentage of the time within which a
 /// configuration must be in force.
 const READ_INTERVAL_PERCENT: u64 = 25;
-/// Interval at which the monitor checks the configuration, as a percentage of the time within
-/// which a configuration must be in force.
-const MONITOR_INTERVAL_PERCENT: u64 = 20;
+/// Smallest interval at which the monitor checks the configuration, as a percentage of the time
+/// within which a configuration must be in force.
+const MIN_MONITOR_INTERVAL_PERCENT: u64 = 20;
+/// Time in which other nodes learn from the monitor how old their configuration is, one
+/// comparison with it and one with a relay later, in milliseconds.
+const MONITOR_SPREAD_MS: u64 = 1_800;
 /// Time for which a node acts as the monitor after another node contacted it as that, in
 /// milliseconds.
-const MONITOR_ROLE_MS: u64 = 6_000;
+const MONITOR_ROLE_MS: u64 = 3_000;
 /// Upper limit of the time for which a catalog counts as fresh, as a percentage of the time
 /// within which a configuration must be in force.
 const MAX_FRESH_PERCENT: u64 = 60;
@@ -79,12 +82,32 @@
         let max_fresh_ms = config_bound_ms * MAX_FRESH_PERCENT / 100;
         RelayTimes {
             read_interval_ms,
-            monitor_interval_ms: config_bound_ms * MONITOR_INTERVAL_PERCENT / 100,
+            monitor_interval_ms: monitor_interval_ms(config_bound_ms),
             max_configuration_age_ms: max_fresh_ms,
             max_fresh_age_ms: (read_interval_ms + FRESHNESS_ALLOWANCE_MS).min(max_fresh_ms),
             allow_relays: config_bound_ms >= MIN_CONFIG_BOUND_MS,
         }
     }
+
+    /// Returns the timing with which other keys that are read with the configuration take effect
+    /// within `bound_ms` as well.
+    pub fn with_operators_bound(self, bound_ms: u64) -> Self {
+        let monitor_interval_ms = monitor_interval_ms(bound_ms);
+        let max_configuration_age_ms = bound_ms * MAX_FRESH_PERCENT / 100;
+        RelayTimes {
+            monitor_interval_ms: self.monitor_interval_ms.min(monitor_interval_ms),
+            max_configuration_age_ms: self.max_configuration_age_ms.min(max_configuration_age_ms),
+            ..self
+        }
+    }
+}
+
+/// Returns the interval at which the monitor checks keys that must take effect within `bound_ms`:
+/// as long as the other nodes need not check them.
+fn monitor_interval_ms(bound_ms: u64) -> u64 {
+    let max_age_ms = bound_ms * MAX_FRESH_PERCENT / 100;
+    let shortest_ms = bound_ms * MIN_MONITOR_INTERVAL_PERCENT / 100;
+    max_age_ms.saturating_sub(MONITOR_SPREAD_MS).max(shortest_ms)
 }
 
 /// The state from which a node decides whether to read the store.
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -79,6 +79,9 @@
 /// Time after [`FIRST_START_DELAY`] for listing the nodes before the catalog is read, so
 /// that most nodes know the relays by then.
 const FIRST_START_LISTING_TIME: Duration = Duration::from_millis(300);
+/// Longest wait of a watch call of one node on the system's own keys, in percent of the time
+/// within which a configuration must be in force.
+const OWN_KEYS_WAIT_PERCENT: u64 = 60;
 /// Safety margin subtracted from the time in which a draining leader is still used.
 const DRAIN_MARGIN_MS: u64 = 1_500;
 
@@ -520,9 +523,10 @@
         directory.clone(),
     ));
     let zones = settings.topology.zone_count();
-    let relays = Relays::new(&settings.zone, zones, settings.config_bound_ms);
+    let relays = Relays::new(&settings.zone, zones, settings.config_bound_ms)
+        .with_evacuation_bound(settings.evacuation_bound_ms);
     let own_followers: Vec<Arc<dyn Follower>> = vec![registry.clone(), ownership];
-    let own_keys_watch_wait = Duration::from_millis(relays.times().max_configuration_age_ms);
+    let own_keys_watch_wait = Duration::from_millis(settings.config_bound_ms * OWN_KEYS_WAIT_PERCENT / 100);
     let mut own_keys = SystemKeys::new(own_followers, relays.reading())
         .with_zone_first(registry.clone())
         .with_max_watch_wait_of_first(own_keys_watch_wait);
--- a/crates/millwind-engine/src/relays.rs
+++ b/crates/millwind-engine/src/relays.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Makes requests to evacuate a zone, which are read with the configuration, take effect
+    /// within `bound_ms`.
+    pub fn with_evacuation_bound(self, bound_ms: u64) -> Self {
+        Relays {
+            times: self.times.with_operators_bound(bound_ms),
+            ..self
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -161,7 +170,7 @@
 
     fn monitor_state(&self, registry: &Registry) -> MonitorState {
         MonitorState {
-            is_first: registry.is_first(),
+            is_first: registry.is_listed() && registry.is_first(),
             contacted_as_monitor_at: self.state().asked_as_monitor_at,
         }
     }
--- a/crates/millwind-engine/src/store_watch.rs
+++ b/crates/millwind-engine/src/store_watch.rs
@@ -243,7 +243,7 @@
         };
         let outcome = match read {
             Ok(Some(revision)) => tokio::select! {
-                result = watch_changes(&*store, &prefix, &*follower, revision) => result,
+                result = watch_changes(&*store, &prefix, &*follower, &contact, revision) => result,
                 // The watch may have been lost without an error.
                 Ok(()) = reread_count.changed(), if !follower.is_sentinel() => Ok(()),
                 () = wait_until_relayed(&mut source) => Ok(()),
@@ -353,6 +353,7 @@
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
+    contact: &StoreContact,
     mut revision: StoreRevision,
 ) -> Result<(), StoreError> {
     let mut watch = store.watch(prefix, revision).await?;
@@ -361,8 +362,7 @@
         watch.limit_wait(follower.max_watch_wait());
         let (report, asked) = tokio::select! {
             report = watch.next() => (report?, asked),
-            missed = await_missed_changes(store, prefix, follower, revision) => {
-                let (report, asked) = missed?;
+            (report, asked) = await_missed_changes(store, prefix, follower, contact, revision) => {
                 info!("event=watch_silent watch={} revision={}", follower.name(), report.revision);
                 watch = store.watch(prefix, report.revision).await?;
                 (report, asked)
@@ -388,25 +388,53 @@
 /// Checks the prefix beside a waiting watch whenever the follower's data is outdated, since the
 /// connection of the watch may have gone silent. Returns changes after `revision` that the watch
 /// has not reported, and when they were asked for.
+///
+/// A failed check does not end the watch: the sentinel detects an outage of the store.
 async fn await_missed_changes<S: Store>(
     store: &S,
     prefix: &str,
     follower: &dyn Follower,
-    revision: StoreRevision,
-) -> Result<(WatchReport, Instant), StoreError> {
+    contact: &StoreContact,
+    mut revision: StoreRevision,
+) -> (WatchReport, Instant) {
+    let mut retry_delay = INITIAL_RETRY_DELAY;
     loop {
         follower.outdated().await;
+        if contact.is_lost() {
+            contact.await_reachable(SENTINEL_TIMEOUT).await;
+        }
         let asked = clock::now();
-        let mut check = store.watch(prefix, revision).await?;
-        check.limit_wait(CHECK_WAIT);
-        let report = check.next().await?;
-        if !report.changes.is_empty() {
-            return Ok((report, asked));
+        match check_for_changes(store, prefix, revision).await {
+            Ok(report) if report.changes.is_empty() => {
+                revision = report.revision;
+                retry_delay = INITIAL_RETRY_DELAY;
+                follower.complete(asked);
+            }
+            Ok(report) => return (report, asked),
+            Err(error) => {
+                debug!(
+                    "event=check_failed watch={} error={:?}",
+                    follower.name(),
+                    error.to_string()
+                );
+                tokio::time::sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(follower.max_retry_delay());
+            }
         }
-        follower.complete(asked);
     }
 }
 
+/// Asks for the changes after `revision` that the store already has.
+async fn check_for_changes<S: Store>(
+    store: &S,
+    prefix: &str,
+    revision: StoreRevision,
+) -> Result<WatchReport, StoreError> {
+    let mut check = store.watch(prefix, revision).await?;
+    check.limit_wait(CHECK_WAIT);
+    check.next().await
+}
+
 /// Probes the store on behalf of a node without data. Returns when any call succeeds;
 /// fails when a call fails and no other is in flight.
 async fn probe_store<S: Store>(store: &S, prefix: &str) -> Result<(), StoreError> {
