The drain bound runs from the last time at which the instance was not leaving

Cause: the bound runs from the store's acknowledgement, a node counted it from the time at which it read the record. Nodes that share the connections to an instance read the records every 40% of the bound, which is more than the margin.

Evidence: the node's last statement came the bound less the margin after its own line instance_leaving, and that line up to 2.8 s after the acknowledgement.

Change: the node keeps the time at which it last asked for instances that matched the store, also through peers. An instance that is found to leave, or without a record, may have left since then, and the bound is counted from there. It is checked again right before new work is sent, which may have waited for a connection, a slot or a credit.

Why it works: the announcement cannot have been acknowledged before the last read that did not show it.

--- a/crates/millwind-engine/src/catalog_intake.rs
+++ b/crates/millwind-engine/src/catalog_intake.rs
@@ -55,6 +55,7 @@
     /// Records that a peer transferred its instances, which matched the store at `as_of`. If that
     /// ends an outage, all followers read again, since this node's watches may have been lost.
     pub fn record_peer_instances(&self, as_of: Instant) {
+        self.directory.record_instances_as_of(as_of);
         let ends_outage = self.relays.record_peer_instances(as_of);
         if ends_outage && !self.relays.is_reading_store() {
             self.store_contact.request_reread();
--- a/crates/millwind-engine/src/catalog_watch.rs
+++ b/crates/millwind-engine/src/catalog_watch.rs
@@ -158,6 +158,7 @@
 
     fn complete(&self, asked: Instant) {
         self.engine.relays.instances_read(asked);
+        self.engine.directory.record_instances_as_of(asked);
     }
 
     fn max_watch_wait(&self) -> Duration {
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -51,6 +51,10 @@
     pub last_seen: Instant,
     /// When this node learned that the instance is leaving or that its record was removed.
     pub leaving_since: Option<Instant>,
+    /// When the store may have acknowledged that at the earliest: the last time at which this
+    /// node knew that the instance was present and not leaving. [`Instant::default`] if it
+    /// never knew that.
+    pub leaving_not_before: Instant,
     /// Whether the record was removed from the store.
     pub is_removed: bool,
     /// Whether the value under the instance's key could not be decoded.
@@ -149,6 +153,8 @@
     unclaimed_group: Option<GroupName>,
     has_instance_listing: bool,
     last_store_contact: Option<Instant>,
+    /// When the known instances last matched the store.
+    instances_as_of: Option<Instant>,
     /// Time as of which this node knows all closed terms in the store.
     closed_terms_confirmed: Option<Instant>,
     /// When this node was registered. A promoter revokes permits only from registered
@@ -322,6 +328,10 @@
         }
         let same_incarnation = previous.filter(|_| restart.is_none());
         let leaving_before = same_incarnation.and_then(|known| known.leaving_since);
+        let leaving_not_before = match same_incarnation {
+            Some(known) if known.leaving_since.is_some() => known.leaving_not_before,
+            _ => state.instances_as_of.unwrap_or_default(),
+        };
         let warm_up_observation = observe_warm_up(previous, restart.is_some(), &record, now);
         let name = record.name.clone();
         let group = record.group.clone();
@@ -345,6 +355,7 @@
             record: Arc::new(record),
             last_seen: now,
             leaving_since,
+            leaving_not_before,
             is_removed: false,
             is_undecodable: false,
             is_leaving: false,
@@ -398,6 +409,12 @@
         self.state().last_store_contact
     }
 
+    /// Records that the known instances matched the store at `as_of`.
+    pub fn record_instances_as_of(&self, as_of: Instant) {
+        let mut state = self.state();
+        state.instances_as_of = state.instances_as_of.max(Some(as_of));
+    }
+
     /// Records that a peer has sent the complete list of instances.
     pub fn mark_listing_complete(&self) {
         self.state().has_instance_listing = true;
--- a/crates/millwind-engine/src/directory/removals.rs
+++ b/crates/millwind-engine/src/directory/removals.rs
@@ -13,6 +13,7 @@
     /// instance is unknown or was marked before.
     pub fn mark_removed(&self, instance: &InstanceName) -> bool {
         let mut state = self.state();
+        let as_of = state.instances_as_of.unwrap_or_default();
         let Some(known) = state.instances.get_mut(instance) else {
             return false;
         };
@@ -20,7 +21,10 @@
             return false;
         }
         known.is_removed = true;
-        known.leaving_since.get_or_insert(clock::now());
+        if known.leaving_since.is_none() {
+            known.leaving_since = Some(clock::now());
+            known.leaving_not_before = as_of;
+        }
         let group = known.record.group.clone();
         info!("event=instance_gone instance={instance} group={group}");
         state.mark_group_changed(&group);
--- a/crates/millwind-engine/src/eligibility.rs
+++ b/crates/millwind-engine/src/eligibility.rs
@@ -4,6 +4,8 @@
 use millwind_core::eligibility::{IneligibleReason, InstanceFacts, check_instance};
 use millwind_core::ids::GroupName;
 
+use crate::backend::ExchangeError;
+use crate::catalog::InstanceRecord;
 use crate::directory::KnownInstance;
 use crate::execution::AttemptError;
 use crate::node::Engine;
@@ -18,6 +20,16 @@
     Leader,
 }
 
+impl InstanceUse {
+    /// Returns the use of work that only reads, or that needs the leader.
+    pub const fn of(is_read_only: bool) -> Self {
+        match is_read_only {
+            true => InstanceUse::Replica,
+            false => InstanceUse::Leader,
+        }
+    }
+}
+
 impl Engine {
     /// Checks whether statements restricted to `regions` may use an instance now; returns
     /// the reason if not.
@@ -30,14 +42,27 @@
         let facts = InstanceFacts {
             region: self.settings.topology.region_of(&known.record.zone),
             is_evacuated: self.is_evacuated_for(known, usage),
-            is_leaving: match usage {
-                InstanceUse::Replica => known.is_leaving,
-                InstanceUse::Leader => !self.takes_new_work(known),
-            },
+            is_leaving: self.is_leaving_for(known, usage),
         };
         check_instance(regions, &facts)
     }
 
+    /// Checks, right before new work is sent, that the instance still gets any: the work may
+    /// have waited in a queue since the instance was chosen.
+    pub fn check_drain(&self, record: &InstanceRecord, usage: InstanceUse) -> Result<(), AttemptError> {
+        let known = self.directory.instance(&record.name);
+        match known.is_some_and(|known| self.is_leaving_for(&known, usage)) {
+            true => Err(AttemptError::Link(ExchangeError::PoolRetired)),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns whether the instance's end forbids new work of this use.
+    fn is_leaving_for(&self, known: &KnownInstance, usage: InstanceUse) -> bool {
+        let is_left_at_once = usage == InstanceUse::Replica && known.is_leaving;
+        is_left_at_once || !self.takes_new_work(known)
+    }
+
     /// Returns whether retries are pointless after an attempt failed with `error`, because
     /// no instance may run the statement. If only the zone of the tried instance is being
     /// evacuated, another instance may serve the statement or become leader soon.
--- a/crates/millwind-engine/src/execution.rs
+++ b/crates/millwind-engine/src/execution.rs
@@ -18,6 +18,7 @@
 use crate::catalog::InstanceRecord;
 use crate::clock;
 use crate::directory::Directory;
+use crate::eligibility::InstanceUse;
 use crate::node::Engine;
 use crate::statement::{BackEndError, BackEndErrorKind, Command, Envelope, Reply, TransactionState};
 use crate::warm_up_credits::{CreditWait, CreditWaitPolicy};
@@ -273,6 +274,7 @@
         command: Command::Begin { read_only },
     };
     engine.check_evacuation(record, read_only)?;
+    engine.check_drain(record, InstanceUse::of(read_only))?;
     let tracker = RequestTracker::new(&engine.directory, &record.name);
     let reply = match connection.exchange(&envelope, deadline).await {
         Ok(reply) => reply,
@@ -311,9 +313,14 @@
         _ => CreditWaitPolicy::UntilTargetTime,
     };
     let slot = acquire_slot_and_credit(engine, connection, wait_policy, deadline).await?;
-    // The evacuation of the zone may have started while the statement waited.
-    let is_single_read = !confirms_leader && connection.transaction() == TransactionState::Idle;
+    // The evacuation of the zone may have started while the statement waited, or the instance
+    // may have announced its end.
+    let is_single = connection.transaction() == TransactionState::Idle;
+    let is_single_read = !confirms_leader && is_single;
     engine.check_evacuation(record, is_single_read)?;
+    if is_single {
+        engine.check_drain(record, InstanceUse::of(is_single_read))?;
+    }
     let tracker = RequestTracker::new(&engine.directory, &record.name);
     let outcome = connection.run(session, envelope, deadline).await;
     slot.end(classify_execution_end(&outcome));
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -82,8 +82,9 @@
 /// Longest wait of a watch call of one node on the system's own keys, in percent of the time
 /// within which a configuration must be in force.
 const OWN_KEYS_WAIT_PERCENT: u64 = 60;
-/// Safety margin subtracted from the time in which a draining leader is still used.
-const DRAIN_MARGIN_MS: u64 = 1_500;
+/// Time before the drain bound after which nothing new is sent to an instance, so that what was
+/// sent arrives in time.
+const DRAIN_MARGIN_MS: u64 = 1_000;
 
 /// Lifecycle phase of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -245,13 +246,24 @@
         }
     }
 
-    /// Returns whether a leader accepts new work. A draining leader does until shortly
-    /// before its drain bound, so that another can take over.
+    /// Returns whether new work may be sent to an instance at all. A leader that is leaving gets
+    /// new work until shortly before its drain bound, so that another can take over.
+    ///
+    /// The bound runs from the store's acknowledgement, which this node may have read late. An
+    /// instance without a record has at least the grace period, since an outage of the store may
+    /// have removed the record.
     pub fn takes_new_work(&self, known: &KnownInstance) -> bool {
-        let bound = self.settings.drain_bound_ms.saturating_sub(DRAIN_MARGIN_MS);
-        known
-            .leaving_since
-            .is_none_or(|since| clock::now().millis_since(since) < bound)
+        let Some(learned) = known.leaving_since else {
+            return true;
+        };
+        let bound_ms = self.settings.drain_bound_ms.saturating_sub(DRAIN_MARGIN_MS);
+        let ends = known.leaving_not_before.plus_millis(bound_ms);
+        let is_announced = known.record.is_leaving || known.is_undecodable;
+        let grace_ends = match is_announced {
+            true => Instant::default(),
+            false => learned.plus_millis(gone_grace_ms(&self.settings)),
+        };
+        clock::now() < ends.max(grace_ends)
     }
 
     /// Waits before the next batch of changed instance records. The wait is longer if nodes
