An evacuation that is heard late is dated by the read before

Cause: a request that a watch reported was dated by its arrival; only listings were dated by the last time at which the node knew the store's contents.

Change: events are dated like listings. Since the date is now the earliest possible one, a leader is used for 75% of the bound where it was 40%: what was left for nodes that hear late is counted itself now.

--- a/crates/millwind-core/src/evacuation.rs
+++ b/crates/millwind-core/src/evacuation.rs
@@ -112,9 +112,15 @@
         EvacuationChange { started, withdrawn }
     }
 
-    /// Applies the changes of one watch notification received at `now`. Changes received
+    /// Applies the changes of one watch notification received at `now`. Requests are dated
+    /// `since`, the last time at which this node knew the store's contents. Changes received
     /// before the first listing are ignored, since the other zones are still unknown.
-    pub fn apply_events(&mut self, events: &[EvacuationEvent], now: Instant) -> EvacuationChange {
+    pub fn apply_events(
+        &mut self,
+        events: &[EvacuationEvent],
+        since: Instant,
+        now: Instant,
+    ) -> EvacuationChange {
         if !self.is_known() {
             return EvacuationChange::default();
         }
@@ -134,7 +140,7 @@
                 true if is_listed => {}
                 true => requests.push(EvacuationRequest {
                     zone: event.zone.clone(),
-                    since: now,
+                    since,
                 }),
                 false => requests.retain(|request| request.zone != event.zone),
             }
--- a/crates/millwind-core/tests/evacuation.rs
+++ b/crates/millwind-core/tests/evacuation.rs
@@ -71,16 +71,36 @@
 #[test]
 fn event_affects_one_zone_and_requires_a_listing() {
     let mut known = Evacuations::default();
-    assert!(known.apply_events(&[event("a", true, 3)], at(50)).is_empty());
+    assert!(
+        known
+            .apply_events(&[event("a", true, 3)], at(50), at(50))
+            .is_empty()
+    );
     assert!(!known.is_known());
     known.apply(&[zone("a")], revision_of(5), at(100));
     // The listing already includes this change.
-    assert!(known.apply_events(&[event("a", false, 4)], at(150)).is_empty());
-    let change = known.apply_events(&[event("b", true, 6), event("c", true, 6)], at(200));
+    assert!(
+        known
+            .apply_events(&[event("a", false, 4)], at(150), at(150))
+            .is_empty()
+    );
+    let change = known.apply_events(&[event("b", true, 6), event("c", true, 6)], at(200), at(200));
     assert_eq!(change.started, [zone("b"), zone("c")]);
     assert_eq!(known.since(&zone("a")), Some(at(100)));
-    let change = known.apply_events(&[event("b", false, 7)], at(300));
+    let change = known.apply_events(&[event("b", false, 7)], at(300), at(300));
     assert_eq!(change.withdrawn, [zone("b")]);
+    assert_eq!(known.withdrawn_at(&zone("b")), Some(at(300)));
+}
+
+/// Guards against an evacuation whose bound runs from the time at which a node hears of it.
+#[test]
+fn event_is_dated_by_the_last_time_at_which_the_store_was_known() {
+    let mut known = Evacuations::default();
+    known.apply(&[], revision_of(5), at(100));
+    known.apply_events(&[event("a", true, 6)], at(150), at(900));
+    assert_eq!(known.since(&zone("a")), Some(at(150)));
+    known.apply_events(&[event("a", false, 7)], at(900), at(1_000));
+    assert_eq!(known.withdrawn_at(&zone("a")), Some(at(1_000)));
 }
 
 #[test]
@@ -138,7 +158,7 @@
                     known.apply(&zones(reported), revision_of(reported as u64), at(2));
                 }
             }
-            known.apply_events(&[event(&number.to_string(), *is_requested, revision as u64)], at(3));
+            known.apply_events(&[event(&number.to_string(), *is_requested, revision as u64)], at(3), at(3));
             prop_assert!(known.revision() >= revision_of(revision as u64));
             let evacuated: BTreeSet<_> = known.zones().map(|(zone, _)| zone.clone()).collect();
             prop_assert_eq!(&evacuated, &states[known.revision().number as usize]);
--- a/crates/millwind-engine/src/directory/evacuation.rs
+++ b/crates/millwind-engine/src/directory/evacuation.rs
@@ -20,9 +20,10 @@
         self.change_evacuations(|evacuations, now| evacuations.apply_requests(requests, revision, now))
     }
 
-    /// Applies changes of evacuation requests reported by a watch of the store.
-    pub fn apply_evacuation_events(&self, events: &[EvacuationEvent]) -> EvacuationChange {
-        self.change_evacuations(|evacuations, now| evacuations.apply_events(events, now))
+    /// Applies changes of evacuation requests reported by a watch of the store, none of which
+    /// was made before `since`.
+    pub fn apply_evacuation_events(&self, events: &[EvacuationEvent], since: Instant) -> EvacuationChange {
+        self.change_evacuations(|evacuations, now| evacuations.apply_events(events, since, now))
     }
 
     fn change_evacuations(
--- a/crates/millwind-engine/src/evacuation.rs
+++ b/crates/millwind-engine/src/evacuation.rs
@@ -24,9 +24,10 @@
 use crate::node::Engine;
 use crate::ports::CatalogCodec;
 
-/// Part of the evacuation bound in which a leader in the zone is still used, in percent.
-/// The rest allows for nodes that learn of the request late and for running statements.
-const EVACUATED_LEADER_PERCENT: u64 = 40;
+/// Part of the evacuation bound in which a leader in the zone is still used, in percent. The
+/// bound runs from the earliest time at which the zone may have been evacuated. The rest allows
+/// for the way to the instance.
+const EVACUATED_LEADER_PERCENT: u64 = 75;
 /// Idle connections kept to an instance in an evacuated zone if this node checks the
 /// health of the group's leader.
 const HEALTH_CHECK_CONNECTIONS: usize = 1;
@@ -36,14 +37,7 @@
     /// back to the last time at which this node knew the store's contents; a node without
     /// such knowledge assumes that the evacuation bound has passed.
     pub fn handle_evacuation_listing(&self, codec: &dyn CatalogCodec, listing: &Listing) {
-        let now = clock::now();
-        let oldest_ms = self.settings.evacuation_bound_ms;
-        let age_ms = self
-            .relays
-            .configuration_age_ms()
-            .unwrap_or(oldest_ms)
-            .min(oldest_ms);
-        let since = clock::minus_millis(now, age_ms);
+        let since = self.evacuated_not_before();
         let present = listing.entries.iter().filter(|entry| entry.value.is_some());
         let requests: Vec<_> = present
             .filter_map(|entry| codec.read_evacuation(&entry.key))
@@ -53,6 +47,14 @@
         self.handle_evacuation_change(&change);
     }
 
+    /// Returns the earliest time at which an evacuation may have been requested that this node
+    /// learns of now.
+    fn evacuated_not_before(&self) -> Instant {
+        let oldest_ms = self.settings.evacuation_bound_ms;
+        let age_ms = self.relays.configuration_age_ms().unwrap_or(oldest_ms);
+        clock::minus_millis(clock::now(), age_ms.min(oldest_ms))
+    }
+
     /// Applies changes of the operators' keys reported by a store watch.
     pub fn handle_evacuation_events(&self, codec: &dyn CatalogCodec, entries: &[Entry]) {
         let decode = |entry: &Entry| {
@@ -64,7 +66,8 @@
         };
         let events: Vec<_> = entries.iter().filter_map(decode).collect();
         if !events.is_empty() {
-            let change = self.directory.apply_evacuation_events(&events);
+            let since = self.evacuated_not_before();
+            let change = self.directory.apply_evacuation_events(&events, since);
             self.handle_evacuation_change(&change);
         }
     }
