A session reads its own writes in every group that it wrote to

Cause: a session kept one commit with its group; a write in the second group replaced that of the first.

Evidence: all stale reads come after the second move, and none without the second write.

--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod retry;
 pub mod routing;
 pub mod selection;
+pub mod session_commits;
 pub mod session_state;
 pub mod successor;
 pub mod tenant;
--- a/crates/millwind-engine/src/directory/mod.rs
+++ b/crates/millwind-engine/src/directory/mod.rs
@@ -105,15 +105,6 @@
     pub term: Option<Term>,
 }
 
-/// The last commit of a session.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SessionCommit {
-    /// Log position of the commit.
-    pub position: Position,
-    /// A time at or after the acknowledgement of the commit.
-    pub acknowledged: Instant,
-}
-
 #[derive(Debug, Default)]
 struct Group {
     leader: Option<Leader>,
--- a/crates/millwind-engine/src/directory/usage.rs
+++ b/crates/millwind-engine/src/directory/usage.rs
@@ -3,8 +3,9 @@
 use millwind_core::Instant;
 use millwind_core::ids::GroupName;
 use millwind_core::position::Position;
+use millwind_core::session_commits::SessionCommit;
 
-use super::{Directory, Group, SessionCommit};
+use super::{Directory, Group};
 use crate::clock;
 
 impl Directory {
--- a/crates/millwind-engine/src/floor.rs
+++ b/crates/millwind-engine/src/floor.rs
@@ -5,8 +5,8 @@
 use millwind_core::Instant;
 use millwind_core::ids::GroupName;
 use millwind_core::position::Position;
+use millwind_core::session_commits::{OwnCommits, SessionCommit};
 
-use crate::directory::SessionCommit;
 use crate::node::Engine;
 use crate::{clock, peers};
 
@@ -33,7 +33,7 @@
     pub arrived: Instant,
     /// Staleness that the read accepts, in milliseconds.
     pub staleness_ms: u64,
-    /// The last commit of the session.
+    /// The last commit of the session in the group.
     pub written: Option<SessionCommit>,
 }
 
@@ -61,6 +61,24 @@
 }
 
 impl StalenessBound {
+    /// Returns the bound of a read that arrived at `arrived`, accepts a staleness of
+    /// `staleness_ms` and must see `own`.
+    ///
+    /// Commits at unknown positions are covered by what the leader reports after them, so the
+    /// read then accepts no more staleness than the time since.
+    pub fn new(arrived: Instant, staleness_ms: u64, own: OwnCommits) -> Self {
+        let (staleness_ms, written) = match own {
+            OwnCommits::None => (staleness_ms, None),
+            OwnCommits::Last(commit) => (staleness_ms, Some(commit)),
+            OwnCommits::Until(acknowledged) => (staleness_ms.min(arrived.millis_since(acknowledged)), None),
+        };
+        StalenessBound {
+            arrived,
+            staleness_ms,
+            written,
+        }
+    }
+
     /// Returns the minimum position if it follows from the observations so far.
     pub fn known_position(&self, engine: &Engine, group: &GroupName) -> Option<Position> {
         engine
--- a/crates/millwind-engine/src/forward/messages.rs
+++ b/crates/millwind-engine/src/forward/messages.rs
@@ -6,6 +6,7 @@
 use millwind_core::eligibility::IneligibleReason;
 use millwind_core::ids::{GroupName, InstanceName, TenantName};
 use millwind_core::position::{LogPosition, Position, Term};
+use millwind_core::session_commits::SessionCommit;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 use millwind_wire::forward::{
     ForwardedAnswer, ForwardedCommit, ForwardedExecution, ForwardedFloor, ForwardedOutcome,
@@ -14,7 +15,6 @@
 
 use crate::backend::{ConnectionUser, ExchangeError};
 use crate::clock;
-use crate::directory::SessionCommit;
 use crate::execution::AttemptError;
 use crate::floor::{MinimumReadPosition, StalenessBound};
 use crate::node::Engine;
--- a/crates/millwind-engine/src/session/mod.rs
+++ b/crates/millwind-engine/src/session/mod.rs
@@ -21,6 +21,7 @@
 use millwind_core::ids::{DatabaseName, GroupName, ZoneName};
 use millwind_core::lead_relocation::statement_weight;
 use millwind_core::position::Position;
+use millwind_core::session_commits::SessionCommits;
 use millwind_core::session_state::{Access, PreparedStatement, SessionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -30,7 +31,6 @@
 use crate::backend::ConnectionUser;
 use crate::catalog::Database;
 use crate::clock;
-use crate::directory::SessionCommit;
 use crate::node::{Engine, Phase};
 use crate::ports::CodecError;
 use crate::statement::{CallerMessage, Command, Request, Statement, TransactionState};
@@ -59,8 +59,7 @@
     /// Digest of the caller's key.
     key: Option<KeyDigest>,
     state: Arc<SessionState>,
-    /// The session's last commit and the group that it was made in.
-    last_commit: Option<(GroupName, SessionCommit)>,
+    commits: SessionCommits,
     transaction: Option<OpenTransaction>,
     /// Identifies the session in this node's log lines.
     session_id: u64,
@@ -150,7 +149,7 @@
             database: DatabaseName::from(""),
             key: None,
             state: Arc::default(),
-            last_commit: None,
+            commits: SessionCommits::default(),
             transaction: None,
             session_id,
             attempt_log: AttemptLog::default(),
@@ -482,22 +481,8 @@
         }
     }
 
-    /// Returns the session's last commit if it was made in `group`.
-    fn last_commit_in(&self, group: &GroupName) -> Option<SessionCommit> {
-        self.last_commit
-            .as_ref()
-            .filter(|(commit_group, _)| commit_group == group)
-            .map(|(_, commit)| *commit)
-    }
-
     fn record_commit(&mut self, group: &GroupName, position: Option<Position>) {
-        if let Some(position) = position {
-            let commit = SessionCommit {
-                position,
-                acknowledged: clock::now(),
-            };
-            self.last_commit = Some((group.clone(), commit));
-        }
+        self.commits.record(group, position, clock::now());
     }
 }
 
--- a/crates/millwind-engine/src/session/reads.rs
+++ b/crates/millwind-engine/src/session/reads.rs
@@ -13,6 +13,7 @@
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::{GroupName, InstanceName};
 use millwind_core::selection::{ReadCandidate, order_by_expected_time};
+use millwind_core::session_commits::OwnCommits;
 use millwind_core::session_state::SessionState;
 
 use super::attempt::{self, OverloadCounter, SessionConnection};
@@ -120,18 +121,18 @@
     /// the staleness bound from which an owner computes it. Fails if no leader
     /// position is observed before the deadline.
     pub(super) async fn floor_for(&self, operation: &Operation) -> Result<MinimumReadPosition, Refusal> {
-        let written = match operation.database.consistency {
-            Consistency::BoundedStaleness => None,
-            _ => self.last_commit_in(operation.group()),
-        };
-        let bound = StalenessBound {
-            arrived: operation.arrived,
-            staleness_ms: operation.database.settings.staleness_ms,
-            written,
+        let own = match operation.database.consistency {
+            Consistency::BoundedStaleness => OwnCommits::None,
+            _ => self.commits.in_group(operation.group()),
         };
+        let staleness_ms = operation.database.settings.staleness_ms;
+        let bound = StalenessBound::new(operation.arrived, staleness_ms, own);
         let mut position = bound.known_position(&self.engine, operation.group());
         if position.is_none() {
-            if !self.engine.watches(operation.group()) {
+            // An owner takes a forwarded staleness for that of the database, so a shorter one is
+            // resolved here.
+            let is_shorter = bound.staleness_ms < staleness_ms;
+            if !self.engine.watches(operation.group()) && !is_shorter {
                 return Ok(MinimumReadPosition::Staleness(bound));
             }
             position = bound
