PostgreSQL sessions keep their last write with its group

Callers could see: after a tenant moved to another group, a session that wrote there first kept the higher position of its former group as its last write. If a failover then discarded what it had only read, its reads failed with session_discarded for good. A token whose position equalled that of the former group was not told to the client.

Cause: positions without the group that they belong to.

Change: SessionProgress keeps the token, the last write and what was told to the client as tokens, each with its group.

The logic stood within the session before, where no test could reach it.

--- a/crates/millwind-core/src/lib.rs
+++ b/crates/millwind-core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod routing;
 pub mod selection;
 pub mod session_commits;
+pub mod session_progress;
 pub mod session_state;
 pub mod successor;
 pub mod tenant;
--- a/crates/millwind-node/src/gateway/session.rs
+++ b/crates/millwind-node/src/gateway/session.rs
@@ -10,8 +10,8 @@
 use millwind_core::error_kind::ErrorKind;
 use millwind_core::ids::TenantName;
 use millwind_core::position::Position;
+use millwind_core::session_progress::SessionProgress;
 use millwind_core::tenant::TenantSettings;
-use millwind_core::token::SessionToken;
 use millwind_wire::Intent;
 use pgwire::messages::response::{ReadyForQuery, TransactionStatus};
 use pgwire::messages::startup::ParameterStatus;
@@ -55,11 +55,7 @@
     client_settings: ClientSettings,
     prepared: PreparedStatements,
     transaction: Transaction,
-    token: Option<SessionToken>,
-    /// Position of the session's last write. The token may be ahead of it because of
-    /// reads; a failover may discard the difference.
-    last_write: Option<Position>,
-    reported_position: Option<Position>,
+    progress: SessionProgress,
     runtime: Arc<TenantRuntime>,
     _slot: ClientSlot,
 }
@@ -89,9 +85,7 @@
             client_settings,
             prepared: PreparedStatements::new(),
             transaction: Transaction::None,
-            last_write: token.as_ref().map(|token: &SessionToken| token.position),
-            token,
-            reported_position: None,
+            progress: SessionProgress::with_token(token),
             runtime,
             _slot: slot,
         }
@@ -311,16 +305,18 @@
         };
         let result = match intent {
             Intent::Read => match dispatch.read(token).await {
-                Err(error) if error.kind == ErrorKind::SessionDiscarded && self.last_write < token => {
-                    self.reset_token_to_last_write(settings);
-                    dispatch.read(self.last_write).await
+                Err(error) if error.kind == ErrorKind::SessionDiscarded => {
+                    match self.progress.return_to_last_write(&settings.group) {
+                        Some(written) => dispatch.read(Some(written)).await,
+                        None => Err(error),
+                    }
                 }
                 result => result,
             },
             _ => dispatch.execute_on_primary(intent, token).await,
         };
         if let (Ok(response), true) = (&result, intent != Intent::Read) {
-            self.last_write = self.last_write.max(response.position);
+            self.record_write(settings, response);
         }
         publish_decision(&dispatch, intent, &result, started);
         let response = result?;
@@ -367,7 +363,7 @@
         publish_decision(&dispatch, intent, &result, started);
         match result {
             Ok(response) => {
-                self.last_write = self.last_write.max(response.position);
+                self.record_write(settings, &response);
                 (name, self.apply_response(settings, batch, response))
             }
             Err(error) => {
@@ -405,8 +401,7 @@
                 }
             }
             if let Some(token) = self.client_settings.session.take() {
-                self.last_write = Some(token.position);
-                self.token = Some(*token);
+                self.progress.present(*token);
             }
         }
         self.encode_local_response(batch, &batch.classified.kinds)
@@ -428,7 +423,7 @@
 
     fn setting_value(&self, name: &str) -> String {
         match name {
-            "session" => self.token.as_ref().map(ToString::to_string).unwrap_or_default(),
+            "session" => self.progress.token().map(ToString::to_string).unwrap_or_default(),
             "class" => self
                 .client_settings
                 .class
@@ -450,24 +445,9 @@
         }
     }
 
-    /// Returns the token's position, or `None` if the token belongs to another group.
-    fn token_position(&self, settings: &TenantSettings) -> Option<Position> {
-        self.token
-            .as_ref()
-            .filter(|token| token.group == settings.group)
-            .map(|token| token.position)
-    }
-
-    fn advance_token(&mut self, settings: &TenantSettings, position: Option<Position>) {
-        let Some(position) = position else { return };
-        if self
-            .token_position(settings)
-            .is_none_or(|current| position > current)
-        {
-            self.token = Some(SessionToken {
-                group: settings.group.clone(),
-                position,
-            });
+    fn record_write(&mut self, settings: &TenantSettings, response: &BatchResponse) {
+        if let Some(position) = response.position {
+            self.progress.record_write(&settings.group, position);
         }
     }
 
@@ -478,30 +458,25 @@
         settings: &TenantSettings,
         dispatch: &Dispatch<'_>,
     ) -> Result<Option<Position>, RequestError> {
-        if let Some(position) = self.token_position(settings) {
+        if let Some(position) = self.progress.position_in(&settings.group) {
             return Ok(Some(position));
         }
         let position = dispatch.primary_position().await?;
-        self.last_write = position;
-        self.advance_token(settings, position);
+        if let Some(position) = position {
+            self.progress.start_in(&settings.group, position);
+        }
         Ok(position)
     }
 
-    /// Moves the token back to the position of the session's last write.
-    fn reset_token_to_last_write(&mut self, settings: &TenantSettings) {
-        self.token = self.last_write.map(|position| SessionToken {
-            group: settings.group.clone(),
-            position,
-        });
-    }
-
     fn apply_response(
         &mut self,
         settings: &TenantSettings,
         batch: &Batch,
         response: BatchResponse,
     ) -> Result<ClientResponse, RequestError> {
-        self.advance_token(settings, response.position);
+        if let Some(position) = response.position {
+            self.progress.advance(&settings.group, position);
+        }
         self.transaction = match response.pin {
             Some(pin) => Transaction::Open(pin),
             None => Transaction::None,
@@ -540,11 +515,9 @@
     ) -> Result<(), std::io::Error> {
         let mut out = BytesMut::with_capacity(messages.len() + 64);
         out.extend_from_slice(messages);
-        let position = self.token.as_ref().map(|token| token.position);
-        if let Some(token) = self.token.as_ref().filter(|_| position != self.reported_position) {
+        if let Some(token) = self.progress.take_unreported() {
             let parameter = ParameterStatus::new(SESSION_PARAMETER.to_owned(), token.to_string());
             put_backend(&mut out, &PgWireBackendMessage::ParameterStatus(parameter)).map_err(encode_error)?;
-            self.reported_position = position;
         }
         let ready = PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status));
         put_backend(&mut out, &ready).map_err(encode_error)?;
