Operators' keys are checked as often as stated bounds demand

Cause: where a deployment states no bound for evacuations, the default of 5 s was taken for one, and the monitor checked the configuration every 1.2 s where its own bound of 8 s asks for 3 s. Each check is a call to the store.

Change: the bound is optional in the settings. Without it zones are evacuated as before, within the default time of reading the request, and the checks follow the bound of the configuration.

--- a/crates/millwind-core/tests/catalog_relay.rs
+++ b/crates/millwind-core/tests/catalog_relay.rs
@@ -187,3 +187,21 @@
         prop_assert!(times.monitor_interval_ms < times.max_configuration_age_ms);
     }
 }
+
+/// Guards against nodes that check the configuration themselves although the monitor could spare
+/// them the call, and against a monitor that keeps only one of two bounds.
+#[test]
+fn the_monitor_checks_in_time_for_the_shortest_bound() {
+    for (config_bound_ms, operators_bound_ms) in [(10_000, 5_000), (5_000, 10_000), (3_000, 3_000)] {
+        let times = RelayTimes::for_config_bound(config_bound_ms).with_operators_bound(operators_bound_ms);
+        let shortest_ms = config_bound_ms.min(operators_bound_ms);
+        assert_eq!(times.max_configuration_age_ms, shortest_ms * 60 / 100);
+        assert!(
+            times.monitor_interval_ms < times.max_configuration_age_ms,
+            "{times:?}"
+        );
+        assert!(times.monitor_interval_ms >= shortest_ms / 5, "{times:?}");
+    }
+    let without = RelayTimes::for_config_bound(10_000);
+    assert!(without.monitor_interval_ms > 10_000 / 5 * 2, "{without:?}");
+}
--- a/crates/millwind-engine/src/evacuation.rs
+++ b/crates/millwind-engine/src/evacuation.rs
@@ -50,7 +50,7 @@
     /// Returns the earliest time at which an evacuation may have been requested that this node
     /// learns of now.
     fn evacuated_not_before(&self) -> Instant {
-        let oldest_ms = self.settings.evacuation_bound_ms;
+        let oldest_ms = self.settings.evacuation_ms();
         let age_ms = self.relays.configuration_age_ms().unwrap_or(oldest_ms);
         clock::minus_millis(clock::now(), age_ms.min(oldest_ms))
     }
@@ -171,7 +171,7 @@
     }
 
     fn leader_use_deadline(&self, since: Instant) -> Instant {
-        let bound = self.settings.evacuation_bound_ms;
+        let bound = self.settings.evacuation_ms();
         since.plus_millis(bound * EVACUATED_LEADER_PERCENT / 100)
     }
 
--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -287,7 +287,7 @@
         let directory = &self.engine.directory;
         let known = leader.and_then(|leader| directory.instance(leader));
         let since = known.and_then(|known| directory.evacuated_since(&known.record.zone));
-        let bound = self.engine.settings.evacuation_bound_ms;
+        let bound = self.engine.settings.evacuation_ms();
         let is_within_bound = since.is_some_and(|since| clock::now().millis_since(since) < bound);
         is_within_bound
             || try_start_cooldown(
--- a/crates/millwind-engine/src/node.rs
+++ b/crates/millwind-engine/src/node.rs
@@ -535,8 +535,10 @@
         directory.clone(),
     ));
     let zones = settings.topology.zone_count();
-    let relays = Relays::new(&settings.zone, zones, settings.config_bound_ms)
-        .with_evacuation_bound(settings.evacuation_bound_ms);
+    let mut relays = Relays::new(&settings.zone, zones, settings.config_bound_ms);
+    if let Some(bound_ms) = settings.evacuation_bound_ms {
+        relays = relays.with_evacuation_bound(bound_ms);
+    }
     let own_followers: Vec<Arc<dyn Follower>> = vec![registry.clone(), ownership];
     let own_keys_watch_wait = Duration::from_millis(settings.config_bound_ms * OWN_KEYS_WAIT_PERCENT / 100);
     let mut own_keys = SystemKeys::new(own_followers, relays.reading())
--- a/crates/millwind-engine/src/settings.rs
+++ b/crates/millwind-engine/src/settings.rs
@@ -7,6 +7,9 @@
 use millwind_core::warm_up::WarmUpTolerance;
 use thiserror::Error;
 
+/// Time within which a zone is evacuated if the deployment has no bound for it, in milliseconds.
+pub const DEFAULT_EVACUATION_MS: u64 = 5_000;
+
 /// Settings of a node, independent of the file format that the adapter reads.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineSettings {
@@ -53,8 +56,9 @@
     /// exclude the region of its leader. If not, statements that need the leader are refused.
     pub relocates_leads: bool,
     /// Time after the acceptance of a zone evacuation within which the zone's instances
-    /// must stop receiving new work, in milliseconds.
-    pub evacuation_bound_ms: u64,
+    /// must stop receiving new work, in milliseconds. `None` if the deployment has no such
+    /// bound; zones are then evacuated within [`DEFAULT_EVACUATION_MS`] of reading the request.
+    pub evacuation_bound_ms: Option<u64>,
     /// Number of statements allowed to cold instances beyond the configured limits.
     pub warm_up_tolerance: WarmUpTolerance,
 }
@@ -78,6 +82,11 @@
         self.topology.region_of(&ZoneName::from(self.zone.as_str()))
     }
 
+    /// Returns the time within which a zone is evacuated, in milliseconds.
+    pub fn evacuation_ms(&self) -> u64 {
+        self.evacuation_bound_ms.unwrap_or(DEFAULT_EVACUATION_MS)
+    }
+
     /// Validates the ranges of the settings.
     pub fn check(&self) -> Result<(), SettingsError> {
         check_text("name", &self.name)?;
@@ -86,10 +95,9 @@
         check_range("grace_ms", self.grace_ms, 100, 600_000, "100 to 600000 ms")?;
         let config_bound = self.config_bound_ms;
         check_range("config_bound_ms", config_bound, 500, 600_000, "500 to 600000 ms")?;
-        let evacuation_bound = self.evacuation_bound_ms;
         check_range(
             "evacuation_bound_ms",
-            evacuation_bound,
+            self.evacuation_ms(),
             500,
             600_000,
             "500 to 600000 ms",
