Odd records of nodes and of failover ownership are written again

Callers could see: after another writer had put an unreadable document in the place of a group's ownership record, its leader was never replaced, since every claim failed on the revision of the record that was read last. A node that started beside an unreadable record of its own never registered, and one whose record was replaced could not be found by nodes that started later.

Cause: an unreadable record was passed over with its revision, but the condition of the next write needs that revision.

Change: the last readable ownership record counts as lost and is restored, as after a restore of the store; the revision of the unreadable one is the condition. A process that knows no readable one replaces it only where promotions fence. A node writes its own record again, and is not registered meanwhile.

--- a/crates/millwind-engine/src/failover/mod.rs
+++ b/crates/millwind-engine/src/failover/mod.rs
@@ -157,7 +157,8 @@
         }
     }
 
-    /// Rewrites ownership records that the store lost when it was restored. Nodes wait in the
+    /// Rewrites ownership records that the store lost when it was restored, or that another
+    /// writer made unreadable. Nodes wait in the
     /// order of their rank for the group, so that usually only the first one writes. A node
     /// that restarted in the meantime does not know the lost records.
     fn restore_lost_records(self: &Arc<Self>) {
--- a/crates/millwind-engine/src/failover_ownership.rs
+++ b/crates/millwind-engine/src/failover_ownership.rs
@@ -172,10 +172,12 @@
     process: ProcessId,
     directory: Arc<Directory>,
     observed: Mutex<HashMap<GroupName, ObservedOwnership>>,
-    /// Records that the store lost when it was restored from a backup, with the time at
-    /// which this node detected the loss. They are written again before any node may rely
-    /// on their absence.
+    /// Records that the store lost when it was restored from a backup, or that another writer
+    /// replaced, with the time at which this node detected the loss. They are written again
+    /// before any node may rely on their absence.
     lost: Mutex<HashMap<GroupName, (FailoverRecord, Instant)>>,
+    /// Revisions of records that cannot be read.
+    unreadable: Mutex<HashMap<GroupName, StoreRevision>>,
     is_listed: AtomicBool,
 }
 
@@ -203,6 +205,7 @@
             directory,
             observed: Mutex::new(HashMap::new()),
             lost: Mutex::new(HashMap::new()),
+            unreadable: Mutex::new(HashMap::new()),
             is_listed: AtomicBool::new(false),
         }
     }
@@ -215,8 +218,12 @@
         self.lost.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the groups whose records the store lost when it was restored, each with the
-    /// time at which this node detected the loss.
+    fn unreadable(&self) -> MutexGuard<'_, HashMap<GroupName, StoreRevision>> {
+        self.unreadable.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the groups whose records were lost, each with the time at which this node detected
+    /// the loss.
     pub fn lost_records(&self) -> Vec<(GroupName, Instant)> {
         let lost = self.lost();
         lost.iter()
@@ -237,6 +244,28 @@
         }
     }
 
+    /// Records that the record of `revision` cannot be read, because another writer replaced it.
+    /// The last readable one then counts as lost.
+    fn record_unreadable(&self, group: GroupName, revision: StoreRevision) {
+        match self.get(&group) {
+            Some(held) if held.revision >= revision => return,
+            Some(held) => self.record_loss(&group, &held.record),
+            None => {}
+        }
+        self.unreadable().insert(group, revision);
+    }
+
+    /// Returns the revision of the record in the store, which this process may replace; `None` if
+    /// the record cannot be read and may have closed a term that this node does not know.
+    fn replaceable_revision(&self, group: &GroupName) -> Option<StoreRevision> {
+        let held = self.get(group).map(|ownership| ownership.revision);
+        let unreadable = self.unreadable().get(group).copied();
+        if unreadable.is_some() && held.is_none() && !self.directory.is_fenced() {
+            return None;
+        }
+        Some(held.max(unreadable).unwrap_or(StoreRevision::NONE))
+    }
+
     /// Returns the latest known record of a group: the last observed record or, unless it
     /// covers the record that the store lost, the lost one.
     fn known_record(&self, group: &GroupName) -> Option<FailoverRecord> {
@@ -351,10 +380,9 @@
     /// another node changed the record first or the store did not confirm the write.
     pub async fn take(&self, group: &GroupName, claim: Claim) -> Result<u64, FailoverOwnershipError> {
         let key = self.key(group);
-        let held = self.get(group);
-        let expected = held
-            .as_ref()
-            .map_or(StoreRevision::NONE, |ownership| ownership.revision);
+        let expected = self
+            .replaceable_revision(group)
+            .ok_or(FailoverOwnershipError::Taken)?;
         let record = claim.record(&self.node, &self.process, self.known_record(group));
         let write = Write {
             key: key.clone(),
@@ -419,6 +447,7 @@
             .filter_map(|key| key.strip_prefix(&self.prefix))
             .map(GroupName::from)
             .collect();
+        self.unreadable().retain(|group, _| present.contains(group));
         let is_gone = |group: &GroupName, ownership: &ObservedOwnership| {
             ownership.revision.era < listing.revision.era && !present.contains(group)
         };
@@ -446,6 +475,7 @@
                         "event=duty_unreadable group={group} error={:?}",
                         error.to_string()
                     );
+                    self.record_unreadable(GroupName::from(group), entry.revision);
                 }
             }
         }
--- a/crates/millwind-engine/src/registered_nodes.rs
+++ b/crates/millwind-engine/src/registered_nodes.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Nodes {
     pub(crate) by_name: BTreeMap<String, RegisteredNode>,
+    /// Revision of a record of this node that cannot be read, because another writer replaced it.
+    pub(crate) own_unreadable: StoreRevision,
     hashes: Vec<u64>,
     by_zone: HashMap<String, Vec<u64>>,
 }
--- a/crates/millwind-engine/src/registration.rs
+++ b/crates/millwind-engine/src/registration.rs
@@ -42,7 +42,7 @@
         let (known, revision) = registry.own_record();
         let wanted = own.next(known.as_ref(), revision);
         let has_predecessors = !wanted.registration.predecessors.is_empty();
-        if known.as_ref() == Some(&wanted) {
+        if known.as_ref() == Some(&wanted) && registry.is_own_record_readable() {
             if registry.is_registered() && own.registered != revision {
                 own.registered = revision;
                 request_permits(engine);
--- a/crates/millwind-engine/src/registry.rs
+++ b/crates/millwind-engine/src/registry.rs
@@ -405,13 +405,23 @@
         rank
     }
 
-    /// Returns this node's record as last seen with its revision, which is
+    /// Returns this node's record as last read, and the revision under its key, which is
     /// [`StoreRevision::NONE`] if there is no record.
     pub fn own_record(&self) -> (Option<NodeRecord>, StoreRevision) {
         let nodes = self.nodes();
         let own = nodes.get(&self.node);
         let revision = own.map_or(StoreRevision::NONE, |own| own.revision);
-        (own.map(|own| own.record.clone()), revision)
+        (
+            own.map(|own| own.record.clone()),
+            revision.max(nodes.own_unreadable),
+        )
+    }
+
+    /// Returns whether the record under this node's key can be read.
+    pub fn is_own_record_readable(&self) -> bool {
+        let nodes = self.nodes();
+        let own = nodes.get(&self.node).map(|own| own.revision);
+        own.unwrap_or(StoreRevision::NONE) >= nodes.own_unreadable
     }
 
     /// Returns the key of the record of `node` in `zone`.
@@ -524,7 +534,8 @@
     /// without an answer may have been carried out just before.
     fn update_registration(&self) {
         let (record, revision) = self.own_record();
-        let is_registered = record.is_some_and(|record| record.registration.registers(self.process.as_ref()));
+        let is_registered = self.is_own_record_readable()
+            && record.is_some_and(|record| record.registration.registers(self.process.as_ref()));
         let mut own_state = self.own_state.lock().unwrap_or_else(PoisonError::into_inner);
         if *own_state == (revision, is_registered) {
             return;
@@ -551,14 +562,23 @@
             let Some(name) = self.node_name(&entry.key) else {
                 continue;
             };
+            let is_own = entry.key == self.key(&self.zone, &self.node);
             let Some(value) = &entry.value else {
                 has_changed |= nodes.remove(name);
+                if is_own {
+                    nodes.own_unreadable = StoreRevision::NONE;
+                }
                 continue;
             };
             match serde_json::from_slice::<NodeRecord>(value) {
                 Ok(record) => has_changed |= self.insert_if_newer(nodes, name, record, entry.revision),
                 // The node may still run, and hold permits.
-                Err(error) => warn!("event=node_unreadable name={name} error={:?}", error.to_string()),
+                Err(error) => {
+                    warn!("event=node_unreadable name={name} error={:?}", error.to_string());
+                    if is_own {
+                        nodes.own_unreadable = nodes.own_unreadable.max(entry.revision);
+                    }
+                }
             }
         }
         if has_changed {
@@ -588,6 +608,9 @@
             for name in &removed {
                 nodes.remove(name);
             }
+            if !names.contains(self.node.as_str()) {
+                nodes.own_unreadable = StoreRevision::NONE;
+            }
             if !removed.is_empty() {
                 self.changed();
             }
